--- /dev/null
+++ b/cmake/GoldcrestPackage.cmake
@@ -0,0 +1,64 @@
+# Build settings shared by all packages, and the functions that declare them.
+
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+
+option(GOLDCREST_SANITIZE "Build with AddressSanitizer and UBSan" OFF)
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(fmt REQUIRED)
+find_package(Catch2 REQUIRED)
+find_package(docopt REQUIRED)
+
+add_library(goldcrest_warnings INTERFACE)
+target_compile_options(goldcrest_warnings INTERFACE -Wall -Wextra -Werror
+                                                    -Wno-missing-field-initializers)
+
+if(GOLDCREST_SANITIZE)
+  add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
+                      -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=address,undefined)
+endif()
+
+add_library(goldcrest_test_main OBJECT ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
+
+# goldcrest_package(NAME SOURCES ... DEPENDS ... [TESTS ...] [TEST_DEPENDS ...])
+#
+# Declares the library goldcrest_NAME from SOURCES, with its public headers in
+# include/. Links DEPENDS publicly. TESTS become one Catch2 program and one
+# CTest test named NAME; test cases tagged [guarantee] also run as the test
+# NAME.guarantee with the label "guarantee".
+function(goldcrest_package NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
+  add_library(goldcrest_${NAME} STATIC ${ARG_SOURCES})
+  target_include_directories(goldcrest_${NAME} PUBLIC include PRIVATE . internal)
+  target_link_libraries(goldcrest_${NAME} PUBLIC ${ARG_DEPENDS}
+                                          PRIVATE goldcrest_warnings)
+  if(ARG_TESTS)
+    goldcrest_test(${NAME} SOURCES ${ARG_TESTS} DEPENDS goldcrest_${NAME}
+                   ${ARG_TEST_DEPENDS})
+  endif()
+endfunction()
+
+# goldcrest_test(NAME SOURCES ... DEPENDS ...)
+function(goldcrest_test NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(goldcrest_${NAME}_tests ${ARG_SOURCES}
+                                         $<TARGET_OBJECTS:goldcrest_test_main>)
+  target_include_directories(goldcrest_${NAME}_tests PRIVATE . internal)
+  target_link_libraries(goldcrest_${NAME}_tests PRIVATE ${ARG_DEPENDS} Catch2::Catch2
+                                                        goldcrest_warnings)
+  target_compile_definitions(goldcrest_${NAME}_tests
+    PRIVATE GOLDCREST_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests")
+  add_test(NAME ${NAME} COMMAND goldcrest_${NAME}_tests ~[guarantee])
+  add_test(NAME ${NAME}.guarantee COMMAND goldcrest_${NAME}_tests [guarantee])
+  set_tests_properties(${NAME}.guarantee PROPERTIES LABELS guarantee)
+endfunction()
--- /dev/null
+++ b/cmake/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/messages/goldcrest.thrift
@@ -0,0 +1,399 @@
+// Messages between daemons and commands in the replicated log.
+// Regenerate with scripts/generate-messages after a change.
+// Field numbers are never reused: daemons of two versions talk to each other
+// during a rolling restart, and the log outlives both.
+
+namespace cpp goldcrest.messages
+
+// ---- configuration -------------------------------------------------------
+
+enum ObjectKind {
+  CUSTOMER = 1,
+  KEY = 2,
+  ENDPOINT = 3,
+  ACCESS = 4,
+  QUOTA = 5,
+  OBJECTIVE = 6,
+}
+
+enum AccessMode {
+  READ = 1,
+  WRITE = 2,       // reads and writes
+}
+
+enum Durability {
+  MAJORITY = 1,    // acknowledged when a majority reports the position
+  PRIMARY = 2,     // acknowledged by the primary alone; may be lost
+}
+
+// One configuration object. Which fields apply depends on the kind.
+struct Object {
+  1: ObjectKind kind,
+  2: string name,
+  3: i64 revision,                       // of its last change
+  4: bool deleted,
+  5: map<string, string> labels,         // customer, key, endpoint
+  6: optional string customer,           // key: its owner
+  7: optional binary digest,             // key: SHA-256 of its text
+  8: optional string callers,            // access, quota, objective: selector
+  9: optional string endpoints,          // access: selector
+  10: optional AccessMode mode,          // access
+  11: optional i64 max_age_ms,           // access: oldest data a read accepts
+  12: optional Durability durability,    // access
+  13: optional bool open,                // access: no key needed
+  14: optional i32 order,                // access, quota: lower goes first
+  15: optional i64 rate_micros,          // quota: millionths of a request a second
+  16: optional i64 burst_micros,         // quota: millionths of a request
+  17: optional i64 objective_ppm,        // objective: good events per million
+  18: optional i64 latency_ms,           // objective: slower is a bad event
+}
+
+struct Change {
+  1: string change_id,
+  2: i64 base_revision,
+  3: list<Object> objects,
+  4: string author,
+}
+
+struct ChangeResult {
+  1: i32 code,                           // ResultCode
+  2: i64 revision,                       // after the change, or the current one
+  3: string message,
+}
+
+// ---- endpoints and groups ------------------------------------------------
+
+struct EndpointInfo {
+  1: string endpoint,
+  2: string group,
+  3: string zone,
+  4: string host,                        // IP number
+  5: i32 port,
+  6: i32 slots,                          // statements at a time
+  7: i32 connections,                    // connection limit
+  8: i64 incarnation,
+  9: bool leaving,
+}
+
+struct Announcement {
+  1: EndpointInfo info,
+  2: i64 sequence,
+  3: i64 term,
+  4: i64 position,
+}
+
+// Position at which a term began: everything acknowledged before lies at or
+// below it.
+struct TermStart {
+  1: i64 term,
+  2: i64 position,
+}
+
+struct GroupState {
+  1: string group,
+  2: i64 revision,
+  3: i64 term,
+  4: string primary,                     // endpoint; empty before the first
+  5: list<TermStart> term_starts,
+  6: string coordinator,                 // instance; empty when there is none
+  7: i64 coordinator_epoch,
+}
+
+// ---- replicated log ------------------------------------------------------
+
+struct InstanceInfo {
+  1: string instance,
+  2: string zone,
+  3: string host,
+  4: i32 port,
+  5: i64 incarnation,
+}
+
+struct AssignCoordinator {
+  1: string group,
+  2: string coordinator,
+  3: i64 epoch,
+  4: string cause,
+}
+
+struct SetPrimary {
+  1: string group,
+  2: i64 epoch,                          // of the coordinator that asks
+  3: i64 term,
+  4: string primary,
+  5: i64 previous_term_end,              // position of the new primary
+  6: string cause,
+}
+
+struct JournalEntry {
+  1: i64 wall_ms,                        // Unix time, given by the proposer
+  2: string kind,
+  3: string subject,
+  4: string cause,
+  5: map<string, string> inputs,
+}
+
+// Exactly one field is set, besides wall_ms.
+struct Command {
+  1: i64 wall_ms,
+  2: optional Change change,
+  3: optional InstanceInfo register_instance,
+  4: optional string remove_instance,
+  5: optional EndpointInfo register_endpoint,
+  6: optional AssignCoordinator assign_coordinator,
+  7: optional SetPrimary set_primary,
+  8: optional JournalEntry note,
+}
+
+struct LogEntry {
+  1: i64 term,
+  2: i64 index,
+  3: binary command,                     // empty: a leader's first entry
+  4: optional list<string> members,      // set: a membership change
+}
+
+struct VoteRequest {
+  1: i64 term,
+  2: string candidate,
+  3: i64 last_index,
+  4: i64 last_term,
+  5: bool pre_vote,
+}
+
+struct VoteResponse {
+  1: i64 term,
+  2: bool granted,
+  3: bool pre_vote,
+}
+
+struct AppendRequest {
+  1: i64 term,
+  2: i64 prev_index,
+  3: i64 prev_term,
+  4: list<LogEntry> entries,
+  5: i64 commit_index,
+  6: i64 round,                          // echoed; dates the leader lease
+}
+
+struct AppendResponse {
+  1: i64 term,
+  2: bool success,
+  3: i64 match_index,                    // on success
+  4: i64 last_index,                     // on failure: where to go on
+  5: i64 round,
+}
+
+struct SnapshotChunk {
+  1: i64 term,
+  2: i64 last_index,
+  3: i64 last_term,
+  4: list<string> members,
+  5: i64 offset,
+  6: binary data,
+  7: bool done,
+  8: i64 round,
+}
+
+struct SnapshotResponse {
+  1: i64 term,
+  2: i64 last_index,
+  3: i64 next_offset,
+  4: bool installed,
+  5: i64 round,
+}
+
+// Tells a caught-up member to stand for election at once (planned stop).
+struct TimeoutNow {
+  1: i64 term,
+}
+
+struct ConsensusMessage {
+  1: optional VoteRequest vote_request,
+  2: optional VoteResponse vote_response,
+  3: optional AppendRequest append_request,
+  4: optional AppendResponse append_response,
+  5: optional SnapshotChunk snapshot_chunk,
+  6: optional SnapshotResponse snapshot_response,
+  7: optional TimeoutNow timeout_now,
+}
+
+// ---- quota ---------------------------------------------------------------
+
+// What an entry says of one customer's share.
+struct ShareReport {
+  1: string customer,
+  2: i64 share_sequence,                 // newest ShareUpdate applied
+  3: i64 owner_term,                     // of that update
+  4: i64 rate_micros,                    // held
+  5: i64 capacity_micros,                // held
+  6: i64 level_micros,                   // tokens left in the held capacity
+  7: i64 demand_micros,                  // demand, per second
+  8: i64 wanted_micros,                  // tokens that waiting requests need now
+}
+
+// What the owner says of it. Rate and capacity are absolute.
+struct ShareUpdate {
+  1: string customer,
+  2: i64 share_sequence,
+  3: i64 owner_term,
+  4: i64 rate_micros,
+  5: i64 capacity_micros,
+  6: i64 added_micros,                   // tokens that come with the update
+  7: i64 lease_ms,                       // counted from the report's sent time
+}
+
+// ---- entry and control ---------------------------------------------------
+
+struct CoordinatorReport {
+  1: string group,
+  2: i64 epoch,
+  3: bool resign,
+}
+
+struct EntryReport {
+  1: InstanceInfo instance,
+  2: i64 sequence,
+  3: i64 sent_micros,                    // sender's clock, echoed
+  4: i64 applied_revision,
+  5: i64 applied_groups_revision,
+  6: list<ShareReport> shares,
+  7: list<Announcement> announcements,
+  8: list<CoordinatorReport> coordinators,
+  9: bool draining,
+  10: list<JournalEntry> journal,
+  11: map<string, i64> counters,         // service-level counters, cumulative
+}
+
+struct CoordinatorLease {
+  1: string group,
+  2: i64 epoch,
+  3: i64 lease_ms,                       // counted from the report's sent time
+}
+
+struct ControlUpdate {
+  1: i64 leader_term,
+  2: string leader,
+  3: i64 report_sequence,                // 0: not an answer to a report
+  4: i64 report_sent_micros,
+  5: i64 revision,
+  6: list<Object> objects,               // changed since the reported revision
+  7: i64 groups_revision,
+  8: list<GroupState> groups,
+  9: list<EndpointInfo> endpoints,
+  10: list<InstanceInfo> instances,
+  11: list<ShareUpdate> shares,
+  12: list<CoordinatorLease> leases,
+  13: i64 control_lease_ms,              // 0: not an answer to a report
+  14: binary session_secret,
+}
+
+// ---- requests between entries --------------------------------------------
+
+enum Operation {
+  READ = 1,
+  WRITE = 2,
+  BEGIN_WORK = 3,
+  COMMIT = 4,
+  ROLLBACK = 5,
+}
+
+struct ForwardRequest {
+  1: i64 id,
+  2: string group,
+  3: i64 epoch,
+  4: Operation operation,
+  5: string customer,                    // empty on an open route
+  6: string key_name,                    // for withdrawal checks; never its text
+  7: string rule,                        // access rule that admitted it
+  8: string statement,
+  9: string request_id,
+  10: bool idempotent,
+  11: string transaction,
+  12: i64 timeout_ms,
+  13: i64 max_age_ms,                    // 0: only data at the mark or later
+  14: Durability durability,
+  15: i64 mark_term,
+  16: i64 mark_position,
+  17: i64 weight,                        // for the fair queue
+}
+
+struct ForwardResponse {
+  1: i64 id,
+  2: i32 code,
+  3: string value,
+  4: i64 term,
+  5: i64 position,
+  6: string transaction,
+  7: string served_by,
+  8: i64 retry_after_ms,
+  9: string message,
+}
+
+// A request that asks the control leader for a logged decision.
+struct ProposeRequest {
+  1: i64 id,
+  2: Command command,
+  3: bool wait_in_force,                 // answer when in force everywhere
+}
+
+struct ProposeResponse {
+  1: i64 id,
+  2: i32 code,
+  3: i64 revision,
+  4: string message,
+  5: list<string> missing,               // instances where it is not in force
+}
+
+// A query that only the control leader can answer; the answer is JSON text.
+struct QueryRequest {
+  1: i64 id,
+  2: string path,
+}
+
+struct QueryResponse {
+  1: i64 id,
+  2: i32 code,
+  3: string body,
+}
+
+struct Hello {
+  1: string cluster,
+  2: InstanceInfo instance,
+  3: i32 version,
+}
+
+// One frame between daemons. One field is set.
+struct PeerMessage {
+  1: optional Hello hello,
+  2: optional i64 ping,
+  3: optional i64 pong,
+  4: optional ConsensusMessage consensus,
+  5: optional EntryReport report,
+  6: optional ControlUpdate update,
+  7: optional ForwardRequest forward,
+  8: optional ForwardResponse forward_response,
+  9: optional ProposeRequest propose,
+  10: optional ProposeResponse propose_response,
+  11: optional QueryRequest query,
+  12: optional QueryResponse query_response,
+}
+
+// ---- snapshot of the control state machine -------------------------------
+
+struct AppliedChange {
+  1: string change_id,
+  2: binary fingerprint,
+  3: ChangeResult result,
+}
+
+struct ControlSnapshot {
+  1: i64 revision,
+  2: list<Object> objects,
+  3: list<AppliedChange> changes,
+  4: i64 groups_revision,
+  5: list<GroupState> groups,
+  6: list<EndpointInfo> endpoints,
+  7: list<InstanceInfo> instances,
+  8: list<JournalEntry> journal,
+  9: binary session_secret,
+}
--- /dev/null
+++ b/messages/tests/codec_test.cc
@@ -0,0 +1,37 @@
+#include "goldcrest/messages/codec.h"
+
+#include <catch2/catch.hpp>
+#include <cstddef>
+
+namespace goldcrest::messages {
+namespace {
+
+PeerMessage SampleMessage() {
+  ForwardRequest request;
+  request.id = 7;
+  request.group = "bookings";
+  request.statement = "set facade-12 booked";
+  PeerMessage message;
+  message.__set_forward(request);
+  return message;
+}
+
+}  // namespace
+
+TEST_CASE("A message decodes to what was encoded", "[messages]") {
+  const PeerMessage sample = SampleMessage();
+  const auto decoded = DecodePeerMessage(Encode(sample));
+  REQUIRE(decoded.has_value());
+  CHECK(*decoded == sample);
+}
+
+TEST_CASE("Bytes that are cut short or run on are refused", "[messages]") {
+  const std::string bytes = Encode(SampleMessage());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CAPTURE(size);
+    CHECK_FALSE(DecodePeerMessage(bytes.substr(0, size)).has_value());
+  }
+  CHECK_FALSE(DecodePeerMessage(bytes + "x").has_value());
+}
+
+}  // namespace goldcrest::messages
