Add the headers of quota and admission

The coordinator and the entry are written against these headers. The packages compile; their functions are not defined yet.

--- /dev/null
+++ b/admission/include/goldcrest/admission/ticket.h
@@ -0,0 +1,24 @@
+#ifndef GOLDCREST_ADMISSION_TICKET_H_
+#define GOLDCREST_ADMISSION_TICKET_H_
+
+#include <cstdint>
+#include <string>
+
+#include "goldcrest/types/time.h"
+
+namespace goldcrest::admission {
+
+//! A request that waits for a slot.
+struct Ticket {
+  std::uint64_t id = 0;
+  std::string customer;
+  std::int64_t weight =
+      1;  //!< Relative to that of other customers; at least 1.
+  Time deadline = kNever;
+
+  bool operator==(const Ticket&) const = default;
+};
+
+}  // namespace goldcrest::admission
+
+#endif  // GOLDCREST_ADMISSION_TICKET_H_
--- /dev/null
+++ b/admission/src/endpoint_limits.cc
@@ -0,0 +1,1 @@
+#include "goldcrest/admission/endpoint_limits.h"
--- /dev/null
+++ b/admission/src/fair_queue.cc
@@ -0,0 +1,1 @@
+#include "goldcrest/admission/fair_queue.h"
--- /dev/null
+++ b/quota/include/goldcrest/quota/limit.h
@@ -0,0 +1,36 @@
+#ifndef GOLDCREST_QUOTA_LIMIT_H_
+#define GOLDCREST_QUOTA_LIMIT_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "goldcrest/types/time.h"
+
+namespace goldcrest::quota {
+
+//! One request, in the unit of all amounts.
+inline constexpr std::int64_t kRequestMicros = 1'000'000;
+
+//! How long an entry may use a share after it sent the report that was
+//! answered.
+inline constexpr Duration kShareLease = std::chrono::seconds(3);
+
+//! How long the owner counts a share as held after it answered a report. The
+//! margin of 10% covers clocks that run at different speeds.
+inline constexpr Duration kShareLapse = kShareLease + kShareLease / 10;
+
+//! Regular interval of reports.
+inline constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+
+//! Rate and burst of one customer over the whole fleet, in millionths of a
+//! request (a second).
+struct Limit {
+  std::int64_t rate_micros = 0;
+  std::int64_t burst_micros = 0;
+
+  bool operator==(const Limit&) const = default;
+};
+
+}  // namespace goldcrest::quota
+
+#endif  // GOLDCREST_QUOTA_LIMIT_H_
--- /dev/null
+++ b/quota/src/holder.cc
@@ -0,0 +1,1 @@
+#include "goldcrest/quota/holder.h"
--- /dev/null
+++ b/quota/src/owner.cc
@@ -0,0 +1,1 @@
+#include "goldcrest/quota/owner.h"
