Add the interfaces of policy and session

Cause: other packages are written against these headers. Ruled out: one Configuration class that holds every index; the object table, the compiled rules and the change memory are types of their own. Before: no package. Conclusion: an interface for review; nothing is tested yet.

--- /dev/null
+++ b/policy/include/goldcrest/policy/rule_table.h
@@ -0,0 +1,43 @@
+#ifndef GOLDCREST_POLICY_RULE_TABLE_H_
+#define GOLDCREST_POLICY_RULE_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "goldcrest/messages/messages.h"
+#include "goldcrest/policy/selector.h"
+
+namespace goldcrest::policy {
+
+//! An access or quota object with its selectors compiled.
+struct Rule {
+  messages::Object object;
+  Selector callers;
+  Selector endpoints;
+};
+
+//! Live access and quota rules, each in the order in which they are tried.
+class RuleTable {
+ public:
+  //! Order, then name.
+  using Rank = std::pair<std::int32_t, std::string>;
+  using Rules = std::map<Rank, Rule>;
+
+  //! Takes over a change of one object of any kind; `old_object` is nullptr
+  //! for a new one. A rule whose selectors don't parse matches nothing.
+  void Update(const messages::Object* old_object,
+              const messages::Object& new_object);
+
+  const Rules& Access() const { return access_; }
+  const Rules& Quota() const { return quota_; }
+
+ private:
+  Rules access_;
+  Rules quota_;
+};
+
+}  // namespace goldcrest::policy
+
+#endif  // GOLDCREST_POLICY_RULE_TABLE_H_
--- /dev/null
+++ b/session/src/position_history.cc
@@ -0,0 +1,48 @@
+#include "goldcrest/session/position_history.h"
+
+#include <algorithm>
+
+namespace goldcrest::session {
+
+void PositionHistory::Record(Time observed, std::int64_t position) {
+  if (!observations_.empty() && observed < observations_.back().time)
+    return;
+  // An earlier observation at the same or a higher position dates nothing that
+  // this one does not date better.
+  while (!observations_.empty() && observations_.back().position >= position)
+    observations_.pop_back();
+  if (observations_.size() >= kCapacity)
+    ThinOut();
+  observations_.push_back({observed, position});
+}
+
+std::optional<Duration> PositionHistory::AgeOf(std::int64_t position,
+                                               Time now) const {
+  const auto after =
+      std::upper_bound(observations_.begin(), observations_.end(), position,
+                       [](std::int64_t wanted, const Observation& observation) {
+                         return wanted < observation.position;
+                       });
+  if (after == observations_.begin())
+    return std::nullopt;
+  return std::max(now - std::prev(after)->time, Duration::zero());
+}
+
+void PositionHistory::Clear() {
+  observations_.clear();
+}
+
+// Drops every second observation of the older half: recent ages stay exact,
+// and long ones, which need no precision, are still bounded.
+void PositionHistory::ThinOut() {
+  const std::size_t half = observations_.size() / 2;
+  std::size_t kept = 0;
+  for (std::size_t i = 0; i < observations_.size(); ++i) {
+    if (i < half && i % 2 == 1)
+      continue;
+    observations_[kept++] = observations_[i];
+  }
+  observations_.resize(kept);
+}
+
+}  // namespace goldcrest::session
