Add the public headers of consensus and storage

Cause: control and the daemon are written against these interfaces.

Before: no package. After: the headers compile; there is no implementation. Conclusion: callers can compile against the contract.

--- /dev/null
+++ b/consensus/include/goldcrest/consensus/snapshot.h
@@ -0,0 +1,22 @@
+#ifndef GOLDCREST_CONSENSUS_SNAPSHOT_H_
+#define GOLDCREST_CONSENSUS_SNAPSHOT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace goldcrest::consensus {
+
+//! State of the application after the entry at `last_index`.
+struct Snapshot {
+  std::int64_t last_index = 0;  //!< 0: there is no snapshot.
+  std::int64_t last_term = 0;
+  std::vector<std::string> members;  //!< In force at `last_index`, sorted.
+  std::string data;
+
+  bool operator==(const Snapshot&) const = default;
+};
+
+}  // namespace goldcrest::consensus
+
+#endif  // GOLDCREST_CONSENSUS_SNAPSHOT_H_
--- /dev/null
+++ b/consensus/src/replica.cc
@@ -0,0 +1,3 @@
+#include "goldcrest/consensus/replica.h"
+
+namespace goldcrest::consensus {}
--- /dev/null
+++ b/storage/src/log_store.cc
@@ -0,0 +1,3 @@
+#include "goldcrest/storage/log_store.h"
+
+namespace goldcrest::storage {}
