Add the public headers of the adapters package

The daemon is written against these headers while their implementation follows. Boost is forward-declared only, since a file that includes Beast takes seconds to compile.

--- /dev/null
+++ b/adapters/include/goldcrest/adapters/http_server.h
@@ -0,0 +1,92 @@
+#ifndef GOLDCREST_ADAPTERS_HTTP_SERVER_H_
+#define GOLDCREST_ADAPTERS_HTTP_SERVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "goldcrest/adapters/http_message.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace goldcrest::adapters {
+
+struct HttpServerOptions {
+  std::string host = "127.0.0.1";  //!< IP number.
+  std::uint16_t port = 0;          //!< 0: any free port.
+  std::size_t max_body_bytes = 1 << 20;
+  std::size_t max_header_bytes = 16 << 10;
+  std::size_t max_connections = 10'000;
+  //! From the first byte of a request to the end of its header.
+  std::chrono::milliseconds header_timeout{5'000};
+  //! From the end of the header to the end of the body.
+  std::chrono::milliseconds body_timeout{10'000};
+  //! Between requests.
+  std::chrono::milliseconds idle_timeout{60'000};
+  //! For the client to take an answer.
+  std::chrono::milliseconds write_timeout{10'000};
+  //! How long a connection must have been idle to be closed in a drain.
+  std::chrono::milliseconds drain_idle{500};
+};
+
+//! HTTP/1.1 server with keep-alive. Requests of one connection are handled one
+//! after another and answered in that order. Safe from any thread.
+class HttpServer {
+ public:
+  //! Sends the answer. May be called from any thread, after the handler has
+  //! returned, and after the client has gone; calls after the first have no
+  //! effect. When every copy is destroyed without a call, the answer is
+  //! kOutcomeUnknown.
+  using Respond = std::function<void(HttpResponse)>;
+  //! Runs on a worker thread; must not block.
+  using Handler = std::function<void(HttpRequest, Respond)>;
+  //! Called once for each connection, when the client closes it, stops sending
+  //! or is disconnected by a deadline. An answer still due is then sent if the
+  //! client takes it.
+  using DisconnectHook = std::function<void(std::uint64_t connection)>;
+
+  //! Throws std::system_error when the address can't be bound.
+  HttpServer(boost::asio::io_context& context,
+             HttpServerOptions options,
+             Handler handler,
+             DisconnectHook on_disconnect = {});
+  //! Closes everything. Handlers may still run until the io_context is stopped.
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  //! Begins to accept connections. The port is bound, and connections wait in
+  //! the backlog, from construction on.
+  void Start();
+
+  std::uint16_t Port() const;
+
+  //! Closes the listener. Connections that have been accepted continue.
+  void StopAccepting();
+
+  //! From now on answers carry "Connection: close", and idle connections are
+  //! closed after `drain_idle`.
+  void BeginDrain();
+
+  //! Closes all connections at once, whatever they are doing.
+  void Close();
+
+  std::size_t OpenConnections() const;
+
+  //! Requests whose first byte has arrived and whose answer has not been
+  //! written.
+  std::size_t RequestsInFlight() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace goldcrest::adapters
+
+#endif  // GOLDCREST_ADAPTERS_HTTP_SERVER_H_
--- /dev/null
+++ b/adapters/include/goldcrest/adapters/peer_transport.h
@@ -0,0 +1,101 @@
+#ifndef GOLDCREST_ADAPTERS_PEER_TRANSPORT_H_
+#define GOLDCREST_ADAPTERS_PEER_TRANSPORT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "goldcrest/adapters/logger.h"
+#include "goldcrest/messages/messages.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace goldcrest::adapters {
+
+struct PeerTransportOptions {
+  std::string cluster;
+  messages::InstanceInfo self;
+  std::string host = "127.0.0.1";  //!< IP number to listen on.
+  std::uint16_t port = 0;          //!< 0: any free port.
+  std::size_t max_frame_bytes = 16 << 20;
+  //! Bounds of each link's send queue; the oldest messages are dropped.
+  std::size_t max_queued_messages = 4'096;
+  std::size_t max_queued_bytes = 32 << 20;
+  //! Incoming connections that have not yet sent a valid Hello.
+  std::size_t max_unknown_connections = 256;
+  std::chrono::milliseconds ping_interval{250};
+  //! A link without any received byte for this long is closed and replaced.
+  std::chrono::milliseconds silence_timeout{1'000};
+  std::chrono::milliseconds min_backoff{50};
+  std::chrono::milliseconds max_backoff{500};
+};
+
+struct PeerAddress {
+  std::string host;  //!< IP number.
+  std::uint16_t port = 0;
+
+  bool operator==(const PeerAddress&) const = default;
+};
+
+//! Links between daemons: frames of a 4-byte big-endian length and an encoded
+//! PeerMessage, the first of which is a Hello in both directions. Order is kept
+//! on one link only, and messages may be lost with a link. Safe from any
+//! thread.
+class PeerTransport {
+ public:
+  //! Gets every message except Hello, ping and pong. Runs on a worker thread,
+  //! for several links at the same time; must not block.
+  using MessageHandler =
+      std::function<void(const std::string& from, messages::PeerMessage)>;
+  //! Called when the first link to an instance comes up, and when the last one
+  //! goes down.
+  using LinkHook = std::function<void(const std::string& instance, bool up)>;
+
+  //! Throws std::system_error when the address can't be bound.
+  PeerTransport(boost::asio::io_context& context,
+                PeerTransportOptions options,
+                std::shared_ptr<Logger> logger,
+                MessageHandler on_message,
+                LinkHook on_link = {});
+  //! Calls Close().
+  ~PeerTransport();
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+
+  //! Begins to accept and to connect.
+  void Start();
+
+  std::uint16_t Port() const;
+
+  //! Replaces the address book. Links to removed peers and changed addresses
+  //! are closed; the own name is ignored.
+  void SetPeers(const std::map<std::string, PeerAddress>& peers);
+
+  //! Queues the message on a link to `to`, whichever side opened it. False when
+  //! there is no link or the message is larger than a frame may be.
+  bool Send(const std::string& to, const messages::PeerMessage& message);
+
+  bool IsConnected(const std::string& instance) const;
+  std::vector<std::string> ConnectedPeers() const;
+
+  //! Messages dropped by full queues or lost unsent with a link.
+  std::uint64_t DroppedMessages() const;
+
+  //! Closes the listener and all links.
+  void Close();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace goldcrest::adapters
+
+#endif  // GOLDCREST_ADAPTERS_PEER_TRANSPORT_H_
