Implement selectors, configuration and session tokens

Cause: the headers had no implementation yet. Ruled out: copying labels for each decision (they are looked up in layers); dropping marks to bound a token (Seal fails instead); a digest or name of a withdrawn key that can be used again. Before: headers only.

--- /dev/null
+++ b/policy/src/configuration.cc
@@ -0,0 +1,245 @@
+#include "goldcrest/policy/configuration.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "goldcrest/messages/codec.h"
+#include "goldcrest/policy/label_view.h"
+#include "goldcrest/types/digest.h"
+#include "internal/change_draft.h"
+#include "internal/object_checks.h"
+
+namespace goldcrest::policy {
+namespace {
+
+using messages::Change;
+using messages::ChangeResult;
+using messages::Object;
+using messages::ObjectKind;
+
+constexpr std::string_view kStateLabel = "state";
+constexpr std::string_view kLeavingState = "leaving";
+
+ChangeResult Result(ResultCode code,
+                    std::int64_t revision,
+                    std::string message) {
+  ChangeResult result;
+  result.code = ToNumber(code);
+  result.revision = revision;
+  result.message = std::move(message);
+  return result;
+}
+
+}  // namespace
+
+ChangeResult Configuration::Apply(const Change& change) {
+  if (const std::optional<Problem> problem = CheckChange(change))
+    return Result(problem->code, revision_, problem->message);
+  const std::string fingerprint = Sha256(messages::Encode(change));
+  if (const messages::AppliedChange* known = changes_.Find(change.change_id)) {
+    if (known->fingerprint == fingerprint)
+      return known->result;
+    return Result(ResultCode::kChangeIdReused, revision_,
+                  fmt::format("change id '{}' belongs to a different change",
+                              change.change_id));
+  }
+  messages::AppliedChange applied;
+  applied.change_id = change.change_id;
+  applied.fingerprint = fingerprint;
+  applied.result = Evaluate(change);
+  const ChangeResult result = applied.result;
+  changes_.Add(std::move(applied));
+  return result;
+}
+
+ChangeResult Configuration::Evaluate(const Change& change) {
+  if (change.base_revision != revision_)
+    return Conflict(change);
+  ChangeDraft draft(objects_);
+  std::optional<Problem> problem;
+  for (const Object& object : change.objects) {
+    if ((problem = draft.Add(object)))
+      return Result(problem->code, revision_, problem->message);
+  }
+  if ((problem = draft.CheckReferences()))
+    return Result(problem->code, revision_, problem->message);
+  ++revision_;
+  for (Object& object : draft.Differing(revision_))
+    Put(std::move(object));
+  // Conflict() repeats this text, which alone survives in a snapshot.
+  return Result(ResultCode::kOk, revision_,
+                fmt::format("change '{}' by '{}' is revision {}",
+                            change.change_id, change.author, revision_));
+}
+
+ChangeResult Configuration::Conflict(const Change& change) const {
+  if (change.base_revision > revision_) {
+    return Result(ResultCode::kRevisionConflict, revision_,
+                  fmt::format("based on revision {}, which does not exist; the "
+                              "current one is {}",
+                              change.base_revision, revision_));
+  }
+  const messages::AppliedChange* winner =
+      changes_.FirstAcceptedAfter(change.base_revision);
+  return Result(
+      ResultCode::kRevisionConflict, revision_,
+      fmt::format("based on revision {}, but {}; the current one is {}",
+                  change.base_revision,
+                  winner != nullptr ? winner->result.message : "it is too old",
+                  revision_));
+}
+
+std::vector<Object> Configuration::ChangedSince(std::int64_t revision) const {
+  return objects_.ChangedSince(revision);
+}
+
+bool Configuration::Merge(const std::vector<Object>& objects,
+                          std::int64_t revision,
+                          std::int64_t since) {
+  if (revision < revision_ || since > revision_)
+    return false;
+  for (const Object& object : objects) {
+    const Object* existing = objects_.Find(object.kind, object.name);
+    if (existing != nullptr && existing->revision >= object.revision)
+      continue;
+    Put(object);
+  }
+  revision_ = revision;
+  return true;
+}
+
+ConfigurationState Configuration::Save() const {
+  return {revision_, objects_.ChangedSince(-1), changes_.All()};
+}
+
+void Configuration::Load(const ConfigurationState& state) {
+  *this = Configuration();
+  revision_ = state.revision;
+  for (const Object& object : state.objects)
+    Put(object);
+  for (const messages::AppliedChange& change : state.changes)
+    changes_.Add(change);
+}
+
+std::optional<Object> Configuration::Find(ObjectKind::type kind,
+                                          const std::string& name) const {
+  const Object* object = objects_.FindLive(kind, name);
+  if (object == nullptr)
+    return std::nullopt;
+  return *object;
+}
+
+std::vector<Object> Configuration::Objects(ObjectKind::type kind) const {
+  std::vector<Object> objects;
+  for (const Object* object : objects_.Live(kind))
+    objects.push_back(*object);
+  return objects;
+}
+
+AccessDecision Configuration::Decide(const CallerFacts& facts) const {
+  AccessDecision decision;
+  LabelView caller;
+  const bool with_key = !facts.key_digest.empty();
+  if (with_key) {
+    const Object* key = objects_.FindKey(facts.key_digest);
+    if (key == nullptr) {
+      decision.code = ResultCode::kKeyUnknown;
+      return decision;
+    }
+    decision.key_name = key->name;
+    decision.customer = key->customer;
+    const Object* customer =
+        objects_.FindLive(ObjectKind::CUSTOMER, key->customer);
+    if (key->deleted || customer == nullptr) {
+      decision.code = ResultCode::kKeyWithdrawn;
+      return decision;
+    }
+    caller.AddLayer(customer->labels);
+    caller.AddLayer(key->labels);
+    caller.AddBuiltIn("customer", customer->name);
+    caller.AddBuiltIn("key", key->name);
+  }
+  for (const auto& [rank, rule] : rules_.Access()) {
+    const Object& access = rule.object;
+    if (facts.write && access.mode != messages::AccessMode::WRITE)
+      continue;
+    if (!with_key && !access.open)
+      continue;
+    if (!rule.callers.Matches(caller))
+      continue;
+    SelectEndpoints(rule, facts, decision.endpoints);
+    if (decision.endpoints.empty())
+      continue;
+    decision.code = ResultCode::kOk;
+    decision.rule = access.name;
+    decision.durability = access.durability;
+    if (access.__isset.max_age_ms)
+      decision.max_age = std::chrono::milliseconds(access.max_age_ms);
+    return decision;
+  }
+  decision.code = with_key ? ResultCode::kNoAccess : ResultCode::kKeyMissing;
+  return decision;
+}
+
+std::optional<QuotaLimit> Configuration::QuotaOf(
+    const std::string& customer) const {
+  const Object* object = objects_.FindLive(ObjectKind::CUSTOMER, customer);
+  if (object == nullptr)
+    return std::nullopt;
+  LabelView caller(object->labels);
+  caller.AddBuiltIn("customer", object->name);
+  for (const auto& [rank, rule] : rules_.Quota()) {
+    if (!rule.callers.Matches(caller))
+      continue;
+    return QuotaLimit{rule.object.rate_micros, rule.object.burst_micros,
+                      rule.object.name};
+  }
+  return std::nullopt;
+}
+
+bool Configuration::KeyInForce(const std::string& key_name) const {
+  const Object* key = objects_.FindLive(ObjectKind::KEY, key_name);
+  return key != nullptr && KeyInForceFor(key_name, key->customer);
+}
+
+bool Configuration::KeyInForceFor(const std::string& key_name,
+                                  std::string_view customer) const {
+  const Object* key = objects_.FindLive(ObjectKind::KEY, key_name);
+  return key != nullptr && key->customer == customer &&
+         objects_.FindLive(ObjectKind::CUSTOMER, key->customer) != nullptr;
+}
+
+bool Configuration::EndpointLeaving(const std::string& endpoint) const {
+  const Object* object = objects_.FindLive(ObjectKind::ENDPOINT, endpoint);
+  if (object == nullptr)
+    return false;
+  return LabelView(object->labels).Find(std::string(kStateLabel)) ==
+         kLeavingState;
+}
+
+void Configuration::Put(Object object) {
+  rules_.Update(objects_.Find(object.kind, object.name), object);
+  objects_.Put(std::move(object));
+}
+
+void Configuration::SelectEndpoints(const Rule& rule,
+                                    const CallerFacts& facts,
+                                    std::vector<std::string>& selected) const {
+  for (const messages::EndpointInfo& info : facts.endpoints) {
+    if (info.group != facts.group)
+      continue;
+    LabelView labels;
+    const Object* object =
+        objects_.FindLive(ObjectKind::ENDPOINT, info.endpoint);
+    if (object != nullptr)
+      labels.AddLayer(object->labels);
+    labels.AddBuiltIn("endpoint", info.endpoint);
+    labels.AddBuiltIn("group", info.group);
+    labels.AddBuiltIn("zone", info.zone);
+    if (rule.endpoints.Matches(labels))
+      selected.push_back(info.endpoint);
+  }
+}
+
+}  // namespace goldcrest::policy
