Let control updates name the revision they start from

Cause: an update pushed to an earlier process of an instance could reach its successor, which has applied nothing, and leave a hole in its configuration. Ruled out: the incarnation in each update, since the base revision also covers updates that arrive out of order.

--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -2649,6 +2649,11 @@
   this->note = val;
 __isset.note = true;
 }
+
+void Command::__set_session_secret(const std::string& val) {
+  this->session_secret = val;
+__isset.session_secret = true;
+}
 std::ostream& operator<<(std::ostream& out, const Command& obj)
 {
   obj.printTo(out);
@@ -2741,6 +2746,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->session_secret);
+          this->__isset.session_secret = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2797,6 +2810,11 @@
     xfer += this->note.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.session_secret) {
+    xfer += oprot->writeFieldBegin("session_secret", ::apache::thrift::protocol::T_STRING, 9);
+    xfer += oprot->writeBinary(this->session_secret);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2812,6 +2830,7 @@
   swap(a.assign_coordinator, b.assign_coordinator);
   swap(a.set_primary, b.set_primary);
   swap(a.note, b.note);
+  swap(a.session_secret, b.session_secret);
   swap(a.__isset, b.__isset);
 }
 
@@ -2824,6 +2843,7 @@
   assign_coordinator = other75.assign_coordinator;
   set_primary = other75.set_primary;
   note = other75.note;
+  session_secret = other75.session_secret;
   __isset = other75.__isset;
 }
 Command::Command(Command&& other76) noexcept {
@@ -2835,6 +2855,7 @@
   assign_coordinator = std::move(other76.assign_coordinator);
   set_primary = std::move(other76.set_primary);
   note = std::move(other76.note);
+  session_secret = std::move(other76.session_secret);
   __isset = other76.__isset;
 }
 Command& Command::operator=(const Command& other77) {
@@ -2846,6 +2867,7 @@
   assign_coordinator = other77.assign_coordinator;
   set_primary = other77.set_primary;
   note = other77.note;
+  session_secret = other77.session_secret;
   __isset = other77.__isset;
   return *this;
 }
@@ -2858,6 +2880,7 @@
   assign_coordinator = std::move(other78.assign_coordinator);
   set_primary = std::move(other78.set_primary);
   note = std::move(other78.note);
+  session_secret = std::move(other78.session_secret);
   __isset = other78.__isset;
   return *this;
 }
@@ -2872,6 +2895,7 @@
   out << ", " << "assign_coordinator="; (__isset.assign_coordinator ? (out << to_string(assign_coordinator)) : (out << "<null>"));
   out << ", " << "set_primary="; (__isset.set_primary ? (out << to_string(set_primary)) : (out << "<null>"));
   out << ", " << "note="; (__isset.note ? (out << to_string(note)) : (out << "<null>"));
+  out << ", " << "session_secret="; (__isset.session_secret ? (out << to_string(session_secret)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5311,6 +5335,10 @@
 void EntryReport::__set_counters(const std::map<std::string, int64_t> & val) {
   this->counters = val;
 }
+
+void EntryReport::__set_stopped(const bool val) {
+  this->stopped = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryReport& obj)
 {
   obj.printTo(out);
@@ -5490,6 +5518,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopped);
+          this->__isset.stopped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5592,6 +5628,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stopped", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->stopped);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5610,6 +5650,7 @@
   swap(a.draining, b.draining);
   swap(a.journal, b.journal);
   swap(a.counters, b.counters);
+  swap(a.stopped, b.stopped);
   swap(a.__isset, b.__isset);
 }
 
@@ -5625,6 +5666,7 @@
   draining = other177.draining;
   journal = other177.journal;
   counters = other177.counters;
+  stopped = other177.stopped;
   __isset = other177.__isset;
 }
 EntryReport::EntryReport(EntryReport&& other178) noexcept {
@@ -5639,6 +5681,7 @@
   draining = other178.draining;
   journal = std::move(other178.journal);
   counters = std::move(other178.counters);
+  stopped = other178.stopped;
   __isset = other178.__isset;
 }
 EntryReport& EntryReport::operator=(const EntryReport& other179) {
@@ -5653,6 +5696,7 @@
   draining = other179.draining;
   journal = other179.journal;
   counters = other179.counters;
+  stopped = other179.stopped;
   __isset = other179.__isset;
   return *this;
 }
@@ -5668,6 +5712,7 @@
   draining = other180.draining;
   journal = std::move(other180.journal);
   counters = std::move(other180.counters);
+  stopped = other180.stopped;
   __isset = other180.__isset;
   return *this;
 }
@@ -5685,6 +5730,7 @@
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "journal=" << to_string(journal);
   out << ", " << "counters=" << to_string(counters);
+  out << ", " << "stopped=" << to_string(stopped);
   out << ")";
 }
 
@@ -5893,6 +5939,14 @@
 void ControlUpdate::__set_session_secret(const std::string& val) {
   this->session_secret = val;
 }
+
+void ControlUpdate::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+}
+
+void ControlUpdate::__set_base_groups_revision(const int64_t val) {
+  this->base_groups_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlUpdate& obj)
 {
   obj.printTo(out);
@@ -6105,6 +6159,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          this->__isset.base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_groups_revision);
+          this->__isset.base_groups_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6226,6 +6296,14 @@
   xfer += oprot->writeBinary(this->session_secret);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->base_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_groups_revision", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->base_groups_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6247,6 +6325,8 @@
   swap(a.leases, b.leases);
   swap(a.control_lease_ms, b.control_lease_ms);
   swap(a.session_secret, b.session_secret);
+  swap(a.base_revision, b.base_revision);
+  swap(a.base_groups_revision, b.base_groups_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -6265,6 +6345,8 @@
   leases = other221.leases;
   control_lease_ms = other221.control_lease_ms;
   session_secret = other221.session_secret;
+  base_revision = other221.base_revision;
+  base_groups_revision = other221.base_groups_revision;
   __isset = other221.__isset;
 }
 ControlUpdate::ControlUpdate(ControlUpdate&& other222) noexcept {
@@ -6282,6 +6364,8 @@
   leases = std::move(other222.leases);
   control_lease_ms = other222.control_lease_ms;
   session_secret = std::move(other222.session_secret);
+  base_revision = other222.base_revision;
+  base_groups_revision = other222.base_groups_revision;
   __isset = other222.__isset;
 }
 ControlUpdate& ControlUpdate::operator=(const ControlUpdate& other223) {
@@ -6299,6 +6383,8 @@
   leases = other223.leases;
   control_lease_ms = other223.control_lease_ms;
   session_secret = other223.session_secret;
+  base_revision = other223.base_revision;
+  base_groups_revision = other223.base_groups_revision;
   __isset = other223.__isset;
   return *this;
 }
@@ -6317,6 +6403,8 @@
   leases = std::move(other224.leases);
   control_lease_ms = other224.control_lease_ms;
   session_secret = std::move(other224.session_secret);
+  base_revision = other224.base_revision;
+  base_groups_revision = other224.base_groups_revision;
   __isset = other224.__isset;
   return *this;
 }
@@ -6337,6 +6425,8 @@
   out << ", " << "leases=" << to_string(leases);
   out << ", " << "control_lease_ms=" << to_string(control_lease_ms);
   out << ", " << "session_secret=" << to_string(session_secret);
+  out << ", " << "base_revision=" << to_string(base_revision);
+  out << ", " << "base_groups_revision=" << to_string(base_groups_revision);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -1075,7 +1075,7 @@
 std::ostream& operator<<(std::ostream& out, const JournalEntry& obj);
 
 typedef struct _Command__isset {
-  _Command__isset() : wall_ms(false), change(false), register_instance(false), remove_instance(false), register_endpoint(false), assign_coordinator(false), set_primary(false), note(false) {}
+  _Command__isset() : wall_ms(false), change(false), register_instance(false), remove_instance(false), register_endpoint(false), assign_coordinator(false), set_primary(false), note(false), session_secret(false) {}
   bool wall_ms :1;
   bool change :1;
   bool register_instance :1;
@@ -1084,6 +1084,7 @@
   bool assign_coordinator :1;
   bool set_primary :1;
   bool note :1;
+  bool session_secret :1;
 } _Command__isset;
 
 class Command : public virtual ::apache::thrift::TBase {
@@ -1095,7 +1096,8 @@
   Command& operator=(Command&&) noexcept;
   Command() noexcept
           : wall_ms(0),
-            remove_instance() {
+            remove_instance(),
+            session_secret() {
   }
 
   virtual ~Command() noexcept;
@@ -1107,6 +1109,7 @@
   AssignCoordinator assign_coordinator;
   SetPrimary set_primary;
   JournalEntry note;
+  std::string session_secret;
 
   _Command__isset __isset;
 
@@ -1126,6 +1129,8 @@
 
   void __set_note(const JournalEntry& val);
 
+  void __set_session_secret(const std::string& val);
+
   bool operator == (const Command & rhs) const
   {
     if (!(wall_ms == rhs.wall_ms))
@@ -1158,6 +1163,10 @@
       return false;
     else if (__isset.note && !(note == rhs.note))
       return false;
+    if (__isset.session_secret != rhs.__isset.session_secret)
+      return false;
+    else if (__isset.session_secret && !(session_secret == rhs.session_secret))
+      return false;
     return true;
   }
   bool operator != (const Command &rhs) const {
@@ -2073,7 +2082,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorReport& obj);
 
 typedef struct _EntryReport__isset {
-  _EntryReport__isset() : instance(false), sequence(false), sent_micros(false), applied_revision(false), applied_groups_revision(false), shares(false), announcements(false), coordinators(false), draining(false), journal(false), counters(false) {}
+  _EntryReport__isset() : instance(false), sequence(false), sent_micros(false), applied_revision(false), applied_groups_revision(false), shares(false), announcements(false), coordinators(false), draining(false), journal(false), counters(false), stopped(false) {}
   bool instance :1;
   bool sequence :1;
   bool sent_micros :1;
@@ -2085,6 +2094,7 @@
   bool draining :1;
   bool journal :1;
   bool counters :1;
+  bool stopped :1;
 } _EntryReport__isset;
 
 class EntryReport : public virtual ::apache::thrift::TBase {
@@ -2099,7 +2109,8 @@
                 sent_micros(0),
                 applied_revision(0),
                 applied_groups_revision(0),
-                draining(0) {
+                draining(0),
+                stopped(0) {
   }
 
   virtual ~EntryReport() noexcept;
@@ -2114,6 +2125,7 @@
   bool draining;
   std::vector<JournalEntry>  journal;
   std::map<std::string, int64_t>  counters;
+  bool stopped;
 
   _EntryReport__isset __isset;
 
@@ -2139,6 +2151,8 @@
 
   void __set_counters(const std::map<std::string, int64_t> & val);
 
+  void __set_stopped(const bool val);
+
   bool operator == (const EntryReport & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2163,6 +2177,8 @@
       return false;
     if (!(counters == rhs.counters))
       return false;
+    if (!(stopped == rhs.stopped))
+      return false;
     return true;
   }
   bool operator != (const EntryReport &rhs) const {
@@ -2241,7 +2257,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorLease& obj);
 
 typedef struct _ControlUpdate__isset {
-  _ControlUpdate__isset() : leader_term(false), leader(false), report_sequence(false), report_sent_micros(false), revision(false), objects(false), groups_revision(false), groups(false), endpoints(false), instances(false), shares(false), leases(false), control_lease_ms(false), session_secret(false) {}
+  _ControlUpdate__isset() : leader_term(false), leader(false), report_sequence(false), report_sent_micros(false), revision(false), objects(false), groups_revision(false), groups(false), endpoints(false), instances(false), shares(false), leases(false), control_lease_ms(false), session_secret(false), base_revision(false), base_groups_revision(false) {}
   bool leader_term :1;
   bool leader :1;
   bool report_sequence :1;
@@ -2256,6 +2272,8 @@
   bool leases :1;
   bool control_lease_ms :1;
   bool session_secret :1;
+  bool base_revision :1;
+  bool base_groups_revision :1;
 } _ControlUpdate__isset;
 
 class ControlUpdate : public virtual ::apache::thrift::TBase {
@@ -2273,7 +2291,9 @@
                   revision(0),
                   groups_revision(0),
                   control_lease_ms(0),
-                  session_secret() {
+                  session_secret(),
+                  base_revision(0),
+                  base_groups_revision(0) {
   }
 
   virtual ~ControlUpdate() noexcept;
@@ -2291,6 +2311,8 @@
   std::vector<CoordinatorLease>  leases;
   int64_t control_lease_ms;
   std::string session_secret;
+  int64_t base_revision;
+  int64_t base_groups_revision;
 
   _ControlUpdate__isset __isset;
 
@@ -2322,6 +2344,10 @@
 
   void __set_session_secret(const std::string& val);
 
+  void __set_base_revision(const int64_t val);
+
+  void __set_base_groups_revision(const int64_t val);
+
   bool operator == (const ControlUpdate & rhs) const
   {
     if (!(leader_term == rhs.leader_term))
@@ -2352,6 +2378,10 @@
       return false;
     if (!(session_secret == rhs.session_secret))
       return false;
+    if (!(base_revision == rhs.base_revision))
+      return false;
+    if (!(base_groups_revision == rhs.base_groups_revision))
+      return false;
     return true;
   }
   bool operator != (const ControlUpdate &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -143,6 +143,7 @@
   6: optional AssignCoordinator assign_coordinator,
   7: optional SetPrimary set_primary,
   8: optional JournalEntry note,
+  9: optional binary session_secret,     // seals session tokens; set once
 }
 
 struct LogEntry {
@@ -262,6 +263,7 @@
   9: bool draining,
   10: list<JournalEntry> journal,
   11: map<string, i64> counters,         // service-level counters, cumulative
+  12: bool stopped,                      // last report: serves and holds nothing
 }
 
 struct CoordinatorLease {
@@ -285,6 +287,8 @@
   12: list<CoordinatorLease> leases,
   13: i64 control_lease_ms,              // 0: not an answer to a report
   14: binary session_secret,
+  15: i64 base_revision,                 // the objects are those changed since
+  16: i64 base_groups_revision,          // the same for groups
 }
 
 // ---- requests between entries --------------------------------------------
--- a/policy/include/goldcrest/policy/configuration.h
+++ b/policy/include/goldcrest/policy/configuration.h
@@ -86,6 +86,10 @@
   bool KeyInForceFor(const std::string& key_name,
                      std::string_view customer) const;
 
+  //! True while the access rule exists and its selector matches the endpoint.
+  bool RuleAllows(const std::string& rule,
+                  const messages::EndpointInfo& endpoint) const;
+
   //! The operator labelled the endpoint state=leaving.
   bool EndpointLeaving(const std::string& endpoint) const;
 
@@ -93,6 +97,8 @@
   messages::ChangeResult Evaluate(const messages::Change& change);
   messages::ChangeResult Conflict(const messages::Change& change) const;
   void Put(messages::Object object);
+  //! Valid as long as the endpoint and the configuration are.
+  LabelView LabelsOf(const messages::EndpointInfo& info) const;
   void SelectEndpoints(const Rule& rule,
                        const CallerFacts& facts,
                        std::vector<std::string>& selected) const;
--- a/policy/src/configuration.cc
+++ b/policy/src/configuration.cc
@@ -210,6 +210,16 @@
          objects_.FindLive(ObjectKind::CUSTOMER, key->customer) != nullptr;
 }
 
+bool Configuration::RuleAllows(const std::string& rule,
+                               const messages::EndpointInfo& endpoint) const {
+  const Object* object = objects_.FindLive(ObjectKind::ACCESS, rule);
+  if (object == nullptr)
+    return false;
+  const auto it = rules_.Access().find({object->order, object->name});
+  return it != rules_.Access().end() &&
+         it->second.endpoints.Matches(LabelsOf(endpoint));
+}
+
 bool Configuration::EndpointLeaving(const std::string& endpoint) const {
   const Object* object = objects_.FindLive(ObjectKind::ENDPOINT, endpoint);
   if (object == nullptr)
@@ -229,17 +239,20 @@
   for (const messages::EndpointInfo& info : facts.endpoints) {
     if (info.group != facts.group)
       continue;
-    LabelView labels;
-    const Object* object =
-        objects_.FindLive(ObjectKind::ENDPOINT, info.endpoint);
-    if (object != nullptr)
-      labels.AddLayer(object->labels);
-    labels.AddBuiltIn("endpoint", info.endpoint);
-    labels.AddBuiltIn("group", info.group);
-    labels.AddBuiltIn("zone", info.zone);
-    if (rule.endpoints.Matches(labels))
+    if (rule.endpoints.Matches(LabelsOf(info)))
       selected.push_back(info.endpoint);
   }
 }
 
+LabelView Configuration::LabelsOf(const messages::EndpointInfo& info) const {
+  LabelView labels;
+  const Object* object = objects_.FindLive(ObjectKind::ENDPOINT, info.endpoint);
+  if (object != nullptr)
+    labels.AddLayer(object->labels);
+  labels.AddBuiltIn("endpoint", info.endpoint);
+  labels.AddBuiltIn("group", info.group);
+  labels.AddBuiltIn("zone", info.zone);
+  return labels;
+}
+
 }  // namespace goldcrest::policy
