Add the coordinator of one database group

Cause: all statements of a group pass one instance, which queues them fairly, acknowledges a write once a majority holds it and replaces a failed primary. Ruled out: counting members by position alone, because an equal position of an earlier term can be another write; counting a member that is ahead of the best candidate towards the set that proves a promotion safe. Before: none.

--- /dev/null
+++ b/coordinator/src/group_coordinator.cc
@@ -0,0 +1,516 @@
+#include "goldcrest/coordinator/group_coordinator.h"
+
+#include <algorithm>
+
+#include "goldcrest/session/read_eligibility.h"
+
+namespace goldcrest::coordinator {
+namespace {
+
+using messages::Operation;
+
+// A slot of the primary that reads leave free for writes.
+constexpr int kSlotsKeptForWrites = 1;
+
+// Queues that the primary serves in turn: statements and transactions.
+constexpr int kPrimaryQueues = 2;
+
+// Requests that one customer may have waiting in one queue of a group.
+constexpr std::size_t kMaxQueuedPerCustomer = 1'000;
+
+int FreeSlots(const admission::EndpointLimits& limits) {
+  return limits.slots() - limits.slots_in_use();
+}
+
+}  // namespace
+
+GroupCoordinator::GroupCoordinator(CoordinatorOptions options,
+                                   CoordinatorHooks hooks,
+                                   messages::GroupState state,
+                                   Time lease_until,
+                                   Time now)
+    : options_(options),
+      hooks_(std::move(hooks)),
+      state_(std::move(state)),
+      lease_until_(lease_until),
+      read_queue_(kMaxQueuedPerCustomer),
+      primary_queue_(kMaxQueuedPerCustomer),
+      begin_queue_(kMaxQueuedPerCustomer),
+      replacement_cause_("new coordinator"),
+      collect_until_(now + options.probe_timeout),
+      isolation_timeout_(options.isolation_timeout) {}
+
+void GroupCoordinator::SetEndpoints(
+    const std::vector<messages::EndpointInfo>& endpoints,
+    Time now) {
+  members_.SetEndpoints(endpoints, now);
+  for (const messages::EndpointInfo& info : endpoints) {
+    const auto [it, added] =
+        limits_.try_emplace(info.endpoint, info.slots, info.connections);
+    if (!added)
+      it->second.SetLimits(info.slots, info.connections);
+  }
+}
+
+void GroupCoordinator::ExtendLease(Time until) {
+  if (phase_ != Phase::kStopped)
+    lease_until_ = std::max(lease_until_, until);
+}
+
+CoordinatorEffects GroupCoordinator::OnRequest(
+    const std::string& instance,
+    const messages::ForwardRequest& forward,
+    Time now) {
+  const Origin origin{instance, forward.id};
+  const auto refuse = [&](ResultCode code) {
+    messages::ForwardResponse response;
+    response.id = forward.id;
+    response.code = ToNumber(code);
+    effects_.answers.push_back({instance, response});
+    return TakeEffects();
+  };
+  if (!HasLease(now) || forward.epoch != epoch())
+    return refuse(ResultCode::kCoordinatorMoved);
+  const bool continues = !forward.transaction.empty();
+  const bool begins = forward.operation == Operation::BEGIN_WORK;
+  if (draining_ && !continues &&
+      (begins || transactions_.transactions().empty()))
+    return refuse(ResultCode::kCoordinatorMoved);
+
+  RequestTable::Added added = requests_.Add(origin, forward, now);
+  switch (added.result) {
+    case RequestTable::AddResult::kJoined:
+      return TakeEffects();
+    case RequestTable::AddResult::kReused:
+      return refuse(ResultCode::kRequestIdReused);
+    case RequestTable::AddResult::kFinished:
+      effects_.answers.push_back({instance, added.finished_answer});
+      return TakeEffects();
+    case RequestTable::AddResult::kAdded:
+      break;
+  }
+  if (continues || forward.operation == Operation::COMMIT ||
+      forward.operation == Operation::ROLLBACK) {
+    ContinueTransaction(*added.request, now);
+  } else {
+    Enqueue(*added.request, now);
+    Dispatch(now);
+  }
+  return TakeEffects();
+}
+
+void GroupCoordinator::Enqueue(Request& request, Time now) {
+  request.state = RequestState::kQueued;
+  const messages::ForwardRequest& forward = request.forward;
+  if (forward.operation == Operation::BEGIN_WORK)
+    Push(begin_queue_, request, now);
+  else if (forward.operation == Operation::READ && forward.max_age_ms > 0)
+    Push(read_queue_, request, now);
+  else
+    Push(primary_queue_, request, now);
+}
+
+void GroupCoordinator::Push(admission::FairQueue& queue,
+                            const Request& request,
+                            Time now) {
+  const admission::Ticket ticket{
+      request.id, request.forward.customer,
+      std::max<std::int64_t>(request.forward.weight, 1), request.deadline};
+  if (!queue.Push(now, ticket)) {
+    Refuse(request.id, request.may_have_run ? ResultCode::kOutcomeUnknown
+                                            : ResultCode::kQueueFull);
+  }
+}
+
+void GroupCoordinator::Dispatch(Time now) {
+  if (phase_ != Phase::kServing || !HasLease(now))
+    return;
+  DispatchReads(now);
+  DispatchPrimary(now);
+}
+
+void GroupCoordinator::DispatchReads(Time now) {
+  std::deque<std::uint64_t> waiting;
+  waiting.swap(deferred_reads_);
+  for (const std::uint64_t id : waiting) {
+    Request* request = requests_.Find(id);
+    if (request == nullptr || !CheckBeforeSend(*request, now))
+      continue;
+    bool may_wait = false;
+    if (SendToReplica(*request, now, &may_wait))
+      continue;
+    if (may_wait && now < request->arrival + options_.replica_wait) {
+      deferred_reads_.push_back(id);
+      continue;
+    }
+    Push(primary_queue_, *request, now);
+  }
+
+  const auto replica_is_free = [&] {
+    return std::ranges::any_of(members_.members(), [&](const auto& entry) {
+      return entry.first != primary() &&
+             FreeSlots(limits_.at(entry.first)) > 0 &&
+             members_.IsAlive(entry.second, now, options_.member_timeout);
+    });
+  };
+  const auto any_replica_alive = [&] {
+    return std::ranges::any_of(members_.members(), [&](const auto& entry) {
+      return entry.first != primary() &&
+             members_.IsAlive(entry.second, now, options_.member_timeout);
+    });
+  };
+  while (replica_is_free() || !any_replica_alive()) {
+    Request* request = PopSendable(read_queue_, now);
+    if (request == nullptr)
+      return;
+    bool may_wait = false;
+    if (SendToReplica(*request, now, &may_wait))
+      continue;
+    if (may_wait)
+      deferred_reads_.push_back(request->id);
+    else
+      Push(primary_queue_, *request, now);
+  }
+}
+
+void GroupCoordinator::DispatchPrimary(Time now) {
+  const auto limits = limits_.find(primary());
+  if (limits == limits_.end() || IsLeaving(primary()))
+    return;
+  int idle_turns = 0;
+  while (FreeSlots(limits->second) > 0 && idle_turns < kPrimaryQueues) {
+    primary_turn_ = (primary_turn_ + 1) % kPrimaryQueues;
+    admission::FairQueue& queue =
+        primary_turn_ == 0 ? primary_queue_ : begin_queue_;
+    idle_turns = DispatchFrom(queue, now) ? 0 : idle_turns + 1;
+  }
+  while (FreeSlots(limits->second) > kSlotsKeptForWrites) {
+    if (!DispatchFrom(read_queue_, now))
+      return;
+  }
+}
+
+bool GroupCoordinator::DispatchFrom(admission::FairQueue& queue, Time now) {
+  admission::EndpointLimits& limits = limits_.at(primary());
+  const bool transaction = &queue == &begin_queue_;
+  if (!limits.TryAcquireSlot(transaction))
+    return false;
+  Request* request = PopSendable(queue, now);
+  if (request == nullptr) {
+    limits.ReleaseSlot(transaction);
+    return false;
+  }
+  const Member* member = members_.Find(primary());
+  if (member == nullptr || !MayUse(*request, *member)) {
+    limits.ReleaseSlot(transaction);
+    Refuse(request->id, ResultCode::kNoEndpoint);
+    return true;
+  }
+  if (transaction) {
+    BeginTransaction(*request, now);
+    return true;
+  }
+  if (request->forward.operation == Operation::READ)
+    ++primary_reads_;
+  Send(*request, primary(), true, now);
+  return true;
+}
+
+Request* GroupCoordinator::PopSendable(admission::FairQueue& queue, Time now) {
+  while (const auto ticket = queue.Pop(now)) {
+    Request* request = requests_.Find(ticket->id);
+    if (request != nullptr && CheckBeforeSend(*request, now))
+      return request;
+  }
+  return nullptr;
+}
+
+bool GroupCoordinator::CheckBeforeSend(Request& request, Time now) {
+  const messages::ForwardRequest& forward = request.forward;
+  const auto refuse = [&](ResultCode code) {
+    Refuse(request.id,
+           request.may_have_run ? ResultCode::kOutcomeUnknown : code);
+    return false;
+  };
+  if (now >= request.deadline)
+    return refuse(ResultCode::kDeadlineBeforeSend);
+  if (!hooks_.caller_in_force(forward.key_name, forward.customer))
+    return refuse(ResultCode::kKeyWithdrawn);
+  if (forward.operation != Operation::WRITE ||
+      forward.durability == messages::Durability::PRIMARY)
+    return true;
+  if (unreplicated_.empty())
+    return true;
+  const Request* oldest = requests_.Find(*unreplicated_.begin());
+  if (now - oldest->arrival > options_.max_unreplicated_age)
+    return refuse(ResultCode::kReplicasBehind);
+  return true;
+}
+
+bool GroupCoordinator::SendToReplica(Request& request,
+                                     Time now,
+                                     bool* may_wait) {
+  const messages::ForwardRequest& forward = request.forward;
+  const session::Mark mark = session::EffectiveMark(
+      {forward.mark_term, forward.mark_position}, term(), state_.term_starts);
+  const Duration max_age = std::chrono::milliseconds(forward.max_age_ms);
+  const Member* best = nullptr;
+  for (const auto& [name, member] : members_.members()) {
+    if (name == primary() || !MayUse(request, member))
+      continue;
+    if (!members_.IsAlive(member, now, options_.member_timeout))
+      continue;
+    // A member of the new term still has the old log until it has pulled from
+    // the new primary, so the term of its last entry counts.
+    const session::MemberView view{name, member.log_term, member.position,
+                                   true};
+    if (session::CanServeRead(view, term(), mark, max_age, history_, now) !=
+            session::ReadEligibility::kYes ||
+        FreeSlots(limits_.at(name)) == 0) {
+      *may_wait = true;
+      continue;
+    }
+    if (best == nullptr || FreeSlots(limits_.at(name)) >
+                               FreeSlots(limits_.at(best->info.endpoint)))
+      best = &member;
+  }
+  if (best == nullptr)
+    return false;
+  limits_.at(best->info.endpoint).TryAcquireSlot(false);
+  ++replica_reads_;
+  Send(request, best->info.endpoint, true, now);
+  return true;
+}
+
+void GroupCoordinator::BeginTransaction(Request& request, Time now) {
+  Transaction transaction;
+  transaction.pin = hooks_.next_call_id();
+  transaction.name = hooks_.random_name();
+  transaction.customer = request.forward.customer;
+  transaction.key_name = request.forward.key_name;
+  transaction.rule = request.forward.rule;
+  transaction.endpoint = primary();
+  transaction.deadline = now + options_.transaction_limit;
+  transaction.idle_deadline = now + options_.transaction_idle_limit;
+  transaction.statement_in_flight = true;
+  transactions_.Add(transaction);
+  request.transaction = transaction.pin;
+  Send(request, primary(), false, now);
+}
+
+void GroupCoordinator::ContinueTransaction(Request& request, Time now) {
+  const messages::ForwardRequest& forward = request.forward;
+  const bool is_commit = forward.operation == Operation::COMMIT;
+  Transaction* transaction = transactions_.FindFor(
+      forward.transaction, forward.customer, forward.key_name);
+  if (transaction == nullptr) {
+    // A resent commit: only the endpoint knows how the first one ended.
+    if (is_commit && !forward.request_id.empty())
+      AskOutcome(request, now);
+    else
+      Refuse(request.id, is_commit ? ResultCode::kOutcomeUnknown
+                                   : ResultCode::kUnknownTransaction);
+    return;
+  }
+  if (transaction->statement_in_flight) {
+    Refuse(request.id, ResultCode::kInvalidField);
+    return;
+  }
+  if (!hooks_.caller_in_force(forward.key_name, forward.customer)) {
+    EndTransaction(transaction->pin, true);
+    Refuse(request.id, ResultCode::kKeyWithdrawn);
+    return;
+  }
+  transaction->statement_in_flight = true;
+  transaction->idle_deadline = now + options_.transaction_idle_limit;
+  request.transaction = transaction->pin;
+  Send(request, transaction->endpoint, false, now);
+}
+
+void GroupCoordinator::EndTransaction(std::uint64_t pin, bool close) {
+  const Transaction* transaction = transactions_.FindByPin(pin);
+  if (transaction == nullptr)
+    return;
+  auto& pins = close ? effects_.closed_pins : effects_.released_pins;
+  pins.emplace_back(transaction->endpoint, pin);
+  if (const auto it = limits_.find(transaction->endpoint); it != limits_.end())
+    it->second.ReleaseSlot(true);
+  transactions_.Remove(pin);
+}
+
+void GroupCoordinator::Send(Request& request,
+                            const std::string& endpoint,
+                            bool holds_slot,
+                            Time now) {
+  const messages::ForwardRequest& forward = request.forward;
+  EndpointCall& call =
+      NewCall(CallKind::kRequest, endpoint, EndpointOperation::kStatement, now,
+              request.deadline);
+  switch (forward.operation) {
+    case Operation::READ:
+      call.kind = StatementKind::kRead;
+      break;
+    case Operation::WRITE:
+      call.kind = StatementKind::kWrite;
+      break;
+    case Operation::BEGIN_WORK:
+      call.kind = StatementKind::kBegin;
+      break;
+    case Operation::COMMIT:
+      call.kind = StatementKind::kCommit;
+      break;
+    case Operation::ROLLBACK:
+      call.kind = StatementKind::kRollback;
+      break;
+  }
+  call.statement = forward.statement;
+  // Ids are made unique per customer before the endpoint sees them.
+  if (!forward.request_id.empty())
+    call.request_id = forward.customer + "/" + forward.request_id;
+  if (request.transaction != 0) {
+    call.pin = request.transaction;
+    call.transaction =
+        transactions_.FindByPin(request.transaction)->endpoint_transaction;
+  }
+  Call& record = calls_.at(call.id);
+  record.request = request.id;
+  record.holds_slot = holds_slot;
+  request.state = RequestState::kSent;
+  request.endpoint = endpoint;
+  request.call_id = call.id;
+}
+
+void GroupCoordinator::Answer(std::uint64_t request_id,
+                              messages::ForwardResponse response) {
+  const Request* request = requests_.Find(request_id);
+  if (request == nullptr)
+    return;
+  for (const Origin& origin : request->origins) {
+    response.id = origin.id;
+    effects_.answers.push_back({origin.instance, response});
+  }
+  unreplicated_.erase(request_id);
+  const ResultCode code = ResultCodeFromNumber(response.code);
+  requests_.Finish(request_id, response,
+                   InfoOf(code).outcome == Outcome::kDone);
+}
+
+void GroupCoordinator::Refuse(std::uint64_t request_id, ResultCode code) {
+  messages::ForwardResponse response;
+  response.code = ToNumber(code);
+  response.term = term();
+  Answer(request_id, std::move(response));
+}
+
+void GroupCoordinator::Expire(Time now) {
+  while (!retries_.empty() && retries_.begin()->first <= now) {
+    const std::uint64_t id = retries_.begin()->second;
+    retries_.erase(retries_.begin());
+    if (Request* request = requests_.Find(id))
+      Enqueue(*request, now);
+  }
+  for (admission::FairQueue* queue :
+       {&read_queue_, &primary_queue_, &begin_queue_}) {
+    for (const admission::Ticket& ticket : queue->Expire(now)) {
+      const Request* request = requests_.Find(ticket.id);
+      if (request == nullptr)
+        continue;
+      ResultCode code = phase_ == Phase::kServing
+                            ? ResultCode::kDeadlineBeforeSend
+                            : ResultCode::kNoPrimary;
+      if (request->may_have_run)
+        code = ResultCode::kOutcomeUnknown;
+      Refuse(ticket.id, code);
+    }
+  }
+}
+
+void GroupCoordinator::CheckReplication(Time now) {
+  std::vector<std::uint64_t> replicated;
+  std::vector<std::uint64_t> overdue;
+  for (const std::uint64_t id : unreplicated_) {
+    const Request& request = *requests_.Find(id);
+    if (members_.MajorityHolds(term(), request.position))
+      replicated.push_back(id);
+    else if (now >= request.deadline)
+      overdue.push_back(id);
+  }
+  for (const std::uint64_t id : replicated) {
+    const Request& request = *requests_.Find(id);
+    messages::ForwardResponse response;
+    response.code = ToNumber(ResultCode::kOk);
+    response.value = request.value;
+    response.term = term();
+    response.position = request.position;
+    response.served_by = request.endpoint;
+    Answer(id, std::move(response));
+  }
+  for (const std::uint64_t id : overdue)
+    Refuse(id, ResultCode::kNotReplicated);
+}
+
+void GroupCoordinator::CheckTransactions(Time now) {
+  for (const std::uint64_t pin : transactions_.Overdue(now)) {
+    const Transaction* transaction = transactions_.FindByPin(pin);
+    if (transaction->statement_in_flight)
+      continue;
+    Note("transaction_ended", "deadline passed",
+         {{"customer", transaction->customer}});
+    EndTransaction(pin, true);
+  }
+}
+
+bool GroupCoordinator::IsIdle() const {
+  return requests_.requests().empty() && transactions_.transactions().empty();
+}
+
+std::size_t GroupCoordinator::queued() const {
+  return read_queue_.size() + primary_queue_.size() + begin_queue_.size() +
+         deferred_reads_.size();
+}
+
+bool GroupCoordinator::IsLeaving(const std::string& endpoint) const {
+  const Member* member = members_.Find(endpoint);
+  return member == nullptr || member->info.leaving ||
+         hooks_.endpoint_leaving(member->info);
+}
+
+bool GroupCoordinator::MayUse(const Request& request,
+                              const Member& member) const {
+  return !IsLeaving(member.info.endpoint) &&
+         hooks_.endpoint_allowed(request.forward.rule, member.info);
+}
+
+EndpointCall& GroupCoordinator::NewCall(CallKind kind,
+                                        const std::string& endpoint,
+                                        EndpointOperation operation,
+                                        Time now,
+                                        Time deadline) {
+  EndpointCall call;
+  call.id = hooks_.next_call_id();
+  call.endpoint = endpoint;
+  call.operation = operation;
+  call.term = term();
+  call.deadline = deadline;
+  calls_[call.id] = Call{kind, endpoint, now, 0, false};
+  return effects_.calls.emplace_back(std::move(call));
+}
+
+void GroupCoordinator::Note(const std::string& kind,
+                            const std::string& cause,
+                            std::map<std::string, std::string> inputs) {
+  messages::JournalEntry entry;
+  entry.kind = kind;
+  entry.subject = group();
+  entry.cause = cause;
+  entry.inputs = std::move(inputs);
+  entry.inputs["term"] = std::to_string(term());
+  entry.inputs["epoch"] = std::to_string(epoch());
+  effects_.journal.push_back(std::move(entry));
+}
+
+CoordinatorEffects GroupCoordinator::TakeEffects() {
+  return std::exchange(effects_, CoordinatorEffects());
+}
+
+}  // namespace goldcrest::coordinator
