Add the control state machine, its leader, and the entry role

Cause: control logs configuration, terms and coordinators; the leader gives leases and waits until changes are in force; an entry admits requests, forwards them to the coordinator and reports to the leader. Ruled out: leases for instances that are not registered yet, because a change waits only for registered ones. Before: none.

--- /dev/null
+++ b/control/src/leader_assignments.cc
@@ -0,0 +1,148 @@
+#include <algorithm>
+
+#include "goldcrest/control/leader.h"
+
+namespace goldcrest::control {
+namespace {
+
+// Notes of coordinators that are logged per report; more would let one
+// instance fill the log.
+constexpr std::size_t kMaxNotesPerReport = 20;
+
+}  // namespace
+
+void Leader::ProposeRegistrations(const messages::EntryReport& report,
+                                  std::int64_t wall_ms) {
+  const std::string& name = report.instance.instance;
+  const auto registered = state_->instances().find(name);
+  const bool known = registered != state_->instances().end() &&
+                     registered->second == report.instance;
+  if (!known && !report.stopped) {
+    messages::Command command;
+    command.wall_ms = wall_ms;
+    command.__set_register_instance(report.instance);
+    Propose(std::move(command), "instance " + name);
+  }
+  for (const messages::Announcement& announcement : report.announcements) {
+    const messages::EndpointInfo& info = announcement.info;
+    const auto it = state_->endpoints().find(info.endpoint);
+    if (it != state_->endpoints().end() &&
+        (it->second == info || it->second.incarnation > info.incarnation))
+      continue;
+    messages::Command command;
+    command.wall_ms = wall_ms;
+    command.__set_register_endpoint(info);
+    Propose(std::move(command), "endpoint " + info.endpoint);
+  }
+}
+
+void Leader::ProposeNotes(const messages::EntryReport& report) {
+  std::size_t notes = 0;
+  for (const messages::JournalEntry& entry : report.journal) {
+    if (++notes > kMaxNotesPerReport)
+      return;
+    messages::Command command;
+    command.wall_ms = entry.wall_ms;
+    command.__set_note(entry);
+    effects_.proposals.push_back({next_proposal_++, std::move(command)});
+  }
+}
+
+void Leader::GrantLeases(const messages::EntryReport& report,
+                         messages::ControlUpdate* update,
+                         Time now) {
+  const std::string& name = report.instance.instance;
+  std::set<std::string> resigned;
+  for (const messages::CoordinatorReport& coordinator : report.coordinators) {
+    if (coordinator.resign)
+      resigned.insert(coordinator.group);
+  }
+  for (const auto& [group_name, group] : state_->groups()) {
+    if (group.coordinator != name)
+      continue;
+    if (resigned.contains(group_name)) {
+      coordinator_lease_until_[group_name] = now;
+      continue;
+    }
+    // An assignment of another instance may be on its way into the log.
+    if (pending_.contains("coordinator " + group_name))
+      continue;
+    messages::CoordinatorLease lease;
+    lease.group = group_name;
+    lease.epoch = group.coordinator_epoch;
+    lease.lease_ms = options_.coordinator_lease.count();
+    update->leases.push_back(lease);
+    coordinator_lease_until_[group_name] =
+        now + WithDrift(options_.coordinator_lease);
+  }
+}
+
+void Leader::AssignCoordinators(std::int64_t wall_ms, Time now) {
+  for (const auto& [name, group] : state_->groups()) {
+    if (now < coordinator_lease_until_[name])
+      continue;
+    const auto chosen = ChooseCoordinator(group, now);
+    if (!chosen)
+      continue;
+    messages::AssignCoordinator assign;
+    assign.group = name;
+    assign.coordinator = *chosen;
+    assign.epoch = group.coordinator_epoch + 1;
+    assign.cause = group.coordinator.empty()
+                       ? "group has no coordinator"
+                       : "lease of " + group.coordinator + " lapsed";
+    messages::Command command;
+    command.wall_ms = wall_ms;
+    command.__set_assign_coordinator(assign);
+    Propose(std::move(command), "coordinator " + name);
+  }
+}
+
+std::optional<std::string> Leader::ChooseCoordinator(
+    const messages::GroupState& group,
+    Time now) const {
+  std::map<std::string, int> load;
+  for (const auto& [name, other] : state_->groups())
+    ++load[other.coordinator];
+  // Assignments in the log's queue are not in the state yet.
+  for (const std::string& key : pending_) {
+    if (key.starts_with("coordinator "))
+      ++load[key];
+  }
+
+  const auto primary = state_->endpoints().find(group.primary);
+  const std::string zone =
+      primary == state_->endpoints().end() ? "" : primary->second.zone;
+  std::optional<std::string> best;
+  std::pair<int, bool> best_rank;
+  for (const auto& [name, info] : state_->instances()) {
+    const auto view = views_.find(name);
+    if (view == views_.end() || !view->second.last_report ||
+        view->second.draining ||
+        now - *view->second.last_report > options_.report_timeout)
+      continue;
+    const std::pair<int, bool> rank{load[name], info.zone != zone};
+    if (best && rank >= best_rank)
+      continue;
+    best = name;
+    best_rank = rank;
+  }
+  return best;
+}
+
+void Leader::RemoveSilentInstances(std::int64_t wall_ms, Time now) {
+  for (const auto& [name, info] : state_->instances()) {
+    const auto view = views_.find(name);
+    Time last = takeover_;
+    if (view != views_.end() && view->second.last_report)
+      last = *view->second.last_report;
+    if (now - last < options_.removal_timeout)
+      continue;
+    messages::Command command;
+    command.wall_ms = wall_ms;
+    command.__set_remove_instance(name);
+    Propose(std::move(command), "remove " + name);
+  }
+}
+
+}  // namespace goldcrest::control
--- /dev/null
+++ b/entry/include/goldcrest/entry/entry_node.h
@@ -0,0 +1,153 @@
+#ifndef GOLDCREST_ENTRY_ENTRY_NODE_H_
+#define GOLDCREST_ENTRY_ENTRY_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "goldcrest/coordinator/endpoint_call.h"
+#include "goldcrest/coordinator/group_coordinator.h"
+#include "goldcrest/entry/caller_request.h"
+#include "goldcrest/entry/control_client.h"
+#include "goldcrest/entry/ingress.h"
+#include "goldcrest/entry/view.h"
+#include "goldcrest/messages/messages.h"
+#include "goldcrest/quota/holder.h"
+
+namespace goldcrest::entry {
+
+struct EntryNodeOptions {
+  ControlClientOptions control;
+  coordinator::CoordinatorOptions coordinator;
+  IngressOptions ingress;
+};
+
+struct EntryNodeHooks {
+  std::function<std::string(std::size_t)> random_bytes;
+  std::function<std::int64_t()> wall_ms;
+};
+
+//! Answer to an operator's proposal.
+struct OperatorAnswer {
+  std::uint64_t id = 0;
+  messages::ProposeResponse response;
+};
+
+struct EntryEffects {
+  std::vector<std::pair<std::string, messages::PeerMessage>> messages;
+  std::vector<coordinator::EndpointCall> calls;
+  //! Endpoint and pin of connections to close or to give back.
+  std::vector<std::pair<std::string, std::uint64_t>> closed_pins;
+  std::vector<std::pair<std::string, std::uint64_t>> released_pins;
+  std::vector<CallerAnswer> answers;
+  std::vector<OperatorAnswer> operator_answers;
+  std::vector<messages::JournalEntry> journal;
+  bool view_changed = false;
+};
+
+//! The entry role of one instance: ingress, the groups that it coordinates, and
+//! its contact with control. Messages to its own instance are effects like any
+//! other. Not thread-safe.
+class EntryNode {
+ public:
+  EntryNode(EntryNodeOptions options, EntryNodeHooks hooks);
+
+  EntryEffects OnCallerRequest(const CallerRequest& request, Time now);
+  EntryEffects OnMessage(const std::string& from,
+                         const messages::PeerMessage& message,
+                         Time now);
+  //! The message, an effect of this node, did not leave the instance.
+  EntryEffects OnNotSent(const std::string& to,
+                         const messages::PeerMessage& message,
+                         Time now);
+  EntryEffects OnCallResult(std::uint64_t call_id,
+                            const coordinator::CallResult& result,
+                            Time now);
+  //! An announcement that has been authenticated.
+  EntryEffects OnAnnouncement(const messages::Announcement& announcement,
+                              Time now);
+  //! An operator's command for the log. Resent to a new leader until
+  //! `deadline`, so the command must carry a change id if it is a change.
+  EntryEffects OnOperatorProposal(std::uint64_t id,
+                                  const messages::Command& command,
+                                  bool wait_in_force,
+                                  Time deadline,
+                                  Time now);
+  //! Call each 10 ms.
+  EntryEffects Tick(Time now);
+
+  //! Starts a planned stop: coordination is handed over, requests still run.
+  void BeginDrain();
+  //! The last caller's connection has been closed: nothing will arrive.
+  void OnCallersGone() { callers_gone_ = true; }
+  //! True once nothing runs here and control has been told so.
+  bool IsDrained() const { return stop_reported_; }
+
+  const View& view() const { return view_; }
+  const std::map<std::string, std::unique_ptr<coordinator::GroupCoordinator>>&
+  coordinators() const {
+    return coordinators_;
+  }
+  bool HasControlLease(Time now) const { return ingress_.HasControlLease(now); }
+  std::size_t RequestsInFlight() const { return ingress_.InFlight(); }
+  const std::string& control_target() const { return client_.target(); }
+
+ private:
+  struct OperatorProposal {
+    messages::Command command;
+    bool wait_in_force = false;
+    Time deadline;
+    Time retry_at;
+  };
+
+  void OnControlUpdate(const messages::ControlUpdate& update, Time now);
+  void UpdateCoordinators(
+      const std::vector<std::pair<messages::CoordinatorLease, Time>>& leases,
+      Time now);
+  void OnForward(const std::string& from,
+                 const messages::ForwardRequest& request,
+                 Time now);
+  void OnProposeResponse(const messages::ProposeResponse& response, Time now);
+  void Take(coordinator::CoordinatorEffects effects, const std::string& group);
+  void Take(IngressEffects effects);
+  void SendProposal(std::int64_t id,
+                    const messages::Command& command,
+                    bool wait_in_force);
+  void ResendProposals(Time now);
+  void DrainStep(Time now);
+  void SendReport(Time now);
+  coordinator::CoordinatorHooks MakeCoordinatorHooks();
+  void RefreshLimits();
+  EntryEffects TakeEffects();
+
+  EntryNodeOptions options_;
+  EntryNodeHooks hooks_;
+  View view_;
+  quota::Holder holder_;
+  Ingress ingress_;
+  ControlClient client_;
+  std::map<std::string, std::unique_ptr<coordinator::GroupCoordinator>>
+      coordinators_;
+  std::map<std::uint64_t, std::string> group_by_call_;
+  std::map<std::string, std::int64_t> resigned_;  // epoch by group
+  std::int64_t next_proposal_ = 1;
+  std::map<std::int64_t, std::string> coordinator_proposals_;  // group
+  std::map<std::int64_t, std::pair<std::uint64_t, OperatorProposal>>
+      operator_proposals_;
+  std::uint64_t next_call_id_ = 1;
+  std::int64_t limits_revision_ = -1;
+  std::set<std::string> limited_customers_;
+  bool draining_ = false;
+  bool callers_gone_ = false;
+  bool stop_reported_ = false;
+  EntryEffects effects_;
+};
+
+}  // namespace goldcrest::entry
+
+#endif  // GOLDCREST_ENTRY_ENTRY_NODE_H_
--- /dev/null
+++ b/entry/include/goldcrest/entry/ingress.h
@@ -0,0 +1,116 @@
+#ifndef GOLDCREST_ENTRY_INGRESS_H_
+#define GOLDCREST_ENTRY_INGRESS_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "goldcrest/entry/caller_request.h"
+#include "goldcrest/entry/view.h"
+#include "goldcrest/policy/access_decision.h"
+#include "goldcrest/quota/holder.h"
+#include "goldcrest/session/marks.h"
+#include "goldcrest/session/token_sealer.h"
+
+namespace goldcrest::entry {
+
+struct IngressOptions {
+  //! Longest wait for a token before a request is refused by rate.
+  Duration quota_wait = std::chrono::milliseconds(250);
+  //! Wait before a request goes to a coordinator again.
+  Duration retry_delay = std::chrono::milliseconds(20);
+  //! How long past a request's deadline the coordinator's answer may still
+  //! come.
+  Duration answer_grace = std::chrono::milliseconds(300);
+};
+
+struct IngressEffects {
+  std::vector<std::pair<std::string, messages::ForwardRequest>> forwards;
+  std::vector<CallerAnswer> answers;
+};
+
+//! Takes callers' requests: access, session, rate, then the way to the group's
+//! coordinator and back. Not thread-safe.
+class Ingress {
+ public:
+  //! `view` and `holder` must outlive it. `random_bytes` gives that many bytes.
+  Ingress(const View* view,
+          quota::Holder* holder,
+          IngressOptions options,
+          std::function<std::string(std::size_t)> random_bytes);
+
+  //! Until then keyed requests are served; afterwards this instance can't know
+  //! which keys were withdrawn.
+  void SetControlLease(Time until) { control_lease_until_ = until; }
+  bool HasControlLease(Time now) const { return now < control_lease_until_; }
+
+  IngressEffects OnRequest(const CallerRequest& request, Time now);
+  IngressEffects OnResponse(const std::string& from,
+                            const messages::ForwardResponse& response,
+                            Time now);
+  //! A forward could not be handed to the peer's link: it did not leave.
+  IngressEffects OnNotForwarded(std::int64_t forward_id, Time now);
+
+  //! Groups, keys, rates or shares have changed.
+  IngressEffects OnViewChange(Time now);
+
+  //! Call each 10 ms.
+  IngressEffects Tick(Time now);
+
+  std::size_t InFlight() const { return pending_.size(); }
+
+ private:
+  enum class State : std::uint8_t {
+    kWaitingForToken,
+    kWaitingForCoordinator,
+    kForwarded,
+  };
+  struct Pending {
+    CallerRequest request;
+    policy::AccessDecision access;
+    session::Marks marks;
+    Time deadline = kNever;
+    Time token_deadline = kNever;
+    State state = State::kWaitingForCoordinator;
+    Time retry_at;
+    bool may_have_run = false;
+    std::string coordinator;  // kForwarded
+    std::int64_t epoch = 0;   // kForwarded
+  };
+
+  ResultCode Admit(Pending& pending, Time now);
+  ResultCode OpenSession(Pending& pending) const;
+  bool NeedsToken(const Pending& pending) const;
+  bool IsRepeatable(const CallerRequest& request) const;
+  void Forward(std::int64_t id, Pending& pending, Time now);
+  void TakeWaitingTokens(Time now);
+  void RetryForwards(Time now);
+  void CheckForwarded(Time now);
+  bool CallerInForce(const Pending& pending) const;
+  void Answer(std::int64_t id, CallerAnswer answer);
+  void Refuse(std::int64_t id, ResultCode code, Time now);
+  std::string SealToken(const Pending& pending,
+                        const messages::ForwardResponse& response) const;
+  IngressEffects TakeEffects();
+
+  const View* view_;
+  quota::Holder* holder_;
+  IngressOptions options_;
+  std::function<std::string(std::size_t)> random_bytes_;
+  Time control_lease_until_;
+  std::int64_t next_forward_id_ = 1;
+  std::map<std::int64_t, Pending> pending_;  // by forward id
+  std::map<std::string, std::deque<std::int64_t>> token_waiters_;  // customer
+  std::set<std::int64_t> coordinator_waiters_;
+  IngressEffects effects_;
+};
+
+}  // namespace goldcrest::entry
+
+#endif  // GOLDCREST_ENTRY_INGRESS_H_
--- /dev/null
+++ b/entry/include/goldcrest/entry/view.h
@@ -0,0 +1,48 @@
+#ifndef GOLDCREST_ENTRY_VIEW_H_
+#define GOLDCREST_ENTRY_VIEW_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "goldcrest/messages/messages.h"
+#include "goldcrest/policy/configuration.h"
+#include "goldcrest/types/time.h"
+
+namespace goldcrest::entry {
+
+//! An entry's copy of what control has logged. Filled by ControlClient only.
+class View {
+ public:
+  //! Merges newer state. False when nothing was new.
+  bool Merge(const messages::ControlUpdate& update);
+
+  policy::Configuration& configuration() { return configuration_; }
+  const policy::Configuration& configuration() const { return configuration_; }
+
+  const messages::GroupState* FindGroup(const std::string& group) const;
+  const std::vector<messages::EndpointInfo>& EndpointsOf(
+      const std::string& group) const;
+  const messages::EndpointInfo* FindEndpoint(const std::string& endpoint) const;
+  const std::map<std::string, messages::GroupState>& groups() const {
+    return groups_;
+  }
+  const std::vector<messages::InstanceInfo>& instances() const {
+    return instances_;
+  }
+  std::int64_t groups_revision() const { return groups_revision_; }
+  const std::string& session_secret() const { return session_secret_; }
+
+ private:
+  policy::Configuration configuration_;
+  std::int64_t groups_revision_ = 0;
+  std::map<std::string, messages::GroupState> groups_;
+  std::map<std::string, std::vector<messages::EndpointInfo>> endpoints_;
+  std::vector<messages::InstanceInfo> instances_;
+  std::string session_secret_;
+};
+
+}  // namespace goldcrest::entry
+
+#endif  // GOLDCREST_ENTRY_VIEW_H_
--- /dev/null
+++ b/entry/src/control_client.cc
@@ -0,0 +1,140 @@
+#include "goldcrest/entry/control_client.h"
+
+#include <algorithm>
+
+namespace goldcrest::entry {
+namespace {
+
+constexpr std::size_t kMaxNotes = 200;
+
+// Reports made at once (quota, assignments) are at least this far apart.
+constexpr Duration kMinReportGap = std::chrono::milliseconds(5);
+
+}  // namespace
+
+ControlClient::ControlClient(View* view,
+                             quota::Holder* holder,
+                             ControlClientOptions options)
+    : view_(view), holder_(holder), options_(std::move(options)) {
+  AskNextMember();
+}
+
+std::optional<std::pair<std::string, messages::EntryReport>>
+ControlClient::MaybeReport(
+    std::vector<messages::CoordinatorReport> coordinators,
+    bool draining,
+    bool stopped,
+    Time now) {
+  if (unanswered_since_ && now - *unanswered_since_ > options_.answer_timeout) {
+    AskNextMember();
+    unanswered_since_.reset();
+    report_soon_ = true;
+  }
+  const bool at_once = report_soon_ || holder_->ReportDue(now);
+  const Time due = at_once
+                       ? next_report_ - options_.report_interval + kMinReportGap
+                       : next_report_;
+  if (now < due || target_.empty())
+    return std::nullopt;
+  report_soon_ = false;
+  next_report_ = now + options_.report_interval;
+  if (!unanswered_since_)
+    unanswered_since_ = now;
+
+  messages::EntryReport report;
+  report.instance = options_.self;
+  report.sequence = ++sequence_;
+  report.sent_micros = ToMicros(now);
+  report.applied_revision = view_->configuration().Revision();
+  report.applied_groups_revision = view_->groups_revision();
+  if (!stopped)
+    report.shares = holder_->Report(now);
+  for (const auto& [name, announcement] : announcements_)
+    report.announcements.push_back(announcement);
+  report.coordinators = std::move(coordinators);
+  report.draining = draining;
+  report.stopped = stopped;
+  // Notes go with one report only; a note that is sent again would be logged
+  // twice.
+  for (messages::JournalEntry& note : notes_)
+    report.journal.push_back(std::move(note));
+  notes_.clear();
+  return std::pair(target_, std::move(report));
+}
+
+ControlClient::UpdateResult ControlClient::OnUpdate(
+    const messages::ControlUpdate& update,
+    Time now) {
+  UpdateResult result;
+  if (update.leader_term < newest_leader_term_)
+    return result;
+  // A member that is not the leader answers with the leader's name only.
+  const bool is_hint = update.leader_term == 0;
+  if (is_hint) {
+    OnTargetFailed(update.leader);
+    return result;
+  }
+  newest_leader_term_ = update.leader_term;
+  result.accepted = true;
+  target_ = update.leader;
+  result.view_changed = view_->Merge(update);
+  std::erase_if(announcements_, [&](const auto& entry) {
+    const messages::EndpointInfo* known = view_->FindEndpoint(entry.first);
+    return known != nullptr && *known == entry.second.info;
+  });
+  if (result.view_changed)
+    report_soon_ = true;
+  if (update.report_sequence <= answered_sequence_)
+    return result;
+
+  answered_sequence_ = update.report_sequence;
+  if (update.report_sequence == sequence_)
+    unanswered_since_.reset();
+  else
+    unanswered_since_ = now;
+  const Time sent = TimeFromMicros(update.report_sent_micros);
+  if (update.control_lease_ms > 0) {
+    result.control_lease_until =
+        sent + std::chrono::milliseconds(update.control_lease_ms);
+    holder_->OnUpdates(now, sent, update.shares);
+  }
+  for (const messages::CoordinatorLease& lease : update.leases)
+    result.leases.emplace_back(
+        lease, sent + std::chrono::milliseconds(lease.lease_ms));
+  return result;
+}
+
+void ControlClient::OnAnnouncement(const messages::Announcement& announcement) {
+  const messages::EndpointInfo& info = announcement.info;
+  const messages::EndpointInfo* known = view_->FindEndpoint(info.endpoint);
+  if (known != nullptr &&
+      (*known == info || known->incarnation > info.incarnation))
+    return;
+  announcements_[info.endpoint] = announcement;
+  report_soon_ = true;
+}
+
+void ControlClient::AddNote(messages::JournalEntry entry) {
+  notes_.push_back(std::move(entry));
+  if (notes_.size() > kMaxNotes)
+    notes_.pop_front();
+}
+
+void ControlClient::OnTargetFailed(const std::string& hint) {
+  const std::string failed = target_;
+  if (!hint.empty() && hint != failed)
+    target_ = hint;
+  else
+    AskNextMember();
+  unanswered_since_.reset();
+}
+
+void ControlClient::AskNextMember() {
+  if (options_.control_members.empty())
+    return;
+  target_ =
+      options_.control_members[next_member_ % options_.control_members.size()];
+  ++next_member_;
+}
+
+}  // namespace goldcrest::entry
--- /dev/null
+++ b/entry/src/control_node.cc
@@ -0,0 +1,187 @@
+#include "goldcrest/entry/control_node.h"
+
+#include <optional>
+
+#include "goldcrest/messages/codec.h"
+
+namespace goldcrest::entry {
+namespace {
+
+// Entries applied between two snapshots. At 8,900 changes a day the log is
+// compacted several times a day.
+constexpr std::int64_t kCompactEvery = 1'000;
+
+}  // namespace
+
+ControlNode::ControlNode(consensus::ReplicaOptions options,
+                         control::LeaderOptions leader_options,
+                         consensus::RestoredState restored,
+                         std::mt19937_64 generator,
+                         ControlNodeHooks hooks)
+    : self_(options.self),
+      leader_options_(leader_options),
+      hooks_(std::move(hooks)),
+      replica_(std::move(options), restored, generator) {
+  if (restored.snapshot.last_index == 0)
+    return;
+  if (const auto snapshot =
+          messages::DecodeControlSnapshot(restored.snapshot.data)) {
+    state_.Load(*snapshot);
+    applied_index_ = restored.snapshot.last_index;
+  } else {
+    effects_.failed = true;
+  }
+}
+
+ControlEffects ControlNode::OnMessage(const std::string& from,
+                                      const messages::PeerMessage& message,
+                                      Time now) {
+  if (message.__isset.consensus)
+    Process(replica_.Receive(now, from, message.consensus), now);
+  UpdateLeadership(now);
+  const bool leads = leader_ != nullptr && replica_.HoldsLeaderLease(now);
+  if (message.__isset.report) {
+    if (leads) {
+      CarryOut(leader_->OnReport(message.report, now), now);
+    } else {
+      messages::PeerMessage hint;
+      messages::ControlUpdate update;
+      update.leader = replica_.Leader() == self_ ? "" : replica_.Leader();
+      hint.__set_update(update);
+      Send(from, std::move(hint));
+    }
+  }
+  if (message.__isset.propose) {
+    if (leads) {
+      CarryOut(leader_->OnPropose(from, message.propose, hooks_.wall_ms(), now),
+               now);
+    } else {
+      messages::ProposeResponse response;
+      response.id = message.propose.id;
+      response.code = ToNumber(ResultCode::kNotLeader);
+      response.message = replica_.Leader();
+      messages::PeerMessage answer;
+      answer.__set_propose_response(response);
+      Send(from, std::move(answer));
+    }
+  }
+  return TakeEffects();
+}
+
+ControlEffects ControlNode::Tick(Time now) {
+  if (now >= replica_.NextDeadline())
+    Process(replica_.Tick(now), now);
+  UpdateLeadership(now);
+  if (leader_ != nullptr && replica_.HoldsLeaderLease(now))
+    CarryOut(leader_->Tick(hooks_.wall_ms(), now), now);
+  MaybeCompact(now);
+  return TakeEffects();
+}
+
+ControlEffects ControlNode::TransferLeadership(Time now) {
+  if (replica_.IsLeader())
+    Process(replica_.TransferLeadership(now), now);
+  return TakeEffects();
+}
+
+ResultCode ControlNode::ProposeMembers(std::vector<std::string> members,
+                                       Time now,
+                                       ControlEffects* effects) {
+  consensus::Proposal proposal =
+      replica_.ProposeMembers(now, std::move(members));
+  Process(std::move(proposal.output), now);
+  *effects = TakeEffects();
+  return proposal.code;
+}
+
+void ControlNode::Process(consensus::Output output, Time now) {
+  if (!output.writes.empty() && !hooks_.persist(output.writes)) {
+    effects_.failed = true;
+    return;
+  }
+  for (consensus::Outbound& outbound : output.messages) {
+    messages::PeerMessage message;
+    message.__set_consensus(outbound.message);
+    Send(outbound.to, std::move(message));
+  }
+  if (output.installed) {
+    const auto snapshot =
+        messages::DecodeControlSnapshot(output.installed->data);
+    if (!snapshot) {
+      effects_.failed = true;
+      return;
+    }
+    state_.Load(*snapshot);
+    applied_index_ = output.installed->last_index;
+  }
+  for (const messages::LogEntry& entry : output.committed)
+    ApplyCommitted(entry, now);
+}
+
+void ControlNode::ApplyCommitted(const messages::LogEntry& entry, Time now) {
+  applied_index_ = entry.index;
+  control::ApplyResult result;
+  if (!entry.command.empty()) {
+    const auto command = messages::DecodeCommand(entry.command);
+    if (!command) {
+      effects_.failed = true;
+      return;
+    }
+    result = state_.Apply(*command);
+  }
+  const auto it = proposals_.find(entry.index);
+  if (it == proposals_.end())
+    return;
+  const std::uint64_t id = it->second;
+  proposals_.erase(it);
+  if (leader_ != nullptr && entry.term == leader_term_)
+    CarryOut(leader_->OnApplied(id, result, now), now);
+}
+
+void ControlNode::CarryOut(control::LeaderEffects effects, Time now) {
+  for (auto& [to, message] : effects.messages)
+    Send(to, std::move(message));
+  for (control::Proposal& proposal : effects.proposals) {
+    consensus::Proposal logged =
+        replica_.Propose(now, messages::Encode(proposal.command));
+    if (logged.code != ResultCode::kOk) {
+      if (leader_ != nullptr)
+        CarryOut(leader_->OnApplied(proposal.id, {logged.code, 0, ""}, now),
+                 now);
+      continue;
+    }
+    // Before the output is processed: a single member commits at once.
+    proposals_[logged.index] = proposal.id;
+    Process(std::move(logged.output), now);
+  }
+}
+
+void ControlNode::UpdateLeadership(Time now) {
+  const bool leads = replica_.IsLeader();
+  if (leader_ != nullptr && (!leads || replica_.Term() != leader_term_)) {
+    leader_.reset();
+    proposals_.clear();
+  }
+  if (leader_ != nullptr || !leads || !replica_.HoldsLeaderLease(now))
+    return;
+  leader_term_ = replica_.Term();
+  leader_ = std::make_unique<control::Leader>(
+      &state_, self_, leader_term_, leader_options_, hooks_.random_secret, now);
+}
+
+void ControlNode::MaybeCompact(Time now) {
+  if (applied_index_ - replica_.SnapshotIndex() < kCompactEvery)
+    return;
+  Process(replica_.Compact(applied_index_, messages::Encode(state_.Save())),
+          now);
+}
+
+void ControlNode::Send(const std::string& to, messages::PeerMessage message) {
+  effects_.messages.emplace_back(to, std::move(message));
+}
+
+ControlEffects ControlNode::TakeEffects() {
+  return std::exchange(effects_, ControlEffects());
+}
+
+}  // namespace goldcrest::entry
--- /dev/null
+++ b/entry/src/entry_node.cc
@@ -0,0 +1,376 @@
+#include "goldcrest/entry/entry_node.h"
+
+#include <iterator>
+
+#include "goldcrest/types/digest.h"
+
+namespace goldcrest::entry {
+namespace {
+
+constexpr Duration kProposalRetry = std::chrono::milliseconds(500);
+constexpr std::size_t kRandomNameBytes = 16;
+
+template <typename T>
+void AppendAll(std::vector<T>& to, std::vector<T>&& from) {
+  to.insert(to.end(), std::make_move_iterator(from.begin()),
+            std::make_move_iterator(from.end()));
+}
+
+}  // namespace
+
+EntryNode::EntryNode(EntryNodeOptions options, EntryNodeHooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      ingress_(&view_, &holder_, options_.ingress, hooks_.random_bytes),
+      client_(&view_, &holder_, options_.control) {}
+
+EntryEffects EntryNode::OnCallerRequest(const CallerRequest& request,
+                                        Time now) {
+  Take(ingress_.OnRequest(request, now));
+  SendReport(now);
+  return TakeEffects();
+}
+
+EntryEffects EntryNode::OnMessage(const std::string& from,
+                                  const messages::PeerMessage& message,
+                                  Time now) {
+  if (message.__isset.update)
+    OnControlUpdate(message.update, now);
+  if (message.__isset.forward)
+    OnForward(from, message.forward, now);
+  if (message.__isset.forward_response)
+    Take(ingress_.OnResponse(from, message.forward_response, now));
+  if (message.__isset.propose_response)
+    OnProposeResponse(message.propose_response, now);
+  return TakeEffects();
+}
+
+EntryEffects EntryNode::OnNotSent(const std::string& to,
+                                  const messages::PeerMessage& message,
+                                  Time now) {
+  if (message.__isset.forward)
+    Take(ingress_.OnNotForwarded(message.forward.id, now));
+  if (message.__isset.report && to == client_.target())
+    client_.OnTargetFailed("");
+  return TakeEffects();
+}
+
+EntryEffects EntryNode::OnCallResult(std::uint64_t call_id,
+                                     const coordinator::CallResult& result,
+                                     Time now) {
+  const auto it = group_by_call_.find(call_id);
+  if (it == group_by_call_.end())
+    return TakeEffects();
+  const std::string group = it->second;
+  group_by_call_.erase(it);
+  if (const auto found = coordinators_.find(group);
+      found != coordinators_.end())
+    Take(found->second->OnCallResult(call_id, result, now), group);
+  return TakeEffects();
+}
+
+EntryEffects EntryNode::OnAnnouncement(
+    const messages::Announcement& announcement,
+    Time now) {
+  client_.OnAnnouncement(announcement);
+  SendReport(now);
+  return TakeEffects();
+}
+
+EntryEffects EntryNode::OnOperatorProposal(std::uint64_t id,
+                                           const messages::Command& command,
+                                           bool wait_in_force,
+                                           Time deadline,
+                                           Time now) {
+  const std::int64_t proposal = next_proposal_++;
+  operator_proposals_[proposal] = {
+      id, {command, wait_in_force, deadline, now + kProposalRetry}};
+  SendProposal(proposal, command, wait_in_force);
+  return TakeEffects();
+}
+
+EntryEffects EntryNode::Tick(Time now) {
+  for (auto& [group, coordinator] : coordinators_)
+    Take(coordinator->Tick(now), group);
+  std::erase_if(coordinators_, [&](const auto& entry) {
+    using Phase = coordinator::GroupCoordinator::Phase;
+    return entry.second->phase() == Phase::kStopped;
+  });
+  Take(ingress_.Tick(now));
+  ResendProposals(now);
+  if (draining_)
+    DrainStep(now);
+  SendReport(now);
+  return TakeEffects();
+}
+
+void EntryNode::BeginDrain() {
+  draining_ = true;
+  for (auto& [group, coordinator] : coordinators_)
+    coordinator->BeginDrain();
+  client_.ReportSoon();
+}
+
+void EntryNode::DrainStep(Time now) {
+  for (auto it = coordinators_.begin(); it != coordinators_.end();) {
+    coordinator::GroupCoordinator& coordinator = *it->second;
+    if (!coordinator.IsIdle()) {
+      ++it;
+      continue;
+    }
+    Take(coordinator.Stop(now, "planned stop"), it->first);
+    resigned_[it->first] = coordinator.epoch();
+    it = coordinators_.erase(it);
+    client_.ReportSoon();
+  }
+}
+
+void EntryNode::OnControlUpdate(const messages::ControlUpdate& update,
+                                Time now) {
+  const ControlClient::UpdateResult result = client_.OnUpdate(update, now);
+  if (!result.accepted)
+    return;
+  if (result.control_lease_until)
+    ingress_.SetControlLease(*result.control_lease_until);
+  if (result.view_changed) {
+    effects_.view_changed = true;
+    RefreshLimits();
+  }
+  UpdateCoordinators(result.leases, now);
+  // Shares may have come even if the view is the same.
+  Take(ingress_.OnViewChange(now));
+}
+
+void EntryNode::UpdateCoordinators(
+    const std::vector<std::pair<messages::CoordinatorLease, Time>>& leases,
+    Time now) {
+  for (auto& [name, coordinator] : coordinators_) {
+    coordinator->SetEndpoints(view_.EndpointsOf(name), now);
+    if (const messages::GroupState* state = view_.FindGroup(name))
+      Take(coordinator->OnGroupState(*state, now), name);
+    Take(coordinator->OnPolicyChange(now), name);
+  }
+  for (const auto& [lease, until] : leases) {
+    const messages::GroupState* state = view_.FindGroup(lease.group);
+    if (state == nullptr || state->coordinator_epoch != lease.epoch ||
+        state->coordinator != options_.control.self.instance || now >= until)
+      continue;
+    const auto found = coordinators_.find(lease.group);
+    if (found != coordinators_.end()) {
+      found->second->ExtendLease(until);
+      continue;
+    }
+    if (draining_) {
+      resigned_[lease.group] = lease.epoch;
+      continue;
+    }
+    // An epoch is coordinated once: after a stop its requests may be answered
+    // by nobody, so control must assign a new epoch first.
+    const auto resigned = resigned_.find(lease.group);
+    if (resigned != resigned_.end() && resigned->second >= lease.epoch)
+      continue;
+    auto coordinator = std::make_unique<coordinator::GroupCoordinator>(
+        options_.coordinator, MakeCoordinatorHooks(), *state, until, now);
+    coordinator->SetEndpoints(view_.EndpointsOf(lease.group), now);
+    Take(coordinator->Tick(now), lease.group);
+    coordinators_[lease.group] = std::move(coordinator);
+  }
+}
+
+void EntryNode::OnForward(const std::string& from,
+                          const messages::ForwardRequest& request,
+                          Time now) {
+  const auto it = coordinators_.find(request.group);
+  if (it != coordinators_.end()) {
+    Take(it->second->OnRequest(from, request, now), request.group);
+    return;
+  }
+  messages::ForwardResponse response;
+  response.id = request.id;
+  response.code = ToNumber(ResultCode::kCoordinatorMoved);
+  messages::PeerMessage message;
+  message.__set_forward_response(response);
+  effects_.messages.emplace_back(from, std::move(message));
+}
+
+void EntryNode::OnProposeResponse(const messages::ProposeResponse& response,
+                                  Time now) {
+  if (const auto it = coordinator_proposals_.find(response.id);
+      it != coordinator_proposals_.end()) {
+    const std::string group = it->second;
+    coordinator_proposals_.erase(it);
+    const auto found = coordinators_.find(group);
+    if (found == coordinators_.end())
+      return;
+    if (response.code == ToNumber(ResultCode::kOk))
+      client_.ReportSoon();
+    else
+      Take(found->second->OnProposalRefused(now), group);
+    return;
+  }
+  const auto it = operator_proposals_.find(response.id);
+  if (it == operator_proposals_.end())
+    return;
+  auto& [operator_id, proposal] = it->second;
+  if (response.code == ToNumber(ResultCode::kNotLeader) &&
+      now < proposal.deadline) {
+    client_.OnTargetFailed(response.message);
+    return;
+  }
+  effects_.operator_answers.push_back({operator_id, response});
+  operator_proposals_.erase(it);
+}
+
+void EntryNode::Take(coordinator::CoordinatorEffects effects,
+                     const std::string& group) {
+  for (const coordinator::EndpointCall& call : effects.calls)
+    group_by_call_[call.id] = group;
+  AppendAll(effects_.calls, std::move(effects.calls));
+  AppendAll(effects_.closed_pins, std::move(effects.closed_pins));
+  AppendAll(effects_.released_pins, std::move(effects.released_pins));
+  for (coordinator::CoordinatorAnswer& answer : effects.answers) {
+    messages::PeerMessage message;
+    message.__set_forward_response(answer.response);
+    effects_.messages.emplace_back(answer.instance, std::move(message));
+  }
+  for (const messages::SetPrimary& proposal : effects.proposals) {
+    const std::int64_t id = next_proposal_++;
+    coordinator_proposals_[id] = proposal.group;
+    messages::Command command;
+    command.__set_set_primary(proposal);
+    SendProposal(id, command, false);
+  }
+  for (messages::JournalEntry& entry : effects.journal) {
+    entry.wall_ms = hooks_.wall_ms();
+    entry.inputs["instance"] = options_.control.self.instance;
+    client_.AddNote(entry);
+    effects_.journal.push_back(std::move(entry));
+  }
+}
+
+void EntryNode::Take(IngressEffects effects) {
+  AppendAll(effects_.answers, std::move(effects.answers));
+  for (auto& [to, forward] : effects.forwards) {
+    messages::PeerMessage message;
+    message.__set_forward(forward);
+    effects_.messages.emplace_back(to, std::move(message));
+  }
+}
+
+void EntryNode::SendProposal(std::int64_t id,
+                             const messages::Command& command,
+                             bool wait_in_force) {
+  messages::ProposeRequest request;
+  request.id = id;
+  request.command = command;
+  request.wait_in_force = wait_in_force;
+  messages::PeerMessage message;
+  message.__set_propose(request);
+  effects_.messages.emplace_back(client_.target(), std::move(message));
+}
+
+void EntryNode::ResendProposals(Time now) {
+  for (auto it = operator_proposals_.begin();
+       it != operator_proposals_.end();) {
+    auto& [operator_id, proposal] = it->second;
+    if (now >= proposal.deadline) {
+      messages::ProposeResponse response;
+      response.code = ToNumber(ResultCode::kOutcomeUnknown);
+      response.message = "control has not answered in time";
+      effects_.operator_answers.push_back({operator_id, response});
+      it = operator_proposals_.erase(it);
+      continue;
+    }
+    if (now >= proposal.retry_at) {
+      proposal.retry_at = now + kProposalRetry;
+      SendProposal(it->first, proposal.command, proposal.wait_in_force);
+    }
+    ++it;
+  }
+}
+
+void EntryNode::SendReport(Time now) {
+  if (stop_reported_)
+    return;
+  std::vector<messages::CoordinatorReport> reports;
+  for (const auto& [group, coordinator] : coordinators_) {
+    messages::CoordinatorReport report;
+    report.group = group;
+    report.epoch = coordinator->epoch();
+    reports.push_back(report);
+  }
+  bool handed_over = true;
+  for (const auto& [group, epoch] : resigned_) {
+    const messages::GroupState* state = view_.FindGroup(group);
+    if (state == nullptr || state->coordinator_epoch != epoch)
+      continue;
+    handed_over = false;
+    messages::CoordinatorReport report;
+    report.group = group;
+    report.epoch = epoch;
+    report.resign = true;
+    reports.push_back(report);
+  }
+  const bool stopped = draining_ && coordinators_.empty() && handed_over &&
+                       ingress_.InFlight() == 0 && callers_gone_;
+  auto report =
+      client_.MaybeReport(std::move(reports), draining_, stopped, now);
+  if (!report)
+    return;
+  messages::PeerMessage message;
+  message.__set_report(report->second);
+  effects_.messages.emplace_back(report->first, std::move(message));
+  stop_reported_ = stopped;
+  if (stopped)
+    holder_.Stop();
+}
+
+coordinator::CoordinatorHooks EntryNode::MakeCoordinatorHooks() {
+  coordinator::CoordinatorHooks hooks;
+  hooks.caller_in_force = [this](const std::string& key_name,
+                                 const std::string& customer) {
+    return key_name.empty() ||
+           view_.configuration().KeyInForceFor(key_name, customer);
+  };
+  hooks.endpoint_allowed = [this](const std::string& rule,
+                                  const messages::EndpointInfo& endpoint) {
+    return view_.configuration().RuleAllows(rule, endpoint);
+  };
+  hooks.endpoint_leaving = [this](const messages::EndpointInfo& endpoint) {
+    return view_.configuration().EndpointLeaving(endpoint.endpoint);
+  };
+  hooks.next_call_id = [this] { return next_call_id_++; };
+  hooks.random_name = [this] {
+    return ToHex(hooks_.random_bytes(kRandomNameBytes));
+  };
+  return hooks;
+}
+
+void EntryNode::RefreshLimits() {
+  const policy::Configuration& configuration = view_.configuration();
+  if (configuration.Revision() == limits_revision_)
+    return;
+  limits_revision_ = configuration.Revision();
+  std::set<std::string> limited;
+  for (const messages::Object& customer :
+       configuration.Objects(messages::ObjectKind::CUSTOMER)) {
+    const auto limit = configuration.QuotaOf(customer.name);
+    if (!limit)
+      continue;
+    holder_.SetLimit(customer.name,
+                     quota::Limit{limit->rate_micros, limit->burst_micros});
+    limited.insert(customer.name);
+  }
+  for (const std::string& customer : limited_customers_) {
+    if (!limited.contains(customer))
+      holder_.SetLimit(customer, std::nullopt);
+  }
+  limited_customers_ = std::move(limited);
+}
+
+EntryEffects EntryNode::TakeEffects() {
+  EntryEffects effects = std::exchange(effects_, EntryEffects());
+  return effects;
+}
+
+}  // namespace goldcrest::entry
