Add leased shares of rate and burst

The owner counts, for each entry, the most that it may hold: an update counts before it is sent, a decrease only when the entry's report confirms it, and a lapsed share comes back empty. One update for a share is unconfirmed at a time and is resent unchanged. Tokens that a decrease cuts off come back once, as a reported level above the ceiling of the confirmed update.

A new owner first makes each entry refuse updates of earlier terms; only the report after that counts as final.

--- a/quota/include/goldcrest/quota/holder.h
+++ b/quota/include/goldcrest/quota/holder.h
@@ -18,7 +18,8 @@
 //!
 //! A new request calls TryTake(). If that fails and the request may wait, call
 //! Wait() once, then TryTakeWaiting() after OnUpdates() and at NextTokenAt(),
-//! until it succeeds or the request gives up with StopWaiting().
+//! until it succeeds or the request gives up with StopWaiting(). Serve waiting
+//! requests before asking for a report, so that it tells what they have taken.
 class Holder {
  public:
   //! Sets the limit of a customer. Without a limit (also before the first call)
@@ -66,32 +67,37 @@
  private:
   struct Share {
     std::optional<Limit> limit;
-    std::int64_t term = 0;
+    std::int64_t term = 0;  // of the newest update applied, as is sequence
     std::int64_t sequence = 0;
     std::int64_t rate_micros = 0;
     std::int64_t capacity_micros = 0;
     std::int64_t level_micros = 0;
-    std::int64_t remainder = 0;  // millionths of level_micros
-    std::int64_t surplus_micros = 0;
+    std::int64_t remainder = 0;       // millionths of level_micros
+    std::int64_t ceiling_micros = 0;  // of the level when the update applied
+    std::int64_t surplus_micros = 0;  // tokens to hand back in the next report
     Time refilled_at;
     Time lease_end;
     double demand = 0;  // requests a second
-    double reported_demand = 0;
     Time demand_at;
     std::int64_t waiting = 0;
+    bool changed = false;  // since the last report
   };
 
   static void Advance(Share& share, Time now);
   static void DecayDemand(Share& share, Time now);
+  static bool IsIdle(const Share& share);
   bool Take(Share& share, Time now);
-  void Apply(Share& share, Time now, const messages::ShareUpdate& update);
-  void RequestReportAt(Time at);
+  void Apply(Share& share,
+             Time now,
+             Time lease_end,
+             const messages::ShareUpdate& update);
+  void RequestReport(Time at);
 
   std::map<std::string, Share> shares_;
   std::int64_t newest_term_ = 0;
   Time first_report_ = kNever;
   Time last_report_;
-  Time next_report_;
+  Time next_report_;  // the first report is due at once
   bool stopped_ = false;
 };
 
--- a/quota/include/goldcrest/quota/limit.h
+++ b/quota/include/goldcrest/quota/limit.h
@@ -31,6 +31,15 @@
   bool operator==(const Limit&) const = default;
 };
 
+//! Adds what `rate_micros` yields in `elapsed` to `level_micros`, up to
+//! `capacity_micros`; a level above it stays. `remainder` carries millionths of
+//! a micro-token from call to call, so that no call rounds up.
+void Refill(std::int64_t rate_micros,
+            std::int64_t capacity_micros,
+            Duration elapsed,
+            std::int64_t& level_micros,
+            std::int64_t& remainder);
+
 }  // namespace goldcrest::quota
 
 #endif  // GOLDCREST_QUOTA_LIMIT_H_
--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "goldcrest/messages/messages.h"
@@ -53,43 +55,72 @@
   bool Ready(Time now);
 
  private:
-  // What an entry may hold of one customer's limit.
+  // What an update gives: an entry that applies it holds `rate_micros` and
+  // `capacity_micros`.
   struct Grant {
     std::int64_t sequence = 0;
     std::int64_t rate_micros = 0;
     std::int64_t capacity_micros = 0;
     std::int64_t added_micros = 0;
   };
+  // The share of one incarnation of an instance. At most one update is
+  // unconfirmed at a time; it is resent unchanged.
   struct Share {
     Grant confirmed;
-    std::int64_t confirmed_level = 0;  // upper bound of the entry's level
-    bool pending = false;              // `sent` has not been confirmed
-    Grant sent;
-    double demand = 0;
-    std::int64_t wanted_micros = 0;
-    std::int64_t level_micros = 0;  // as last reported
+    std::int64_t level_bound = 0;  // upper bound of tokens held, as confirmed
+    std::optional<Grant> sent;     // not confirmed yet
+    std::int64_t demand_micros = 0;
     Time lease_end;
   };
-  struct Instance {
-    std::int64_t incarnation = 0;
-    bool adopted = false;  // has reported under this term
+  using ShareKey = std::pair<std::string, std::int64_t>;
+  // What entries may hold of a limit at most, and their demand.
+  struct Totals {
+    std::int64_t rate_micros = 0;
+    std::int64_t capacity_micros = 0;
+    std::int64_t demand_micros = 0;
   };
   struct Bucket {
-    Limit limit;
-    bool limited = false;
-    std::int64_t level_micros = 0;
-    std::int64_t remainder = 0;
+    std::optional<Limit> limit;
+    std::int64_t level_micros = 0;  // tokens kept by the owner
+    std::int64_t remainder = 0;     // millionths of level_micros
     Time refilled_at;
-    std::map<std::string, Share> shares;  // by instance
-    std::vector<Share> orphans;           // of earlier incarnations
+    std::map<ShareKey, Share> shares;
+    Totals held;
+    Time next_lapse = kNever;  // no share lapses earlier
+  };
+  struct Instance {
+    std::int64_t incarnation = 0;
+    bool known = false;      // what earlier owners gave it is known
+    bool confirmed = false;  // this incarnation has reported under this term
   };
 
+  static Totals HeldBy(const Share& share);
+  static void AddTotals(Bucket& bucket, const Share& share, int sign);
+  std::int64_t FreeRate(const Bucket& bucket) const;
+  std::int64_t FreeCapacity(const Bucket& bucket) const;
   void Advance(Bucket& bucket, Time now);
+  void DropLapsed(Bucket& bucket, Time now);
+  void StartIncarnation(const std::string& name,
+                        Instance& instance,
+                        std::int64_t incarnation);
+  void Adopt(Time now,
+             const std::string& name,
+             Instance& instance,
+             const std::vector<messages::ShareReport>& reports);
+  bool Confirm(Bucket& bucket,
+               Share& share,
+               const messages::ShareReport& report) const;
+  Grant Decide(const Bucket& bucket,
+               const Share& share,
+               const messages::ShareReport& report) const;
+  std::optional<messages::ShareUpdate>
+  Answer(Time now, const ShareKey& key, const messages::ShareReport& report);
 
   std::int64_t term_;
   Time ready_at_;
   bool ready_ = false;
-  std::int64_t sequence_ = 0;
+  bool wait_for_lapse_ = false;
+  std::int64_t last_sequence_ = 0;
   std::map<std::string, Instance> instances_;
   std::map<std::string, Bucket> buckets_;
 };
--- a/quota/src/holder.cc
+++ b/quota/src/holder.cc
@@ -1,1 +1,239 @@
 #include "goldcrest/quota/holder.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace goldcrest::quota {
+namespace {
+
+// Time constant of the demand estimate: after a step it has covered 63% in one
+// and 96% in three of these.
+constexpr std::chrono::duration<double> kDemandWindow =
+    std::chrono::milliseconds(300);
+
+// Below this demand, in requests a second, a customer counts as idle.
+constexpr double kIdleDemand = 0.01;
+
+// Shortest time between two reports, which bounds the messages of an entry.
+constexpr Duration kMinReportGap = std::chrono::milliseconds(10);
+
+// Interval of reports while requests wait and the owner had nothing to give.
+constexpr Duration kWaitingReportInterval = std::chrono::milliseconds(25);
+
+std::int64_t ToAmount(double requests) {
+  return std::llround(requests * static_cast<double>(kRequestMicros));
+}
+
+}  // namespace
+
+void Holder::SetLimit(const std::string& customer, std::optional<Limit> limit) {
+  shares_[customer].limit = limit;
+}
+
+bool Holder::TryTake(Time now, const std::string& customer) {
+  const auto found = shares_.find(customer);
+  if (found == shares_.end() || !found->second.limit) {
+    return true;
+  }
+  Share& share = found->second;
+  DecayDemand(share, now);
+  share.demand += 1 / kDemandWindow.count();
+  return share.waiting == 0 && Take(share, now);
+}
+
+void Holder::Wait(Time now, const std::string& customer) {
+  ++shares_[customer].waiting;
+  RequestReport(now);
+}
+
+bool Holder::TryTakeWaiting(Time now, const std::string& customer) {
+  Share& share = shares_[customer];
+  if (share.limit && !Take(share, now)) {
+    return false;
+  }
+  StopWaiting(customer);
+  return true;
+}
+
+void Holder::StopWaiting(const std::string& customer) {
+  Share& share = shares_[customer];
+  share.waiting = std::max<std::int64_t>(share.waiting - 1, 0);
+}
+
+Time Holder::NextTokenAt(Time now, const std::string& customer) {
+  Share& share = shares_[customer];
+  Advance(share, now);
+  if (!share.limit || share.level_micros >= kRequestMicros) {
+    return now;
+  }
+  if (share.rate_micros <= 0 || share.capacity_micros < kRequestMicros) {
+    return kNever;
+  }
+  const std::int64_t missing =
+      (kRequestMicros - share.level_micros) * kRequestMicros - share.remainder;
+  return now + Duration((missing + share.rate_micros - 1) / share.rate_micros);
+}
+
+bool Holder::ReportDue(Time now) const {
+  return now >= next_report_;
+}
+
+Time Holder::NextReportAt() const {
+  return next_report_;
+}
+
+std::vector<messages::ShareReport> Holder::Report(Time now) {
+  std::vector<messages::ShareReport> reports(1);
+  reports.front().owner_term = newest_term_;
+  bool waiting = false;
+  for (auto& [customer, share] : shares_) {
+    Advance(share, now);
+    DecayDemand(share, now);
+    if (!share.limit || (IsIdle(share) && !share.changed)) {
+      continue;
+    }
+    messages::ShareReport report;
+    report.customer = customer;
+    report.share_sequence = share.sequence;
+    report.owner_term = share.term;
+    report.rate_micros = share.rate_micros;
+    report.capacity_micros = share.capacity_micros;
+    // A level above the ceiling of the update tells the owner how many tokens
+    // the update cut off. It is sent once: a second report could be read as a
+    // second surplus by an owner that lost track.
+    report.level_micros = share.surplus_micros > 0
+                              ? share.ceiling_micros + share.surplus_micros
+                              : share.level_micros;
+    report.demand_micros = ToAmount(share.demand);
+    report.wanted_micros = share.waiting * kRequestMicros;
+    share.surplus_micros = 0;
+    share.changed = false;
+    waiting = waiting || share.waiting > 0;
+    reports.push_back(std::move(report));
+  }
+  first_report_ = std::min(first_report_, now);
+  last_report_ = now;
+  next_report_ = now + (waiting ? kWaitingReportInterval : kReportInterval);
+  return reports;
+}
+
+void Holder::OnUpdates(Time now,
+                       Time report_sent,
+                       const std::vector<messages::ShareUpdate>& updates) {
+  // Answers to reports of an earlier incarnation are not for this process.
+  if (stopped_ || report_sent < first_report_) {
+    return;
+  }
+  for (const messages::ShareUpdate& update : updates) {
+    if (update.owner_term < newest_term_) {
+      continue;
+    }
+    if (update.owner_term > newest_term_) {
+      newest_term_ = update.owner_term;
+      RequestReport(now);
+    }
+    const Time lease_end =
+        report_sent + std::chrono::milliseconds(update.lease_ms);
+    if (update.customer.empty() || lease_end <= now) {
+      continue;
+    }
+    Apply(shares_[update.customer], now, lease_end, update);
+  }
+}
+
+void Holder::Stop() {
+  stopped_ = true;
+  for (auto& [customer, share] : shares_) {
+    share.lease_end = Time();
+    share.level_micros = 0;
+  }
+}
+
+void Holder::Advance(Share& share, Time now) {
+  if (now >= share.lease_end) {
+    // The sequence stays, so that a repeated update can't bring the tokens
+    // back.
+    const bool held = share.rate_micros > 0 || share.capacity_micros > 0 ||
+                      share.level_micros > 0;
+    share.changed = share.changed || held;
+    share.rate_micros = 0;
+    share.capacity_micros = 0;
+    share.level_micros = 0;
+    share.surplus_micros = 0;
+    share.remainder = 0;
+  }
+  if (now <= share.refilled_at) {
+    return;
+  }
+  Refill(share.rate_micros, share.capacity_micros, now - share.refilled_at,
+         share.level_micros, share.remainder);
+  share.refilled_at = now;
+}
+
+void Holder::DecayDemand(Share& share, Time now) {
+  if (now <= share.demand_at) {
+    return;
+  }
+  const std::chrono::duration<double> elapsed = now - share.demand_at;
+  share.demand *= std::exp(-elapsed / kDemandWindow);
+  share.demand_at = now;
+}
+
+bool Holder::IsIdle(const Share& share) {
+  return share.demand < kIdleDemand && share.waiting == 0 &&
+         share.rate_micros == 0 && share.capacity_micros == 0 &&
+         share.level_micros == 0;
+}
+
+bool Holder::Take(Share& share, Time now) {
+  Advance(share, now);
+  if (share.level_micros < kRequestMicros) {
+    return false;
+  }
+  // A token above the capacity was lent by the owner, which can lend the space
+  // to the next entry once it knows that the token is used.
+  if (share.level_micros > share.capacity_micros) {
+    RequestReport(now);
+  }
+  share.level_micros -= kRequestMicros;
+  return true;
+}
+
+void Holder::Apply(Share& share,
+                   Time now,
+                   Time lease_end,
+                   const messages::ShareUpdate& update) {
+  Advance(share, now);
+  const auto applied = std::pair(share.term, share.sequence);
+  const auto offered = std::pair(update.owner_term, update.share_sequence);
+  if (offered < applied) {
+    return;
+  }
+  if (offered == applied) {
+    if (now < share.lease_end) {
+      share.lease_end = std::max(share.lease_end, lease_end);
+    }
+    return;
+  }
+  share.term = update.owner_term;
+  share.sequence = update.share_sequence;
+  share.rate_micros = update.rate_micros;
+  share.capacity_micros = update.capacity_micros;
+  share.ceiling_micros = std::max(update.capacity_micros, update.added_micros);
+  const std::int64_t tokens = share.level_micros + update.added_micros;
+  share.level_micros = std::min(tokens, share.ceiling_micros);
+  share.surplus_micros = tokens - share.level_micros;
+  share.lease_end = lease_end;
+  share.changed = true;
+  if (share.surplus_micros > 0 || share.waiting > 0) {
+    RequestReport(now);
+  }
+}
+
+void Holder::RequestReport(Time at) {
+  next_report_ =
+      std::min(next_report_, std::max(at, last_report_ + kMinReportGap));
+}
+
+}  // namespace goldcrest::quota
