Implement the replicated log and its storage

Cause: control needs a log that survives the loss of a minority of members. Ruled out: admission of a member as soon as its name is in the committed members, because a member that lost its disk finds its old name there and could vote twice in a term; a removal of its name and a later addition, logged after it made contact, are required. Also ruled out: a bare length and CRC per log record, which can't tell a damaged length from a torn tail. Before: headers only.

--- a/consensus/include/goldcrest/consensus/replica.h
+++ b/consensus/include/goldcrest/consensus/replica.h
@@ -66,7 +66,9 @@
   Output Compact(std::int64_t index, std::string data);
 
   //! Hands leadership to the most advanced other member. Proposals are refused
-  //! until another leader is elected or the minimum election timeout passes.
+  //! and the lease ends; a leader that has not been replaced after the minimum
+  //! election timeout steps down if it has told the target to stand, and goes
+  //! on leading if the target never caught up.
   Output TransferLeadership(Time now);
 
   //! When to call Tick(); the epoch before the first call, kNever when nothing
--- /dev/null
+++ b/consensus/src/membership.cc
@@ -0,0 +1,149 @@
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "replica_core.h"
+
+namespace goldcrest::consensus {
+namespace {
+
+std::vector<std::string> Difference(const std::vector<std::string>& from,
+                                    const std::vector<std::string>& without) {
+  std::vector<std::string> difference;
+  std::ranges::set_difference(from, without, std::back_inserter(difference));
+  return difference;
+}
+
+}  // namespace
+
+Proposal ReplicaCore::ProposeMembers(Time now,
+                                     std::vector<std::string> members) {
+  Begin(now);
+  std::ranges::sort(members);
+  const auto added = Difference(members, log_.Members());
+  const auto removed = Difference(log_.Members(), members);
+  const bool cancel = added.empty() && removed.empty();
+  const bool valid = !members.empty() && !members.front().empty() &&
+                     std::ranges::adjacent_find(members) == members.end() &&
+                     added.size() + removed.size() <= 1;
+  const std::string newcomer = added.empty() ? "" : added.front();
+  const std::string leaver = removed.empty() ? "" : removed.front();
+  Proposal proposal;
+  if (!IsLeader() || transfer_) {
+    proposal.code = ResultCode::kNotLeader;
+  } else if (!valid) {
+    proposal.code = ResultCode::kInvalidField;
+  } else if (cancel) {
+    admission_.reset();
+    SyncProgress();
+    proposal.code = ResultCode::kOk;
+  } else if (ChangePending() || LastAddedBehind(leaver) ||
+             !MajorityCaughtUp(members, newcomer)) {
+    proposal.code = ResultCode::kMemberNotCaughtUp;
+  } else {
+    proposal.code = ResultCode::kOk;
+    proposal.term = hard_state_.term;
+    if (newcomer.empty()) {
+      LogMembers(members);
+      proposal.index = log_.LastIndex();
+    } else {
+      admission_ = Admission{
+          newcomer, std::move(members), now_ + options_.join_timeout, {}};
+      SyncProgress();
+      Replicate();
+    }
+  }
+  proposal.output = Finish();
+  return proposal;
+}
+
+//! Keeps a Progress for each other member and the one being admitted.
+void ReplicaCore::SyncProgress() {
+  std::vector<std::string> names = Peers();
+  if (admission_)
+    names.push_back(admission_->name);
+  std::erase_if(progress_, [&names](const auto& item) {
+    return std::ranges::find(names, item.first) == names.end();
+  });
+  for (const std::string& name : names) {
+    const auto [it, inserted] = progress_.try_emplace(name);
+    if (inserted)
+      it->second.next = log_.LastIndex() + 1;
+  }
+}
+
+bool ReplicaCore::IsCaughtUp(const std::string& name) const {
+  if (name == options_.self)
+    return true;
+  const auto it = progress_.find(name);
+  return it != progress_.end() && it->second.match >= commit_index_ &&
+         IsLive(it->second);
+}
+
+//! Also before the leader has committed an entry of its own term: until then
+//! it may not know whether an earlier change is decided.
+bool ReplicaCore::ChangePending() const {
+  return admission_ || log_.MembersIndex() > commit_index_ ||
+         log_.TermAt(commit_index_) != hard_state_.term;
+}
+
+bool ReplicaCore::MajorityCaughtUp(const std::vector<std::string>& members,
+                                   const std::string& added) const {
+  const auto count = std::ranges::count_if(members, [&](const auto& name) {
+    return name == added || IsCaughtUp(name);
+  });
+  return static_cast<std::size_t>(count) > members.size() / 2;
+}
+
+bool ReplicaCore::LastAddedBehind(const std::string& removed) const {
+  const std::int64_t index = log_.MembersIndex();
+  if (index <= log_.CurrentSnapshot().last_index)
+    return false;
+  const auto before = log_.MembersAt(index - 1);
+  if (before.empty())
+    return false;  // The bootstrap entry adds no replacement.
+  const auto added = Difference(log_.Members(), before);
+  return !added.empty() && added.front() != removed &&
+         !IsCaughtUp(added.front());
+}
+
+void ReplicaCore::LogMembers(const std::vector<std::string>& members) {
+  messages::LogEntry entry;
+  entry.__set_members(members);
+  AppendAsLeader(std::move(entry));
+}
+
+void ReplicaCore::AdmitIfSynced(const std::string& from, std::int64_t round) {
+  if (!admission_ || admission_->name != from ||
+      !admission_->sync_rounds.contains(round))
+    return;
+  const std::vector<std::string> members = std::move(admission_->members);
+  admission_.reset();
+  LogMembers(members);
+}
+
+void ReplicaCore::ExpireAdmission() {
+  if (!admission_ || now_ < admission_->deadline)
+    return;
+  admission_.reset();
+  SyncProgress();
+}
+
+void ReplicaCore::OnMembersCommitted(const messages::LogEntry& entry) {
+  const auto contains_self = [this](const std::vector<std::string>& members) {
+    return std::ranges::binary_search(members, options_.self);
+  };
+  if (IsLeader() && !contains_self(entry.members)) {
+    Heartbeat();  // Tells the others that its removal is committed.
+    BecomeFollower(hard_state_.term, "");
+    return;
+  }
+  if (!hard_state_.joining || !contains_self(entry.members) ||
+      contains_self(log_.MembersAt(entry.index - 1)))
+    return;
+  const auto synced = synced_at_.find(entry.term);
+  if (synced != synced_at_.end() && entry.index > synced->second)
+    hard_state_.joining = false;
+}
+
+}  // namespace goldcrest::consensus
--- a/storage/include/goldcrest/storage/log_store.h
+++ b/storage/include/goldcrest/storage/log_store.h
@@ -27,7 +27,7 @@
 //! on the disk; not thread-safe.
 //!
 //! Files: `lock`, `identity`, `hard_state`, `snapshot`, `log`. All but the lock
-//! consist of checksummed records (see docs of RecordFile).
+//! consist of checksummed records (see internal/record.h).
 class LogStore {
  public:
   //! Errors: kDataFolderInUse; kIdentityMismatch: the folder belongs to another
