--- /dev/null
+++ b/consensus/tests/replica_test.cc
@@ -0,0 +1,437 @@
+#include "goldcrest/consensus/replica.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "cluster.h"
+
+namespace goldcrest::consensus {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> kThree = {"a", "b", "c"};
+
+// The followers of the current leader, in order of name.
+std::vector<std::string> Followers(Cluster& cluster) {
+  std::vector<std::string> followers = kThree;
+  std::erase(followers, cluster.Leader());
+  return followers;
+}
+
+messages::LogEntry Entry(std::int64_t term, std::int64_t index) {
+  messages::LogEntry entry;
+  entry.term = term;
+  entry.index = index;
+  entry.command = std::to_string(term) + "/" + std::to_string(index);
+  return entry;
+}
+
+messages::ConsensusMessage Append(std::int64_t term,
+                                  std::int64_t prev_index,
+                                  std::int64_t prev_term,
+                                  std::vector<messages::LogEntry> entries) {
+  messages::AppendRequest request;
+  request.term = term;
+  request.prev_index = prev_index;
+  request.prev_term = prev_term;
+  request.entries = std::move(entries);
+  messages::ConsensusMessage message;
+  message.__set_append_request(request);
+  return message;
+}
+
+messages::ConsensusMessage VoteFor(const std::string& candidate,
+                                   std::int64_t term) {
+  messages::VoteRequest request;
+  request.term = term;
+  request.candidate = candidate;
+  request.last_index = 1000;
+  request.last_term = 1000;
+  messages::ConsensusMessage message;
+  message.__set_vote_request(request);
+  return message;
+}
+
+bool Grants(const Output& output) {
+  return !output.messages.empty() &&
+         output.messages.front().message.vote_response.granted;
+}
+
+}  // namespace
+
+TEST_CASE("Three members elect one leader and commit on all", "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  REQUIRE_FALSE(cluster.Leader().empty());
+  CHECK(cluster.Propose(cluster.Leader(), "x") == ResultCode::kOk);
+  CHECK(cluster.Propose(Followers(cluster).front(), "y") ==
+        ResultCode::kNotLeader);
+  cluster.Run(200ms);
+  for (const std::string& name : kThree) {
+    CHECK(cluster[name].Leader() == cluster.Leader());
+    CHECK(cluster.Committed(name, "x"));
+  }
+}
+
+// Guards against a leader that goes on deciding and serving while another one
+// has taken over.
+TEST_CASE(
+    "An isolated leader loses its lease before it can be replaced, and "
+    "steps down",
+    "[consensus][guarantee]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string old_leader = cluster.Leader();
+  REQUIRE(cluster[old_leader].HoldsLeaderLease(cluster.now));
+  cluster.cut = {old_leader};
+  while (cluster.Leader().empty()) {
+    REQUIRE(cluster.now < TimeFromMicros(6'000'000));
+    cluster.Run(10ms);
+  }
+  CHECK_FALSE(cluster[old_leader].HoldsLeaderLease(cluster.now));
+  cluster.Run(1s);
+  CHECK_FALSE(cluster[old_leader].IsLeader());
+}
+
+// Guards against a member that was cut off and forces an election on return.
+TEST_CASE("Pre-vote keeps an isolated member from disturbing the leader",
+          "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string leader = cluster.Leader();
+  const std::int64_t term = cluster[leader].Term();
+  cluster.cut = {Followers(cluster).front()};
+  cluster.Run(10s);
+  cluster.cut.clear();
+  cluster.Run(2s);
+  CHECK(cluster[leader].IsLeader());
+  CHECK(cluster[leader].Term() == term);
+}
+
+// Guards against the loss of a decided change when its leader fails.
+TEST_CASE("A committed entry survives any change of leader",
+          "[consensus][guarantee]") {
+  const bool restart = GENERATE(false, true);
+  const std::size_t missing = GENERATE(0U, 1U);
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string first = cluster.Leader();
+  const std::string behind = Followers(cluster)[missing];
+  cluster.cut = {behind};
+  cluster.Propose(first, "kept");
+  cluster.Run(200ms);
+  REQUIRE(cluster.Committed(first, "kept"));
+  // An entry that only the failing leader holds must go.
+  cluster.cut = {first};
+  cluster.Propose(first, "lost");
+  cluster.Run(3s);
+  REQUIRE_FALSE(cluster.Leader().empty());
+  CHECK(cluster.Leader() != behind);
+  if (restart) {
+    for (const std::string& name : kThree)
+      cluster.Start(name);
+  }
+  cluster.cut.clear();
+  cluster.Run(3s);
+  cluster.Propose(cluster.Leader(), "next");
+  cluster.Run(300ms);
+  for (const std::string& name : kThree) {
+    CHECK(cluster.Committed(name, "kept"));
+    CHECK(cluster.Committed(name, "next"));
+    CHECK_FALSE(cluster.Committed(name, "lost"));
+  }
+}
+
+// Guards against two leaders in one term after a crash between vote and answer.
+TEST_CASE("A vote is written before it is sent and binds after a restart",
+          "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Advance(0s);
+  cluster.now += 401ms;
+  const Output output = cluster.Take(
+      "a", cluster["a"].Receive(cluster.now, "b", VoteFor("b", 9)));
+  REQUIRE(Grants(output));
+  CHECK(std::get<HardState>(output.writes.front()) == HardState{9, "b", false});
+  cluster.Start("a");
+  cluster["a"].Tick(cluster.now);
+  cluster.now += 401ms;
+  CHECK_FALSE(Grants(cluster["a"].Receive(cluster.now, "c", VoteFor("c", 9))));
+  CHECK(Grants(cluster["a"].Receive(cluster.now, "b", VoteFor("b", 9))));
+}
+
+// Guards against a leader elected while another one still holds its lease.
+TEST_CASE(
+    "No vote is given within the minimum timeout of a leader's message "
+    "or a restart",
+    "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string name = Followers(cluster).front();
+  const std::int64_t term = cluster[name].Term();
+  const auto grants = [&] {
+    return Grants(cluster[name].Receive(cluster.now, "z", VoteFor("z", 99)));
+  };
+  cluster.Run(100ms);
+  cluster.now += 280ms;  // at most 10 ms after a heartbeat of 100 ms
+  CHECK_FALSE(grants());
+  CHECK(cluster[name].Term() == term);
+  cluster.Start(name);
+  CHECK_FALSE(grants());
+  cluster.now += 401ms;
+  CHECK(grants());
+}
+
+// Guards against a second vote in a term, or a lost entry, by a member that
+// comes back without memory under a name that is still in the members.
+TEST_CASE(
+    "A member that lost its disk votes only after it was removed and "
+    "admitted again",
+    "[consensus][guarantee]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string leader = cluster.Leader();
+  const std::string wiped = Followers(cluster)[0];
+  const std::string other = Followers(cluster)[1];
+  cluster.Propose(leader, "x");
+  cluster.Wipe(wiped);
+  cluster.Run(2s);
+  CHECK(cluster.Committed(wiped, "x"));
+  CHECK(cluster[wiped].IsJoining());
+  SECTION("it elects nobody") {
+    cluster.cut = {leader};
+    cluster.Run(5s);
+    CHECK(cluster.Leader().empty());
+    CHECK_FALSE(
+        Grants(cluster[wiped].Receive(cluster.now, other, VoteFor(other, 99))));
+  }
+  SECTION("it stays out of elections after a restart") {
+    cluster.Start(wiped);
+    cluster.Run(1s);
+    CHECK(cluster[wiped].IsJoining());
+  }
+  SECTION("it takes part once it was admitted") {
+    std::vector<std::string> rest = kThree;
+    std::erase(rest, wiped);
+    CHECK(cluster.SetMembers(rest) == ResultCode::kOk);
+    cluster.Run(200ms);
+    CHECK(cluster[wiped].IsJoining());
+    CHECK(cluster.SetMembers(kThree) == ResultCode::kOk);
+    cluster.Run(500ms);
+    CHECK_FALSE(cluster[wiped].IsJoining());
+    cluster.cut = {leader};
+    cluster.Run(3s);
+    CHECK_FALSE(cluster.Leader().empty());
+  }
+}
+
+// Guards against an admission in the replayed log, from before the disk was
+// lost, that is taken for a new one.
+TEST_CASE("An admission logged before the disk was lost does not count",
+          "[consensus]") {
+  Cluster cluster({"a", "b"});
+  cluster.Run(2s);
+  cluster.Start("c");
+  CHECK(cluster.SetMembers(kThree) == ResultCode::kOk);
+  cluster.Run(500ms);
+  REQUIRE_FALSE(cluster["c"].IsJoining());
+  cluster.Wipe("c");
+  cluster.Run(3s);
+  CHECK(cluster["c"].CommitIndex() == cluster[cluster.Leader()].CommitIndex());
+  CHECK(cluster["c"].IsJoining());
+}
+
+// Guards against the loss of the majority by two replacements at a time.
+TEST_CASE("A second replacement is refused until the first has caught up",
+          "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::vector<std::string> four = {"a", "b", "c", "d"};
+  const std::vector<std::string> other = {"a", "b", "c", "e"};
+  CHECK(cluster.SetMembers(four) == ResultCode::kOk);
+  cluster.Run(1s);
+  CHECK(cluster[cluster.Leader()].Members() == kThree);
+  CHECK(cluster.SetMembers(other) == ResultCode::kMemberNotCaughtUp);
+  CHECK(cluster.SetMembers({"a", "b"}) == ResultCode::kMemberNotCaughtUp);
+  CHECK(cluster.SetMembers({"a", "d"}) == ResultCode::kInvalidField);
+  cluster.Start("d");
+  cluster.Run(1s);
+  CHECK(cluster[cluster.Leader()].Members() == four);
+  CHECK_FALSE(cluster["d"].IsJoining());
+  SECTION("a change is accepted once it has caught up") {
+    CHECK(cluster.SetMembers({"a", "b", "c", "d", "e"}) == ResultCode::kOk);
+  }
+  SECTION(
+      "a member that falls silent after its admission blocks changes, but "
+      "not its own removal") {
+    cluster.cut = {"d"};
+    cluster.Run(1s);
+    CHECK(cluster.SetMembers({"a", "b", "c", "d", "e"}) ==
+          ResultCode::kMemberNotCaughtUp);
+    CHECK(cluster.SetMembers(kThree) == ResultCode::kOk);
+  }
+}
+
+TEST_CASE("An addition without progress is given up", "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  CHECK(cluster.SetMembers({"a", "b", "c", "d"}) == ResultCode::kOk);
+  cluster.Run(11s);
+  CHECK(cluster.SetMembers({"a", "b", "c", "e"}) == ResultCode::kOk);
+}
+
+// Guards against a removal after which the cluster can't commit.
+TEST_CASE(
+    "A removal is refused when the rest would lack a majority that has "
+    "caught up",
+    "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string silent = Followers(cluster)[0];
+  cluster.cut = {silent};
+  cluster.Run(1s);
+  CHECK(cluster.SetMembers({cluster.Leader(), silent}) ==
+        ResultCode::kMemberNotCaughtUp);
+}
+
+TEST_CASE("A leader that removes itself hands over", "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string removed = cluster.Leader();
+  CHECK(cluster.SetMembers(Followers(cluster)) == ResultCode::kOk);
+  cluster.Run(3s);
+  CHECK_FALSE(cluster[removed].IsLeader());
+  CHECK_FALSE(cluster.Leader().empty());
+}
+
+TEST_CASE("A leadership transfer makes another member leader at once",
+          "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string old_leader = cluster.Leader();
+  cluster.Take(old_leader, cluster[old_leader].TransferLeadership(cluster.now));
+  CHECK(cluster.Propose(old_leader, "x") == ResultCode::kNotLeader);
+  CHECK_FALSE(cluster[old_leader].HoldsLeaderLease(cluster.now));
+  cluster.Settle();
+  CHECK(cluster.Leader() != old_leader);
+  CHECK_FALSE(cluster.Leader().empty());
+}
+
+// Guards against old messages that undo newer ones.
+TEST_CASE("Repeated, reordered and malformed appends leave the log as it is",
+          "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Advance(0s);
+  Replica& replica = cluster["a"];
+  const auto receive = [&](const messages::ConsensusMessage& message) {
+    return cluster.Take("a", replica.Receive(cluster.now, "b", message));
+  };
+  const auto answer = [](const Output& output) {
+    return output.messages.front().message.append_response;
+  };
+  const auto first = Append(5, 1, 1, {Entry(5, 2)});
+  const auto second = Append(5, 2, 5, {Entry(5, 3), Entry(5, 4)});
+  CHECK_FALSE(answer(receive(second)).success);
+  CHECK(answer(receive(first)).match_index == 2);
+  CHECK(answer(receive(second)).match_index == 4);
+  CHECK(answer(receive(first)).match_index == 2);
+  CHECK(receive(second).writes.empty());
+  CHECK(replica.LastIndex() == 4);
+  CHECK(receive(Append(5, 4, 5, {Entry(5, 6)})).messages.empty());  // a gap
+  CHECK(receive(Append(5, 4, 5, {Entry(9, 5)})).messages.empty());
+  CHECK(receive(Append(5, -1, 0, {})).messages.empty());
+  CHECK(receive({}).messages.empty());
+  CHECK(answer(receive(Append(4, 4, 4, {}))).term == 5);
+  CHECK(replica.LastIndex() == 4);
+  // A conflict is cut off before the new entry is written.
+  const Output output = receive(Append(6, 2, 5, {Entry(6, 3)}));
+  REQUIRE(output.writes.size() == 3);
+  CHECK(std::get<TruncateLog>(output.writes[1]).index == 3);
+  CHECK(replica.LastIndex() == 3);
+}
+
+TEST_CASE("A rejected append backs off a whole term at a time", "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Advance(0s);
+  std::vector<messages::LogEntry> entries;
+  for (std::int64_t index = 2; index <= 500; ++index)
+    entries.push_back(Entry(5, index));
+  cluster["a"].Receive(cluster.now, "b", Append(5, 1, 1, entries));
+  const Output output =
+      cluster["a"].Receive(cluster.now, "c", Append(7, 500, 6, {}));
+  CHECK(output.messages.front().message.append_response.last_index == 1);
+}
+
+// Guards against messages that grow with the backlog of a member.
+TEST_CASE("An append is bounded in entries and bytes", "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.options.max_append_entries = 8;
+  cluster.options.max_append_bytes = 1000;
+  for (const std::string& name : kThree)
+    cluster.Start(name, kThree);
+  cluster.Run(2s);
+  const std::string leader = cluster.Leader();
+  cluster.cut = {Followers(cluster)[0]};
+  for (int count = 0; count < 40; ++count)
+    cluster.Propose(leader, std::string(count < 20 ? 1 : 300, 'x'));
+  cluster.Run(200ms);
+  cluster.cut.clear();
+  while (cluster[Followers(cluster)[0]].LastIndex() <
+         cluster[leader].LastIndex()) {
+    REQUIRE(cluster.now < TimeFromMicros(9'000'000));
+    cluster.Advance(10ms);
+    for (; !cluster.queue.empty(); cluster.queue.pop_front()) {
+      const Cluster::Envelope envelope = cluster.queue.front();
+      const auto& request = envelope.out.message.append_request;
+      CHECK(request.entries.size() <= 8);
+      std::size_t bytes = 0;
+      for (const messages::LogEntry& entry : request.entries)
+        bytes += entry.command.size();
+      CHECK(bytes <= 1000);
+      cluster.Deliver(envelope);
+    }
+  }
+  CHECK(cluster[leader].ProposeMembers(cluster.now, {}).code ==
+        ResultCode::kInvalidField);
+  CHECK(cluster.Propose(leader, std::string(std::size_t{5} << 20U, 'x')) ==
+        ResultCode::kBodyTooLarge);
+}
+
+// Guards against a snapshot that is assembled from chunks in a wrong order.
+TEST_CASE("A member far behind gets the snapshot in chunks", "[consensus]") {
+  const bool duplicate = GENERATE(false, true);
+  Cluster cluster(kThree);
+  cluster.options.snapshot_chunk_bytes = 100;
+  for (const std::string& name : kThree)
+    cluster.Start(name, kThree);
+  cluster.Run(2s);
+  const std::string leader = cluster.Leader();
+  const std::string behind = Followers(cluster)[0];
+  cluster.cut = {behind};
+  for (int count = 0; count < 20; ++count)
+    cluster.Propose(leader, std::to_string(count));
+  cluster.Run(200ms);
+  std::string data;
+  for (int count = 0; count < 1000; ++count)
+    data += std::to_string(count);
+  const std::int64_t index = cluster[leader].CommitIndex();
+  cluster.Take(leader, cluster[leader].Compact(index, data));
+  CHECK(cluster[leader].SnapshotIndex() == index);
+  cluster.Propose(leader, "after");
+  cluster.cut.clear();
+  for (int step = 0; step < 30; ++step) {
+    cluster.Advance(20ms);
+    if (duplicate) {
+      const std::deque<Cluster::Envelope> copy = cluster.queue;
+      cluster.queue.insert(cluster.queue.end(), copy.rbegin(), copy.rend());
+    }
+    cluster.Settle();
+  }
+  CHECK(cluster.nodes[behind].disk.snapshot.data == data);
+  CHECK(cluster.nodes[behind].disk.snapshot.members == kThree);
+  CHECK(cluster.Committed(behind, "after"));
+  cluster.Start(behind);
+  CHECK(cluster[behind].CommitIndex() == index);
+}
+
+}  // namespace goldcrest::consensus
