--- a/adapters/include/goldcrest/adapters/http_client.h
+++ b/adapters/include/goldcrest/adapters/http_client.h
@@ -106,8 +106,9 @@
   //! later end with kNotSent.
   void Close();
 
- private:
   class Impl;
+
+ private:
   std::shared_ptr<Impl> impl_;
 };
 
--- a/adapters/include/goldcrest/adapters/http_server.h
+++ b/adapters/include/goldcrest/adapters/http_server.h
@@ -41,13 +41,13 @@
   //! Sends the answer. May be called from any thread, after the handler has
   //! returned, and after the client has gone; calls after the first have no
   //! effect. When every copy is destroyed without a call, the answer is
-  //! kOutcomeUnknown.
+  //! kOutcomeUnknown. Must not outlive the io_context.
   using Respond = std::function<void(HttpResponse)>;
   //! Runs on a worker thread; must not block.
   using Handler = std::function<void(HttpRequest, Respond)>;
-  //! Called once for each connection, when the client closes it, stops sending
-  //! or is disconnected by a deadline. An answer still due is then sent if the
-  //! client takes it.
+  //! Called once for each connection that ends: when it is closed or, before
+  //! that, when the client stops sending. A client that has only stopped
+  //! sending still gets the answer that is due.
   using DisconnectHook = std::function<void(std::uint64_t connection)>;
 
   //! Throws std::system_error when the address can't be bound.
--- a/adapters/include/goldcrest/adapters/json.h
+++ b/adapters/include/goldcrest/adapters/json.h
@@ -71,8 +71,8 @@
   //! Records a fault found by the caller, such as an unknown enumerator.
   void AddError(std::string_view name, std::string_view problem);
 
-  //! Checks for unknown fields here and in nested objects that were read, and
-  //! returns all errors of the document.
+  //! Checks for unknown fields in all objects of the document that were read,
+  //! and returns all errors of the document.
   std::vector<JsonError> Finish(UnknownFields unknown = UnknownFields::kReject);
 
  private:
--- a/adapters/include/goldcrest/adapters/peer_transport.h
+++ b/adapters/include/goldcrest/adapters/peer_transport.h
@@ -74,8 +74,8 @@
 
   std::uint16_t Port() const;
 
-  //! Replaces the address book. Links to removed peers and changed addresses
-  //! are closed; the own name is ignored.
+  //! Replaces the address book. Outgoing links to removed peers and changed
+  //! addresses are closed; the own name is ignored.
   void SetPeers(const std::map<std::string, PeerAddress>& peers);
 
   //! Queues the message on a link to `to`, whichever side opened it. False when
--- /dev/null
+++ b/adapters/internal/http_connection.h
@@ -0,0 +1,100 @@
+#ifndef GOLDCREST_ADAPTERS_INTERNAL_HTTP_CONNECTION_H_
+#define GOLDCREST_ADAPTERS_INTERNAL_HTTP_CONNECTION_H_
+
+#include <atomic>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "goldcrest/adapters/http_server.h"
+#include "net.h"
+
+namespace goldcrest::adapters {
+
+//! What all connections of one server share. Outlives them.
+struct HttpServerShared {
+  HttpServerOptions options;
+  HttpServer::Handler handler;
+  HttpServer::DisconnectHook on_disconnect;
+  //! Removes a connection from the server's table.
+  std::function<void(std::uint64_t connection)> forget;
+  std::atomic<bool> draining = false;
+  std::atomic<std::size_t> in_flight = 0;
+};
+
+//! One accepted connection. All members run on the socket's strand, except
+//! those marked otherwise.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  HttpConnection(std::uint64_t id,
+                 Socket socket,
+                 std::shared_ptr<HttpServerShared> shared);
+
+  // From any thread.
+  void Start();
+  //! Answers with `code` without reading a request, then closes.
+  void Refuse(ResultCode code);
+  void BeginDrain();
+  void Abort();
+
+ private:
+  enum class State {
+    kIdle,      // No byte of the next request has arrived.
+    kReading,   // A request has arrived in part.
+    kHandling,  // The handler has the request.
+    kWriting,
+    kLingering,  // The answer is written; the client's bytes are discarded.
+    kClosed,
+  };
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  class Responder;
+
+  void BeginRequest();
+  void Wait();
+  void OnReadable();
+  void Parse();
+  void SendContinue();
+  void Dispatch();
+  void Answer(std::uint64_t request, HttpResponse response);
+  void Reject(ResultCode code, std::string_view message);
+  void Write(HttpResponse response);
+  void OnWritten(error_code error);
+  void Continue();
+  void Linger();
+  void SetDeadline(std::chrono::milliseconds timeout);
+  void ArmTimer();
+  void OnTimer();
+  void OnDeadline();
+  void ReportDisconnect();
+  void EndRequest();
+  void Shut();
+
+  const std::uint64_t id_;
+  Socket socket_;
+  SteadyTimer timer_;
+  const std::shared_ptr<HttpServerShared> shared_;
+  State state_ = State::kIdle;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  boost::beast::http::response<boost::beast::http::string_body> response_;
+  std::string peer_address_;
+  SteadyClock::time_point deadline_ = SteadyClock::time_point::max();
+  SteadyClock::time_point armed_ = SteadyClock::time_point::max();
+  std::uint64_t request_ = 0;  // number of the current request
+  bool wait_pending_ = false;
+  bool header_done_ = false;
+  bool continue_sent_ = false;
+  bool peer_stopped_ = false;  // the client sends no more
+  bool request_counted_ = false;
+  bool disconnect_reported_ = false;
+  bool close_after_write_ = false;
+};
+
+}  // namespace goldcrest::adapters
+
+#endif  // GOLDCREST_ADAPTERS_INTERNAL_HTTP_CONNECTION_H_
--- /dev/null
+++ b/adapters/internal/peer_link.h
@@ -0,0 +1,100 @@
+#ifndef GOLDCREST_ADAPTERS_INTERNAL_PEER_LINK_H_
+#define GOLDCREST_ADAPTERS_INTERNAL_PEER_LINK_H_
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "goldcrest/adapters/peer_transport.h"
+#include "net.h"
+
+namespace goldcrest::adapters {
+
+class PeerLink;
+
+//! What all links of one transport share. Outlives them.
+struct PeerLinkShared {
+  PeerTransportOptions options;
+  std::shared_ptr<Logger> logger;
+  PeerTransport::MessageHandler on_message;
+  std::function<void(const std::shared_ptr<PeerLink>&)> on_up;
+  //! Called once for each link that was started.
+  std::function<void(const std::shared_ptr<PeerLink>&)> on_closed;
+  std::atomic<std::uint64_t> dropped = 0;
+};
+
+//! One connection to a peer. It is up once both sides have sent a valid Hello.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+ public:
+  //! `expected` is the instance that an outgoing link leads to, and empty for
+  //! an incoming one.
+  PeerLink(Socket socket,
+           std::shared_ptr<PeerLinkShared> shared,
+           std::string expected);
+
+  // From any thread.
+  void StartIncoming();
+  void StartOutgoing(const asio::ip::tcp::endpoint& address);
+  //! False when the link is not up.
+  bool Send(std::string frame);
+  void Close(std::string cause);
+
+  bool IsOutgoing() const { return !expected_.empty(); }
+  bool WasUp() const { return up_; }
+  //! The peer's name; to be read once the link is up.
+  const std::string& Peer() const { return peer_; }
+  const std::string& Expected() const { return expected_; }
+  const std::string& CloseCause() const { return close_cause_; }
+
+ private:
+  void Begin();
+  void Wait();
+  void OnReadable();
+  void ReadFrames();
+  bool OnFrame(std::string_view bytes);
+  bool OnHello(const messages::PeerMessage& message);
+  void Queue(std::string frame);
+  void SendNow(const messages::PeerMessage& message);
+  void SendWhenIdle(const messages::PeerMessage& message);
+  void Flush();
+  void OnWritten(error_code error);
+  void Tick();
+  void OnTick();
+  void Shut(ResultCode code, std::string cause);
+
+  Socket socket_;
+  SteadyTimer timer_;
+  const std::shared_ptr<PeerLinkShared> shared_;
+  const std::string expected_;
+
+  // On the strand.
+  std::string peer_;
+  std::string received_;
+  std::vector<std::string> writing_;
+  SteadyClock::time_point started_;
+  SteadyClock::time_point last_received_;
+  bool connected_ = false;
+  bool closed_ = false;
+  std::string close_cause_;
+
+  std::mutex mutex_;
+  std::deque<std::string> queue_;  // guarded by mutex_
+  std::size_t queued_bytes_ = 0;   // guarded by mutex_
+  bool flush_pending_ = false;     // guarded by mutex_
+  bool accepts_sends_ = false;     // guarded by mutex_
+  std::atomic<bool> up_ = false;
+};
+
+//! The frame of a message: 4 bytes of length, big-endian, and the encoding.
+std::string ToFrame(const messages::PeerMessage& message);
+
+}  // namespace goldcrest::adapters
+
+#endif  // GOLDCREST_ADAPTERS_INTERNAL_PEER_LINK_H_
--- /dev/null
+++ b/adapters/src/http_client.cc
@@ -0,0 +1,469 @@
+#include "goldcrest/adapters/http_client.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <list>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "client_connection.h"
+#include "goldcrest/adapters/system_clock.h"
+#include "net.h"
+
+namespace goldcrest::adapters {
+namespace {
+
+using Connection = std::shared_ptr<ClientConnection>;
+
+// A call or a pin request that waits for a connection.
+struct Job {
+  HttpCall call;
+  HttpCallback callback;
+  PinnedCallback pinned;  // set: a pin request
+  Time deadline;
+  bool retried = false;
+  std::optional<SteadyTimer> timer;
+};
+
+void FailNotSent(Job& job, std::string cause) {
+  if (job.pinned)
+    job.pinned(nullptr, std::move(cause));
+  else
+    job.callback({.error = std::move(cause)});
+}
+
+}  // namespace
+
+// Everything runs on strand_, so there is no lock.
+class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context, HttpClientOptions options)
+      : strand_(asio::make_strand(context)),
+        options_(std::move(options)),
+        sweep_(strand_) {}
+
+  const Strand& Executor() const { return strand_; }
+  std::size_t OpenConnections() const { return open_; }
+
+  void Submit(std::shared_ptr<Job> job);
+  void SetMaxConnections(std::size_t maximum);
+  void Close();
+  //! Returns a connection to the pool.
+  void GiveBack(const Connection& connection);
+  void Drop(const Connection& connection);
+  //! Closes idle connections that received nothing since `start`: what silenced
+  //! a call's connection may have silenced them as well.
+  void DropSilent(SteadyClock::time_point start);
+
+ private:
+  void Pump();
+  std::shared_ptr<Job> TakeFirst();
+  void StartConnect();
+  void OnConnected(const Connection& connection, error_code error);
+  void Assign(const Connection& connection, std::shared_ptr<Job> job);
+  void OnDone(const Connection& connection,
+              const std::shared_ptr<Job>& job,
+              SteadyClock::time_point start,
+              HttpResult result,
+              bool reusable);
+  void WaitForDeadline(const std::shared_ptr<Job>& job);
+  void ArmSweep();
+  void Sweep();
+
+  struct Idle {
+    Connection connection;
+    SteadyClock::time_point since;
+  };
+
+  const Strand strand_;
+  HttpClientOptions options_;
+  SteadyTimer sweep_;
+  bool sweep_armed_ = false;
+  bool closed_ = false;
+  std::uint64_t next_epoch_ = 1;
+  std::size_t connecting_ = 0;
+  std::set<Connection> connections_;  // all of them
+  std::vector<Idle> idle_;            // oldest first
+  std::list<std::shared_ptr<Job>> waiting_;
+  std::atomic<std::size_t> open_ = 0;
+};
+
+namespace {
+
+// The calls of one pinned connection. Runs on the client's strand.
+class PinnedCalls : public std::enable_shared_from_this<PinnedCalls> {
+ public:
+  PinnedCalls(std::shared_ptr<HttpClient::Impl> client, Connection connection)
+      : client_(std::move(client)), connection_(std::move(connection)) {}
+
+  void Add(HttpCall call, HttpCallback callback) {
+    queue_.push_back({std::move(call), std::move(callback)});
+    Next();
+  }
+
+  void Release() {
+    if (ended_)
+      return;
+    if (running_) {
+      Close();
+      return;
+    }
+    ended_ = true;
+    client_->GiveBack(connection_);
+  }
+
+  void Close() {
+    if (std::exchange(ended_, true))
+      return;
+    client_->Drop(connection_);
+  }
+
+  const Strand& Executor() const { return client_->Executor(); }
+  std::uint64_t Epoch() const { return connection_->Epoch(); }
+
+ private:
+  struct Entry {
+    HttpCall call;
+    HttpCallback callback;
+  };
+
+  void Next() {
+    while (!running_ && !queue_.empty()) {
+      Entry entry = std::move(queue_.front());
+      queue_.pop_front();
+      const bool late = entry.call.deadline <= SystemClock::Now();
+      if (!ended_ && (late || !connection_->IsUsable()))
+        Close();
+      if (ended_) {
+        entry.callback({.error = late ? "deadline" : "connection closed",
+                        .epoch = Epoch()});
+        continue;
+      }
+      running_ = true;
+      connection_->Run(std::move(entry.call),
+                       [self = shared_from_this(), start = SteadyClock::now(),
+                        callback = std::move(entry.callback)](HttpResult result,
+                                                              bool reusable) {
+                         self->running_ = false;
+                         if (!reusable)
+                           self->Close();
+                         if (result.delivery == HttpDelivery::kUnknown)
+                           self->client_->DropSilent(start);
+                         callback(std::move(result));
+                         self->Next();
+                       });
+    }
+  }
+
+  const std::shared_ptr<HttpClient::Impl> client_;
+  const Connection connection_;
+  std::deque<Entry> queue_;
+  bool running_ = false;
+  bool ended_ = false;
+};
+
+class PinnedHandle : public PinnedConnection {
+ public:
+  explicit PinnedHandle(std::shared_ptr<PinnedCalls> calls)
+      : calls_(std::move(calls)) {}
+
+  ~PinnedHandle() override {
+    asio::post(calls_->Executor(), [calls = calls_] { calls->Close(); });
+  }
+  PinnedHandle(const PinnedHandle&) = delete;
+  PinnedHandle& operator=(const PinnedHandle&) = delete;
+
+  void Call(HttpCall call, HttpCallback callback) override {
+    asio::post(calls_->Executor(), [calls = calls_, call = std::move(call),
+                                    callback = std::move(callback)]() mutable {
+      calls->Add(std::move(call), std::move(callback));
+    });
+  }
+
+  void Release() override {
+    asio::post(calls_->Executor(), [calls = calls_] { calls->Release(); });
+  }
+
+  void Close() override {
+    asio::post(calls_->Executor(), [calls = calls_] { calls->Close(); });
+  }
+
+  std::uint64_t Epoch() const override { return calls_->Epoch(); }
+
+ private:
+  const std::shared_ptr<PinnedCalls> calls_;
+};
+
+}  // namespace
+
+void HttpClient::Impl::Submit(std::shared_ptr<Job> job) {
+  if (closed_) {
+    FailNotSent(*job, "client closed");
+    return;
+  }
+  if (job->deadline <= SystemClock::Now()) {
+    FailNotSent(*job, "deadline");
+    return;
+  }
+  if (waiting_.size() >= options_.max_waiting) {
+    FailNotSent(*job, "too many calls wait for a connection");
+    return;
+  }
+  waiting_.push_back(job);
+  Pump();
+  WaitForDeadline(job);
+}
+
+// Does nothing when the job has left the queue.
+void HttpClient::Impl::WaitForDeadline(const std::shared_ptr<Job>& job) {
+  if (waiting_.empty() || waiting_.back() != job)
+    return;
+  job->timer.emplace(strand_);
+  job->timer->expires_at(SystemClock::ToSteady(job->deadline));
+  job->timer->async_wait(
+      [self = shared_from_this(), job](error_code cancelled) {
+        if (!cancelled && self->waiting_.remove(job) > 0)
+          FailNotSent(*job, "deadline");
+      });
+}
+
+std::shared_ptr<Job> HttpClient::Impl::TakeFirst() {
+  std::shared_ptr<Job> job = std::move(waiting_.front());
+  waiting_.pop_front();
+  if (job->timer)
+    job->timer->cancel();
+  return job;
+}
+
+void HttpClient::Impl::Pump() {
+  while (!waiting_.empty() && !idle_.empty()) {
+    const Connection connection = std::move(idle_.back().connection);
+    idle_.pop_back();
+    if (connection->IsUsable())
+      Assign(connection, TakeFirst());
+    else
+      Drop(connection);
+  }
+  while (connecting_ < waiting_.size() &&
+         connections_.size() < options_.max_connections)
+    StartConnect();
+}
+
+void HttpClient::Impl::StartConnect() {
+  const auto connection = std::make_shared<ClientConnection>(
+      strand_, next_epoch_++, options_.max_body_bytes);
+  connections_.insert(connection);
+  open_ = connections_.size();
+  ++connecting_;
+  error_code error;
+  const auto address = asio::ip::make_address(options_.host, error);
+  auto done = [self = shared_from_this(), connection](error_code failure) {
+    self->OnConnected(connection, failure);
+  };
+  if (error) {
+    asio::post(strand_, [done, error] { done(error); });
+    return;
+  }
+  connection->Connect({address, options_.port}, options_.connect_timeout,
+                      std::move(done));
+}
+
+void HttpClient::Impl::OnConnected(const Connection& connection,
+                                   error_code error) {
+  --connecting_;
+  if (closed_ || error) {
+    Drop(connection);
+    // Each failed attempt ends one call, so that calls don't wait for their
+    // deadline while the address refuses connections.
+    if (!waiting_.empty())
+      FailNotSent(*TakeFirst(), "connect failed: " + error.message());
+    Pump();
+    return;
+  }
+  if (waiting_.empty() || connections_.size() > options_.max_connections) {
+    GiveBack(connection);
+    return;
+  }
+  Assign(connection, TakeFirst());
+}
+
+void HttpClient::Impl::Assign(const Connection& connection,
+                              std::shared_ptr<Job> job) {
+  if (job->pinned) {
+    auto calls = std::make_shared<PinnedCalls>(shared_from_this(), connection);
+    job->pinned(std::make_shared<PinnedHandle>(std::move(calls)), {});
+    return;
+  }
+  const auto start = SteadyClock::now();
+  // The call is kept for a retry only when the connection has been used, since
+  // a new one can't be stale.
+  HttpCall call = connection->AnsweredCalls() > 0 && !job->retried
+                      ? job->call
+                      : std::move(job->call);
+  call.deadline = job->deadline;
+  connection->Run(std::move(call), [self = shared_from_this(), connection, job,
+                                    start](HttpResult result, bool reusable) {
+    self->OnDone(connection, job, start, std::move(result), reusable);
+  });
+}
+
+void HttpClient::Impl::OnDone(const Connection& connection,
+                              const std::shared_ptr<Job>& job,
+                              SteadyClock::time_point start,
+                              HttpResult result,
+                              bool reusable) {
+  const bool stale = connection->AnsweredCalls() > 0 && !job->retried &&
+                     result.delivery == HttpDelivery::kNotSent;
+  if (reusable)
+    GiveBack(connection);
+  else
+    Drop(connection);
+  if (result.delivery != HttpDelivery::kAnswered)
+    DropSilent(start);
+  if (stale && !closed_ && job->deadline > SystemClock::Now()) {
+    job->retried = true;
+    DropSilent(SteadyClock::time_point::max());
+    waiting_.push_back(job);
+    WaitForDeadline(job);
+    Pump();
+    return;
+  }
+  job->callback(std::move(result));
+  Pump();
+}
+
+void HttpClient::Impl::GiveBack(const Connection& connection) {
+  if (closed_ || connections_.size() > options_.max_connections ||
+      !connection->IsUsable()) {
+    Drop(connection);
+    Pump();
+    return;
+  }
+  idle_.push_back({connection, SteadyClock::now()});
+  connection->WatchIdle(
+      [weak = weak_from_this(), watched = std::weak_ptr(connection)] {
+        const auto self = weak.lock();
+        const auto broken = watched.lock();
+        if (!self || !broken)
+          return;
+        const auto is_broken = [&broken](const Idle& idle) {
+          return idle.connection == broken;
+        };
+        // A connection that is pinned but has no call is none of the pool's
+        // idle ones; its next call finds it unusable.
+        if (std::erase_if(self->idle_, is_broken) > 0)
+          self->Drop(broken);
+      });
+  ArmSweep();
+  Pump();
+}
+
+void HttpClient::Impl::Drop(const Connection& connection) {
+  connections_.erase(connection);
+  open_ = connections_.size();
+  connection->Close();
+  if (!waiting_.empty() && !closed_)
+    asio::post(strand_, [self = shared_from_this()] { self->Pump(); });
+}
+
+void HttpClient::Impl::DropSilent(SteadyClock::time_point start) {
+  std::vector<Connection> silent;
+  std::erase_if(idle_, [&](const Idle& idle) {
+    if (idle.connection->LastReceived() >= start)
+      return false;
+    silent.push_back(idle.connection);
+    return true;
+  });
+  for (const Connection& connection : silent)
+    Drop(connection);
+}
+
+void HttpClient::Impl::ArmSweep() {
+  if (sweep_armed_ || idle_.empty())
+    return;
+  sweep_armed_ = true;
+  sweep_.expires_at(idle_.front().since + options_.idle_timeout);
+  sweep_.async_wait([weak = weak_from_this()](error_code cancelled) {
+    const auto self = weak.lock();
+    if (!cancelled && self)
+      self->Sweep();
+  });
+}
+
+void HttpClient::Impl::Sweep() {
+  sweep_armed_ = false;
+  const auto limit = SteadyClock::now() - options_.idle_timeout;
+  while (!idle_.empty() && idle_.front().since <= limit) {
+    const Connection connection = idle_.front().connection;
+    idle_.erase(idle_.begin());
+    Drop(connection);
+  }
+  ArmSweep();
+}
+
+void HttpClient::Impl::SetMaxConnections(std::size_t maximum) {
+  options_.max_connections = maximum;
+  while (connections_.size() > maximum && !idle_.empty()) {
+    const Connection connection = idle_.front().connection;
+    idle_.erase(idle_.begin());
+    Drop(connection);
+  }
+  Pump();
+}
+
+void HttpClient::Impl::Close() {
+  closed_ = true;
+  sweep_.cancel();
+  idle_.clear();
+  while (!waiting_.empty())
+    FailNotSent(*TakeFirst(), "client closed");
+  const auto connections = std::exchange(connections_, {});
+  open_ = 0;
+  for (const Connection& connection : connections)
+    connection->Close();
+}
+
+HttpClient::HttpClient(boost::asio::io_context& context,
+                       HttpClientOptions options)
+    : impl_(std::make_shared<Impl>(context, std::move(options))) {}
+
+HttpClient::~HttpClient() {
+  Close();
+}
+
+void HttpClient::Call(HttpCall call, HttpCallback callback) {
+  auto job = std::make_shared<Job>();
+  job->deadline = call.deadline;
+  job->call = std::move(call);
+  job->callback = std::move(callback);
+  asio::post(impl_->Executor(), [impl = impl_, job = std::move(job)]() mutable {
+    impl->Submit(std::move(job));
+  });
+}
+
+void HttpClient::OpenPinned(Time deadline, PinnedCallback callback) {
+  auto job = std::make_shared<Job>();
+  job->deadline = deadline;
+  job->pinned = std::move(callback);
+  asio::post(impl_->Executor(), [impl = impl_, job = std::move(job)]() mutable {
+    impl->Submit(std::move(job));
+  });
+}
+
+void HttpClient::SetMaxConnections(std::size_t maximum) {
+  asio::post(impl_->Executor(),
+             [impl = impl_, maximum] { impl->SetMaxConnections(maximum); });
+}
+
+std::size_t HttpClient::OpenConnections() const {
+  return impl_->OpenConnections();
+}
+
+void HttpClient::Close() {
+  asio::post(impl_->Executor(), [impl = impl_] { impl->Close(); });
+}
+
+}  // namespace goldcrest::adapters
--- /dev/null
+++ b/adapters/src/http_connection.cc
@@ -0,0 +1,370 @@
+#include "http_connection.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+namespace goldcrest::adapters {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 16U << 10U;
+// Bytes of later requests that are buffered while one is handled. Reading stops
+// there, so a client that sends without waiting for answers is held back.
+constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+// For how long a closing connection takes bytes. Closing with unread bytes
+// resets the connection, and the reset can destroy an answer not yet read.
+constexpr std::chrono::milliseconds kLingerTimeout{1'000};
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+ResultCode CodeFor(const error_code& error) {
+  if (error == http::error::body_limit)
+    return ResultCode::kBodyTooLarge;
+  return ResultCode::kMalformedRequest;
+}
+
+HttpRequest ToRequest(http::request<http::string_body> message) {
+  HttpRequest request;
+  request.method = message.method_string();
+  const std::string_view target = message.target();
+  const std::size_t mark = target.find('?');
+  request.path = target.substr(0, mark);
+  if (mark != std::string_view::npos)
+    request.query = target.substr(mark + 1);
+  for (const auto& field : message)
+    request.headers.emplace_back(field.name_string(), field.value());
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+// Delivers the first answer to one request. The last copy of the handler's
+// function destroys it, so a request that is never answered is noticed.
+class HttpConnection::Responder {
+ public:
+  Responder(std::shared_ptr<HttpConnection> connection, std::uint64_t request)
+      : connection_(std::move(connection)), request_(request) {}
+
+  ~Responder() { Send(ResultResponse(ResultCode::kOutcomeUnknown)); }
+  Responder(const Responder&) = delete;
+  Responder& operator=(const Responder&) = delete;
+
+  void Send(HttpResponse response) {
+    if (sent_.exchange(true))
+      return;
+    asio::post(connection_->socket_.get_executor(),
+               [connection = connection_, request = request_,
+                response = std::move(response)]() mutable {
+                 connection->Answer(request, std::move(response));
+               });
+  }
+
+ private:
+  const std::shared_ptr<HttpConnection> connection_;
+  const std::uint64_t request_;
+  std::atomic<bool> sent_ = false;
+};
+
+HttpConnection::HttpConnection(std::uint64_t id,
+                               Socket socket,
+                               std::shared_ptr<HttpServerShared> shared)
+    : id_(id),
+      socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      shared_(std::move(shared)) {
+  error_code ignored;
+  socket_.non_blocking(true, ignored);
+}
+
+void HttpConnection::Start() {
+  asio::dispatch(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->state_ == State::kClosed)
+      return;
+    error_code error;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    const auto peer = self->socket_.remote_endpoint(error);
+    if (!error)
+      self->peer_address_ = peer.address().to_string();
+    self->BeginRequest();
+  });
+}
+
+void HttpConnection::Refuse(ResultCode code) {
+  asio::dispatch(socket_.get_executor(),
+                 [self = shared_from_this(), code] { self->Reject(code, {}); });
+}
+
+void HttpConnection::BeginDrain() {
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->state_ == State::kIdle)
+      self->SetDeadline(self->shared_->options.drain_idle);
+  });
+}
+
+void HttpConnection::Abort() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->Shut(); });
+}
+
+void HttpConnection::BeginRequest() {
+  state_ = State::kIdle;
+  parser_.emplace();
+  parser_->body_limit(shared_->options.max_body_bytes);
+  parser_->header_limit(
+      static_cast<std::uint32_t>(shared_->options.max_header_bytes));
+  header_done_ = false;
+  continue_sent_ = false;
+  SetDeadline(shared_->draining ? shared_->options.drain_idle
+                                : shared_->options.idle_timeout);
+  if (buffer_.size() > 0) {
+    Parse();
+    return;
+  }
+  buffer_.shrink_to_fit();
+  Wait();
+}
+
+// Waits without a buffer, so that an idle connection holds none.
+void HttpConnection::Wait() {
+  if (wait_pending_ || peer_stopped_)
+    return;
+  wait_pending_ = true;
+  socket_.async_wait(Socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       self->wait_pending_ = false;
+                       if (!error)
+                         self->OnReadable();
+                     });
+}
+
+void HttpConnection::OnReadable() {
+  if (state_ == State::kClosed || state_ == State::kWriting)
+    return;
+  if (state_ == State::kLingering)
+    buffer_.clear();
+  error_code error;
+  buffer_.commit(socket_.read_some(buffer_.prepare(kReadBytes), error));
+  if (error == asio::error::would_block) {
+    Wait();
+    return;
+  }
+  if (error && error != asio::error::eof) {
+    Shut();
+    return;
+  }
+  if (error) {
+    peer_stopped_ = true;
+    ReportDisconnect();
+  }
+  switch (state_) {
+    case State::kIdle:
+      if (peer_stopped_)
+        Shut();
+      else
+        Parse();
+      return;
+    case State::kReading:
+      Parse();
+      return;
+    case State::kHandling:
+      if (buffer_.size() < kMaxPipelinedBytes)
+        Wait();
+      return;
+    case State::kLingering:
+      if (peer_stopped_)
+        Shut();
+      else
+        Wait();
+      return;
+    default:
+      return;
+  }
+}
+
+void HttpConnection::Parse() {
+  if (state_ == State::kIdle) {
+    state_ = State::kReading;
+    request_counted_ = true;
+    ++shared_->in_flight;
+    deadline_ = SteadyClock::now() + shared_->options.header_timeout;
+  }
+  error_code error;
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more)
+      break;
+    if (error) {
+      Reject(CodeFor(error), error.message());
+      return;
+    }
+    if (parser_->is_header_done() && !header_done_) {
+      header_done_ = true;
+      deadline_ = SteadyClock::now() + shared_->options.body_timeout;
+    }
+  }
+  if (parser_->is_done()) {
+    Dispatch();
+    return;
+  }
+  if (peer_stopped_) {
+    Reject(ResultCode::kIncompleteRequest, "the request was cut short");
+    return;
+  }
+  SendContinue();
+  ArmTimer();
+  Wait();
+}
+
+void HttpConnection::SendContinue() {
+  if (!header_done_ || continue_sent_ ||
+      !boost::beast::iequals(parser_->get()[http::field::expect],
+                             "100-continue"))
+    return;
+  continue_sent_ = true;
+  // A client whose receive window has no room for this goes on by itself after
+  // a while, so the result is of no interest.
+  error_code ignored;
+  socket_.write_some(asio::buffer(kContinue), ignored);
+}
+
+void HttpConnection::Dispatch() {
+  state_ = State::kHandling;
+  deadline_ = SteadyClock::time_point::max();
+  ++request_;
+  close_after_write_ = !parser_->keep_alive();
+  HttpRequest request = ToRequest(parser_->release());
+  request.connection = id_;
+  request.peer_address = peer_address_;
+  const auto responder =
+      std::make_shared<Responder>(shared_from_this(), request_);
+  // Notices a client that goes away, and buffers pipelined requests.
+  if (buffer_.size() < kMaxPipelinedBytes)
+    Wait();
+  shared_->handler(std::move(request), [responder](HttpResponse response) {
+    responder->Send(std::move(response));
+  });
+}
+
+void HttpConnection::Answer(std::uint64_t request, HttpResponse response) {
+  if (state_ == State::kHandling && request == request_)
+    Write(std::move(response));
+}
+
+void HttpConnection::Reject(ResultCode code, std::string_view message) {
+  if (state_ == State::kClosed)
+    return;
+  HttpResponse response = ResultResponse(code, message);
+  response.close = true;
+  Write(std::move(response));
+}
+
+void HttpConnection::Write(HttpResponse response) {
+  state_ = State::kWriting;
+  close_after_write_ = close_after_write_ || response.close ||
+                       shared_->draining ||
+                       (peer_stopped_ && buffer_.size() == 0);
+  response_ = {};
+  response_.version(11);
+  response_.result(static_cast<unsigned>(response.status));
+  if (!response.content_type.empty())
+    response_.set(http::field::content_type, response.content_type);
+  for (const auto& [name, value] : response.headers)
+    response_.insert(name, value);
+  response_.body() = std::move(response.body);
+  response_.keep_alive(!close_after_write_);
+  response_.prepare_payload();
+  SetDeadline(shared_->options.write_timeout);
+  http::async_write(socket_, response_,
+                    [self = shared_from_this()](error_code error, std::size_t) {
+                      self->OnWritten(error);
+                    });
+}
+
+void HttpConnection::OnWritten(error_code error) {
+  if (state_ == State::kClosed)
+    return;
+  EndRequest();
+  if (error)
+    Shut();
+  else if (close_after_write_)
+    Linger();
+  else
+    BeginRequest();
+}
+
+void HttpConnection::Linger() {
+  state_ = State::kLingering;
+  error_code error;
+  socket_.shutdown(Socket::shutdown_send, error);
+  if (error || peer_stopped_) {
+    Shut();
+    return;
+  }
+  SetDeadline(kLingerTimeout);
+  Wait();
+}
+
+void HttpConnection::SetDeadline(std::chrono::milliseconds timeout) {
+  deadline_ = SteadyClock::now() + timeout;
+  ArmTimer();
+}
+
+// The timer is left alone when it fires early enough: a busy connection moves
+// its deadline several times for each request.
+void HttpConnection::ArmTimer() {
+  if (armed_ <= deadline_)
+    return;
+  armed_ = deadline_;
+  timer_.expires_at(deadline_);
+  timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error)
+      self->OnTimer();
+  });
+}
+
+void HttpConnection::OnTimer() {
+  armed_ = SteadyClock::time_point::max();
+  if (state_ == State::kClosed || deadline_ == SteadyClock::time_point::max())
+    return;
+  if (SteadyClock::now() < deadline_)
+    ArmTimer();
+  else
+    OnDeadline();
+}
+
+void HttpConnection::OnDeadline() {
+  if (state_ != State::kReading) {
+    Shut();
+    return;
+  }
+  Reject(ResultCode::kIncompleteRequest, "the request did not arrive in time");
+}
+
+void HttpConnection::ReportDisconnect() {
+  if (std::exchange(disconnect_reported_, true) || !shared_->on_disconnect)
+    return;
+  shared_->on_disconnect(id_);
+}
+
+void HttpConnection::EndRequest() {
+  if (std::exchange(request_counted_, false))
+    --shared_->in_flight;
+}
+
+void HttpConnection::Shut() {
+  if (state_ == State::kClosed)
+    return;
+  state_ = State::kClosed;
+  EndRequest();
+  CloseSocket(socket_);
+  timer_.cancel();
+  ReportDisconnect();
+  shared_->forget(id_);
+}
+
+}  // namespace goldcrest::adapters
--- /dev/null
+++ b/adapters/src/json_library.cc
@@ -0,0 +1,2 @@
+// Boost.JSON is compiled here, once for all programs.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/adapters/src/peer_transport.cc
@@ -0,0 +1,317 @@
+#include "goldcrest/adapters/peer_transport.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <mutex>
+#include <utility>
+
+#include "listener.h"
+#include "peer_link.h"
+
+namespace goldcrest::adapters {
+
+using Link = std::shared_ptr<PeerLink>;
+
+// Lock order: mutex_, then the mutex of a link. Hooks run without locks.
+class PeerTransport::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context,
+       PeerTransportOptions options,
+       std::shared_ptr<Logger> logger,
+       MessageHandler on_message,
+       LinkHook on_link)
+      : context_(context),
+        listener_(
+            std::make_shared<Listener>(context, options.host, options.port)),
+        shared_(std::make_shared<PeerLinkShared>()),
+        hooks_(asio::make_strand(context)),
+        on_link_(std::move(on_link)) {
+    shared_->options = std::move(options);
+    shared_->logger = std::move(logger);
+    shared_->on_message = std::move(on_message);
+  }
+
+  void Start();
+  std::uint16_t Port() const { return listener_->Port(); }
+  void SetPeers(const std::map<std::string, PeerAddress>& peers);
+  bool Send(const std::string& to, const messages::PeerMessage& message);
+  std::vector<std::string> ConnectedPeers() const;
+  std::uint64_t DroppedMessages() const { return shared_->dropped; }
+  void Close();
+
+ private:
+  struct Outgoing {
+    PeerAddress address;
+    Link link;  // null while the next attempt is awaited
+    std::chrono::milliseconds backoff{0};
+    std::shared_ptr<SteadyTimer> timer;
+    std::string last_cause;  // logged when it changes
+  };
+
+  void OnSocket(Socket socket);
+  void OnUp(const Link& link);
+  void OnClosed(const Link& link);
+  void Connect(const std::string& name, Outgoing& peer);
+  void Reconnect(const std::string& name, Outgoing& peer);
+  static void Abandon(Outgoing& peer);
+  void PostHook(const std::string& instance, bool up);
+
+  asio::io_context& context_;
+  const std::shared_ptr<Listener> listener_;
+  const std::shared_ptr<PeerLinkShared> shared_;
+  const Strand hooks_;
+  const LinkHook on_link_;
+  mutable std::mutex mutex_;
+  bool started_ = false;                         // guarded by mutex_
+  bool closed_ = false;                          // guarded by mutex_
+  std::map<std::string, Outgoing> outgoing_;     // guarded by mutex_
+  std::vector<Link> unknown_;                    // incoming, before the Hello
+  std::map<std::string, std::vector<Link>> up_;  // oldest first
+};
+
+void PeerTransport::Impl::Start() {
+  shared_->on_up = [weak = weak_from_this()](const Link& link) {
+    if (const auto self = weak.lock())
+      self->OnUp(link);
+  };
+  shared_->on_closed = [weak = weak_from_this()](const Link& link) {
+    if (const auto self = weak.lock())
+      self->OnClosed(link);
+  };
+  listener_->Start([weak = weak_from_this()](Socket socket) {
+    if (const auto self = weak.lock())
+      self->OnSocket(std::move(socket));
+  });
+  const std::lock_guard lock(mutex_);
+  started_ = true;
+  for (auto& [name, peer] : outgoing_)
+    Connect(name, peer);
+}
+
+void PeerTransport::Impl::OnSocket(Socket socket) {
+  const std::lock_guard lock(mutex_);
+  if (closed_ || unknown_.size() >= shared_->options.max_unknown_connections)
+    return;
+  auto link = std::make_shared<PeerLink>(std::move(socket), shared_, "");
+  unknown_.push_back(link);
+  link->StartIncoming();
+}
+
+void PeerTransport::Impl::SetPeers(
+    const std::map<std::string, PeerAddress>& peers) {
+  const std::lock_guard lock(mutex_);
+  if (closed_)
+    return;
+  for (auto entry = outgoing_.begin(); entry != outgoing_.end();) {
+    const auto found = peers.find(entry->first);
+    if (found != peers.end() && found->second == entry->second.address) {
+      ++entry;
+      continue;
+    }
+    Abandon(entry->second);
+    entry = outgoing_.erase(entry);
+  }
+  for (const auto& [name, address] : peers) {
+    if (name == shared_->options.self.instance || outgoing_.contains(name))
+      continue;
+    Outgoing& peer = outgoing_[name];
+    peer.address = address;
+    if (started_)
+      Connect(name, peer);
+  }
+}
+
+void PeerTransport::Impl::Abandon(Outgoing& peer) {
+  if (peer.timer)
+    peer.timer->cancel();
+  if (peer.link)
+    peer.link->Close("removed from the address book");
+}
+
+// With mutex_ held.
+void PeerTransport::Impl::Connect(const std::string& name, Outgoing& peer) {
+  error_code error;
+  const auto address = asio::ip::make_address(peer.address.host, error);
+  if (error) {
+    shared_->logger->Warning("peer_address_invalid", ResultCode::kInvalidField,
+                             {{"peer", name}, {"address", peer.address.host}});
+    return;
+  }
+  peer.link = std::make_shared<PeerLink>(
+      Socket(asio::make_strand(context_.get_executor())), shared_, name);
+  peer.link->StartOutgoing({address, peer.address.port});
+}
+
+// With mutex_ held.
+void PeerTransport::Impl::Reconnect(const std::string& name, Outgoing& peer) {
+  const PeerTransportOptions& options = shared_->options;
+  peer.link = nullptr;
+  peer.backoff =
+      std::clamp(peer.backoff * 2, options.min_backoff, options.max_backoff);
+  auto timer = std::make_shared<SteadyTimer>(hooks_, peer.backoff);
+  peer.timer = timer;
+  timer->async_wait(
+      [weak = weak_from_this(), name, timer](error_code cancelled) {
+        const auto self = weak.lock();
+        if (cancelled || !self)
+          return;
+        const std::lock_guard lock(self->mutex_);
+        const auto found = self->outgoing_.find(name);
+        if (found != self->outgoing_.end() && found->second.timer == timer)
+          self->Connect(name, found->second);
+      });
+}
+
+void PeerTransport::Impl::OnUp(const Link& link) {
+  const std::string& name = link->Peer();
+  const std::lock_guard lock(mutex_);
+  std::erase(unknown_, link);
+  if (closed_)
+    return;
+  if (const auto found = outgoing_.find(name);
+      found != outgoing_.end() && found->second.link == link) {
+    found->second.backoff = {};
+    found->second.last_cause.clear();
+  }
+  std::vector<Link>& links = up_[name];
+  links.push_back(link);
+  shared_->logger->Info(
+      "peer_link_up",
+      {{"peer", name}, {"direction", link->IsOutgoing() ? "out" : "in"}});
+  if (links.size() == 1)
+    PostHook(name, true);
+}
+
+void PeerTransport::Impl::OnClosed(const Link& link) {
+  const std::lock_guard lock(mutex_);
+  std::erase(unknown_, link);
+  if (link->WasUp()) {
+    const std::string& name = link->Peer();
+    shared_->logger->Info("peer_link_down",
+                          {{"peer", name},
+                           {"direction", link->IsOutgoing() ? "out" : "in"},
+                           {"cause", link->CloseCause()}});
+    if (const auto found = up_.find(name); found != up_.end()) {
+      const bool was_up = std::erase(found->second, link) > 0;
+      if (was_up && found->second.empty()) {
+        up_.erase(found);
+        PostHook(name, false);
+      }
+    }
+  }
+  const auto found = outgoing_.find(link->Expected());
+  if (closed_ || found == outgoing_.end() || found->second.link != link)
+    return;
+  Outgoing& peer = found->second;
+  if (!link->WasUp() && peer.last_cause != link->CloseCause()) {
+    peer.last_cause = link->CloseCause();
+    shared_->logger->Info("peer_unreachable",
+                          {{"peer", found->first}, {"cause", peer.last_cause}});
+  }
+  Reconnect(found->first, peer);
+}
+
+bool PeerTransport::Impl::Send(const std::string& to,
+                               const messages::PeerMessage& message) {
+  std::vector<Link> links;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = up_.find(to);
+    if (found == up_.end())
+      return false;
+    links = found->second;
+  }
+  std::string frame = ToFrame(message);
+  if (frame.size() > shared_->options.max_frame_bytes) {
+    shared_->logger->Error("peer_message_too_large", ResultCode::kBodyTooLarge,
+                           {{"peer", to}, {"bytes", frame.size()}});
+    return false;
+  }
+  // The newest link is the least likely to have gone silent unnoticed.
+  return std::any_of(links.rbegin(), links.rend(),
+                     [&frame](const Link& link) { return link->Send(frame); });
+}
+
+std::vector<std::string> PeerTransport::Impl::ConnectedPeers() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> peers;
+  peers.reserve(up_.size());
+  for (const auto& [name, links] : up_)
+    peers.push_back(name);
+  return peers;
+}
+
+// Posted with mutex_ held, so that the calls are in the order of the changes.
+void PeerTransport::Impl::PostHook(const std::string& instance, bool up) {
+  if (!on_link_)
+    return;
+  asio::post(hooks_, [self = shared_from_this(), instance, up] {
+    self->on_link_(instance, up);
+  });
+}
+
+void PeerTransport::Impl::Close() {
+  listener_->Stop();
+  const std::lock_guard lock(mutex_);
+  closed_ = true;
+  for (auto& [name, peer] : outgoing_)
+    Abandon(peer);
+  outgoing_.clear();
+  for (const Link& link : unknown_)
+    link->Close("transport closed");
+  for (const auto& [name, links] : up_) {
+    for (const Link& link : links)
+      link->Close("transport closed");
+  }
+}
+
+PeerTransport::PeerTransport(boost::asio::io_context& context,
+                             PeerTransportOptions options,
+                             std::shared_ptr<Logger> logger,
+                             MessageHandler on_message,
+                             LinkHook on_link)
+    : impl_(std::make_shared<Impl>(context,
+                                   std::move(options),
+                                   std::move(logger),
+                                   std::move(on_message),
+                                   std::move(on_link))) {}
+
+PeerTransport::~PeerTransport() {
+  Close();
+}
+
+void PeerTransport::Start() {
+  impl_->Start();
+}
+
+std::uint16_t PeerTransport::Port() const {
+  return impl_->Port();
+}
+
+void PeerTransport::SetPeers(const std::map<std::string, PeerAddress>& peers) {
+  impl_->SetPeers(peers);
+}
+
+bool PeerTransport::Send(const std::string& to,
+                         const messages::PeerMessage& message) {
+  return impl_->Send(to, message);
+}
+
+bool PeerTransport::IsConnected(const std::string& instance) const {
+  const auto peers = ConnectedPeers();
+  return std::find(peers.begin(), peers.end(), instance) != peers.end();
+}
+
+std::vector<std::string> PeerTransport::ConnectedPeers() const {
+  return impl_->ConnectedPeers();
+}
+
+std::uint64_t PeerTransport::DroppedMessages() const {
+  return impl_->DroppedMessages();
+}
+
+void PeerTransport::Close() {
+  impl_->Close();
+}
+
+}  // namespace goldcrest::adapters
--- /dev/null
+++ b/adapters/tests/http_server_test.cc
@@ -0,0 +1,274 @@
+#include "goldcrest/adapters/http_server.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <mutex>
+#include <vector>
+
+#include "goldcrest/adapters/io_pool.h"
+#include "tests/raw_socket.h"
+#include "tests/wait.h"
+
+namespace goldcrest::adapters {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A server that answers with the path, except for /hold, which waits for
+// Release().
+class Fixture {
+ public:
+  explicit Fixture(HttpServerOptions options = {})
+      : server_(
+            pool_.Context(),
+            std::move(options),
+            [this](HttpRequest request, HttpServer::Respond respond) {
+              Handle(std::move(request), std::move(respond));
+            },
+            [this](std::uint64_t) { ++disconnects; }) {
+    server_.Start();
+  }
+  ~Fixture() { pool_.Stop(); }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
+
+  RawSocket Connect() const { return RawSocket::Connect(server_.Port()); }
+  HttpServer& Server() { return server_; }
+
+  std::size_t Held() {
+    const std::lock_guard lock(mutex_);
+    return held_.size();
+  }
+  void Release() {
+    const std::lock_guard lock(mutex_);
+    for (const auto& respond : held_) {
+      respond({.body = "released"});
+      respond({.body = "twice"});
+    }
+    held_.clear();
+  }
+  void Forget() {
+    const std::lock_guard lock(mutex_);
+    held_.clear();
+  }
+
+  std::atomic<int> handled = 0;
+  std::atomic<int> disconnects = 0;
+
+ private:
+  void Handle(HttpRequest request, HttpServer::Respond respond) {
+    ++handled;
+    if (request.path != "/hold") {
+      respond({.body = request.path + "?" + request.query + "|" + request.body +
+                       "|" + std::string(request.Header("AUTHORIZATION"))});
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    held_.push_back(std::move(respond));
+  }
+
+  std::mutex mutex_;
+  std::vector<HttpServer::Respond> held_;
+  IoPool pool_{2};
+  HttpServer server_;
+};
+
+std::string Get(const std::string& path) {
+  return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
+bool Contains(const std::string& text, std::string_view part) {
+  return text.find(part) != std::string::npos;
+}
+
+// What the caller of a request refused before the handler must see.
+void CheckRefused(const std::string& answer, ResultCode code) {
+  CAPTURE(answer);
+  const ResultCodeInfo& info = InfoOf(code);
+  CHECK(answer.starts_with("HTTP/1.1 " + std::to_string(info.http_status)));
+  CHECK(Contains(answer, "Connection: close"));
+  CHECK(Contains(answer, "\"code\":" + std::to_string(ToNumber(code)) +
+                             ",\"name\":\"" + std::string(info.name) +
+                             "\",\"outcome\":\"not_run\""));
+}
+
+}  // namespace
+
+TEST_CASE("Requests of a connection are answered in order", "[adapters]") {
+  Fixture fixture;
+  const RawSocket client = fixture.Connect();
+  client.Send(Get("/hold") +
+              "POST /b?x=1 HTTP/1.1\r\nAuthorization: Bearer k\r\n"
+              "Content-Length: 4\r\nConnection: close\r\n\r\nbody");
+  REQUIRE(WaitFor([&] { return fixture.Held() == 1; }));
+  CHECK(fixture.handled == 1);
+  fixture.Release();
+  const std::string answers = client.ReadAll();
+  CHECK(answers.find("released") < answers.find("/b?x=1|body|Bearer k"));
+  CHECK_FALSE(Contains(answers, "twice"));
+  CHECK(WaitFor([&] { return fixture.Server().OpenConnections() == 0; }));
+}
+
+TEST_CASE("Requests that are not whole and valid are answered as not run",
+          "[adapters][guarantee]") {
+  Fixture fixture({.max_body_bytes = 100,
+                   .max_header_bytes = 500,
+                   .header_timeout = 100ms,
+                   .body_timeout = 100ms});
+  RawSocket client = fixture.Connect();
+  ResultCode code = ResultCode::kMalformedRequest;
+  SECTION("Bad HTTP") {
+    client.Send("nonsense\r\n\r\n");
+  }
+  SECTION("A header without end") {
+    client.Send(std::string(2000, 'a'));
+  }
+  SECTION("A header larger than allowed") {
+    client.Send("GET / HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n");
+  }
+  SECTION("A body announced as larger than allowed") {
+    client.Send("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
+    code = ResultCode::kBodyTooLarge;
+  }
+  SECTION("A large body on its way, which a reset would cut the answer off") {
+    client.Send("POST / HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" +
+                std::string(200'000, 'b'));
+    code = ResultCode::kBodyTooLarge;
+  }
+  SECTION("A chunked body larger than allowed") {
+    client.Send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                std::string("c8\r\n") + std::string(200, 'b') + "\r\n");
+    code = ResultCode::kBodyTooLarge;
+  }
+  SECTION("A header that stops") {
+    client.Send("GET / HTTP/1.1\r\nHo");
+    code = ResultCode::kIncompleteRequest;
+  }
+  SECTION("A body that stops") {
+    client.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    code = ResultCode::kIncompleteRequest;
+  }
+  SECTION("A request cut short by the client") {
+    client.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    client.StopSending();
+    code = ResultCode::kIncompleteRequest;
+  }
+  CheckRefused(client.ReadAll(), code);
+  client.Close();
+  CHECK(fixture.handled == 0);
+  CHECK(WaitFor([&] { return fixture.Server().OpenConnections() == 0; }));
+  CHECK(fixture.Server().RequestsInFlight() == 0);
+}
+
+TEST_CASE("A header sent byte by byte does not extend its deadline",
+          "[adapters]") {
+  Fixture fixture({.header_timeout = 200ms});
+  const RawSocket client = fixture.Connect();
+  const auto start = std::chrono::steady_clock::now();
+  client.Send("GET / HTTP/1.1\r\nX: ");
+  REQUIRE(WaitFor([&] { return fixture.Server().RequestsInFlight() == 1; }));
+  REQUIRE(WaitFor([&] {
+    try {
+      client.Send("a");
+    } catch (const std::runtime_error&) {
+      return true;
+    }
+    return fixture.Server().RequestsInFlight() == 0;
+  }));
+  CHECK(std::chrono::steady_clock::now() - start >= 200ms);
+  CHECK(fixture.handled == 0);
+}
+
+TEST_CASE("An idle connection is closed at its deadline", "[adapters]") {
+  Fixture fixture({.idle_timeout = 100ms});
+  CHECK(fixture.Connect().ReadAll().empty());
+}
+
+TEST_CASE("An answer to a client that has gone is dropped", "[adapters]") {
+  Fixture fixture;
+  RawSocket client = fixture.Connect();
+  client.Send(Get("/hold"));
+  REQUIRE(WaitFor([&] { return fixture.Held() == 1; }));
+  client.Reset();
+  CHECK(WaitFor([&] { return fixture.disconnects == 1; }));
+  CHECK(WaitFor([&] { return fixture.Server().RequestsInFlight() == 0; }));
+  fixture.Release();
+  const RawSocket other = fixture.Connect();
+  other.Send(Get("/next"));
+  CHECK(Contains(other.ReadUntil("|"), "/next"));
+  CHECK(fixture.disconnects == 1);
+}
+
+TEST_CASE("A client that only stops sending gets its answer",
+          "[adapters][guarantee]") {
+  Fixture fixture;
+  const RawSocket client = fixture.Connect();
+  client.Send(Get("/hold"));
+  client.StopSending();
+  REQUIRE(WaitFor([&] { return fixture.disconnects == 1; }));
+  fixture.Release();
+  CHECK(Contains(client.ReadAll(), "released"));
+}
+
+TEST_CASE("A request that the handler drops is answered as unknown",
+          "[adapters]") {
+  Fixture fixture;
+  const RawSocket client = fixture.Connect();
+  client.Send(Get("/hold"));
+  REQUIRE(WaitFor([&] { return fixture.Held() == 1; }));
+  fixture.Forget();
+  CHECK(Contains(client.ReadUntil("}}"), "\"outcome\":\"unknown\""));
+}
+
+TEST_CASE("A connection beyond the limit is told so and closed",
+          "[adapters][guarantee]") {
+  Fixture fixture({.max_connections = 1});
+  RawSocket first = fixture.Connect();
+  first.Send(Get("/one"));
+  REQUIRE(Contains(first.ReadUntil("|"), "/one"));
+  CheckRefused(fixture.Connect().ReadAll(), ResultCode::kTooManyConnections);
+  first.Close();
+  REQUIRE(WaitFor([&] { return fixture.Server().OpenConnections() == 0; }));
+  const RawSocket second = fixture.Connect();
+  second.Send(Get("/two"));
+  CHECK(Contains(second.ReadUntil("|"), "/two"));
+}
+
+TEST_CASE("A body that waits for 100-continue is asked for", "[adapters]") {
+  Fixture fixture;
+  const RawSocket client = fixture.Connect();
+  client.Send(
+      "POST /c HTTP/1.1\r\nExpect: 100-continue\r\n"
+      "Content-Length: 2\r\n\r\n");
+  CHECK(client.ReadUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+  client.Send("ok");
+  CHECK(Contains(client.ReadUntil("|ok|"), "200 OK"));
+}
+
+TEST_CASE("A drain interrupts no request", "[adapters][guarantee]") {
+  Fixture fixture({.drain_idle = 100ms});
+  const RawSocket idle = fixture.Connect();
+  const RawSocket busy = fixture.Connect();
+  busy.Send(Get("/hold"));
+  const RawSocket partial = fixture.Connect();
+  partial.Send("POST /p HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
+  REQUIRE(WaitFor([&] { return fixture.Server().RequestsInFlight() == 2; }));
+  // Waits in the backlog or is accepted when the listener closes.
+  const RawSocket late = fixture.Connect();
+  fixture.Server().StopAccepting();
+  fixture.Server().BeginDrain();
+  CHECK_THROWS(fixture.Connect());
+  late.Send(Get("/late"));
+  partial.Send("ok");
+  CHECK(Contains(late.ReadAll(), "/late"));
+  CHECK(Contains(partial.ReadAll(), "|ok|"));
+  CHECK(idle.ReadAll().empty());
+  CHECK(WaitFor([&] { return fixture.Server().OpenConnections() == 1; }));
+  fixture.Release();
+  const std::string answer = busy.ReadAll();
+  CHECK(Contains(answer, "Connection: close"));
+  CHECK(Contains(answer, "released"));
+  CHECK(WaitFor([&] { return fixture.Server().OpenConnections() == 0; }));
+}
+
+}  // namespace goldcrest::adapters
