Test the HTTP client and the peer transport

The tests use sockets written apart from the code, and a relay that stops forwarding on connections that exist while new ones work.

--- a/adapters/tests/http_client_test.cc
+++ b/adapters/tests/http_client_test.cc
@@ -0,0 +1,358 @@
+#include "goldcrest/adapters/http_client.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "goldcrest/adapters/io_pool.h"
+#include "goldcrest/adapters/system_clock.h"
+#include "tests/raw_socket.h"
+#include "tests/wait.h"
+
+namespace goldcrest::adapters {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::seconds kLong{10};
+constexpr std::string_view kEnd = "\r\n\r\n";
+
+HttpCall MakeCall(std::string path, Duration timeout = kLong) {
+  return {.method = "GET",
+          .path = std::move(path),
+          .deadline = SystemClock::Now() + timeout};
+}
+
+std::string Answer(const std::string& body, const std::string& header = "") {
+  return "HTTP/1.1 200 OK\r\n" + header +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The end of one call.
+class Pending {
+ public:
+  Pending() : promise_(std::make_shared<std::promise<HttpResult>>()) {}
+  HttpCallback Callback() const {
+    return [promise = promise_](HttpResult result) {
+      promise->set_value(std::move(result));
+    };
+  }
+  HttpResult Get() const {
+    auto future = promise_->get_future();
+    REQUIRE(future.wait_for(kLong * 2) == std::future_status::ready);
+    return future.get();
+  }
+
+ private:
+  std::shared_ptr<std::promise<HttpResult>> promise_;
+};
+
+struct Fixture {
+  explicit Fixture(HttpClientOptions options = {}) {
+    options.host = "127.0.0.1";
+    options.port = listener.Port();
+    client = std::make_unique<HttpClient>(pool.Context(), options);
+  }
+  ~Fixture() { pool.Stop(); }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
+
+  Pending Call(HttpCall call) const {
+    Pending pending;
+    client->Call(std::move(call), pending.Callback());
+    return pending;
+  }
+
+  // One answered call, whose connection is then idle.
+  RawSocket Warm() const {
+    const Pending pending = Call(MakeCall("/warm"));
+    RawSocket server = listener.Accept();
+    server.ReadUntil(kEnd);
+    server.Send(Answer("warm"));
+    CHECK(pending.Get().body == "warm");
+    return server;
+  }
+
+  std::shared_ptr<PinnedConnection> Pin() const {
+    std::promise<std::shared_ptr<PinnedConnection>> promise;
+    client->OpenPinned(SystemClock::Now() + kLong,
+                       [&](auto pinned, const std::string&) {
+                         promise.set_value(std::move(pinned));
+                       });
+    return promise.get_future().get();
+  }
+
+  RawListener listener;
+  IoPool pool{2};
+  std::unique_ptr<HttpClient> client;
+};
+
+}  // namespace
+
+TEST_CASE("A connection is kept and used for the next call", "[adapters]") {
+  const Fixture fixture;
+  const RawSocket server = fixture.Warm();
+  HttpCall call = MakeCall("/v1/statement");
+  call.method = "POST";
+  call.body = "{}";
+  const Pending pending = fixture.Call(call);
+  CHECK(server.ReadUntil("{}") ==
+        "POST /v1/statement HTTP/1.1\r\nHost: 127.0.0.1:" +
+            std::to_string(fixture.listener.Port()) +
+            "\r\nContent-Type: application/json\r\n"
+            "Content-Length: 2\r\n\r\n{}");
+  server.Send("HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc");
+  server.Send("\r\n0\r\n\r\n");
+  const HttpResult result = pending.Get();
+  CHECK(result.delivery == HttpDelivery::kAnswered);
+  CHECK(result.status == 503);
+  CHECK(result.body == "abc");
+  CHECK(result.epoch == 1);
+  CHECK(fixture.client->OpenConnections() == 1);
+}
+
+TEST_CASE("kNotSent is said only when no byte left", "[adapters][guarantee]") {
+  Fixture fixture({.max_connections = 1, .max_waiting = 1});
+  SECTION("The address refuses connections") {
+    fixture.listener.Close();
+  }
+  SECTION("The deadline passes while the only connection is busy") {
+    const Pending first = fixture.Call(MakeCall("/first"));
+    const RawSocket server = fixture.listener.Accept();
+    server.ReadUntil(kEnd);
+    const Pending late = fixture.Call(MakeCall("/late", 50ms));
+    CHECK(late.Get().delivery == HttpDelivery::kNotSent);
+    server.Send(Answer("first", "Connection: close\r\n"));
+    CHECK(first.Get().body == "first");
+    CHECK(server.ReadAll().empty());
+    fixture.listener.Close();
+  }
+  SECTION("Too many calls wait") {
+    const Pending first = fixture.Call(MakeCall("/first"));
+    const RawSocket server = fixture.listener.Accept();
+    server.ReadUntil(kEnd);
+    const Pending waiting = fixture.Call(MakeCall("/waiting"));
+    CHECK(fixture.Call(MakeCall("/refused")).Get().delivery ==
+          HttpDelivery::kNotSent);
+    fixture.client->Close();
+    CHECK(first.Get().delivery == HttpDelivery::kUnknown);
+    CHECK(waiting.Get().delivery == HttpDelivery::kNotSent);
+  }
+  SECTION("The deadline has passed already") {
+    CHECK(fixture.Call(MakeCall("/late", -1ms)).Get().delivery ==
+          HttpDelivery::kNotSent);
+    fixture.client->Close();
+  }
+  const HttpResult result = fixture.Call(MakeCall("/x", 5s)).Get();
+  CHECK(result.delivery == HttpDelivery::kNotSent);
+  CHECK_FALSE(result.error.empty());
+}
+
+TEST_CASE("A call cut off after bytes left ends as unknown",
+          "[adapters][guarantee]") {
+  Fixture fixture({.max_connections = 1, .max_body_bytes = 100});
+  HttpCall call = MakeCall("/cut");
+  bool whole = true;
+  std::function<void(RawSocket&)> cut;
+  SECTION("Closed before the answer") {
+    cut = [](RawSocket& server) { server.Close(); };
+  }
+  SECTION("Reset before the answer") {
+    cut = [](RawSocket& server) { server.Reset(); };
+  }
+  SECTION("Closed within the answer") {
+    cut = [](RawSocket& server) {
+      server.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+      server.Close();
+    };
+  }
+  SECTION("An answer whose end is only the connection's") {
+    cut = [](RawSocket& server) {
+      server.Send("HTTP/1.1 200 OK\r\n\r\nmaybe all");
+      server.Close();
+    };
+  }
+  SECTION("No HTTP") {
+    cut = [](RawSocket& server) { server.Send("nonsense\r\n\r\n"); };
+  }
+  SECTION("An answer larger than allowed") {
+    cut = [](RawSocket& server) { server.Send(Answer(std::string(101, 'a'))); };
+  }
+  SECTION("The deadline passes before the answer") {
+    call.deadline = SystemClock::Now() + 100ms;
+    cut = [](RawSocket&) {};
+  }
+  SECTION("The deadline passes while a large request is written") {
+    call.method = "POST";
+    call.body.assign(32U << 20U, 'a');
+    call.deadline = SystemClock::Now() + 300ms;
+    whole = false;
+    cut = [](RawSocket&) {};
+  }
+  const Pending pending = fixture.Call(call);
+  RawSocket server = fixture.listener.Accept();
+  if (whole)
+    server.ReadUntil(kEnd);
+  cut(server);
+  CHECK(pending.Get().delivery == HttpDelivery::kUnknown);
+  // The connection is not used again.
+  const Pending next = fixture.Call(MakeCall("/next"));
+  const RawSocket fresh = fixture.listener.Accept();
+  CHECK(fresh.ReadUntil(kEnd).starts_with("GET /next "));
+  fresh.Send(Answer("next"));
+  CHECK(next.Get().body == "next");
+}
+
+TEST_CASE("A late answer is not delivered to the next call",
+          "[adapters][guarantee]") {
+  Fixture fixture({.max_connections = 1});
+  const Pending slow = fixture.Call(MakeCall("/slow", 50ms));
+  const RawSocket first = fixture.listener.Accept();
+  first.ReadUntil(kEnd);
+  CHECK(slow.Get().delivery == HttpDelivery::kUnknown);
+  try {
+    first.Send(Answer("late"));
+  } catch (const std::runtime_error&) {
+  }
+  const Pending next = fixture.Call(MakeCall("/next"));
+  const RawSocket second = fixture.listener.Accept();
+  second.ReadUntil(kEnd);
+  second.Send(Answer("own"));
+  const HttpResult result = next.Get();
+  CHECK(result.body == "own");
+  CHECK(result.epoch == 2);
+}
+
+TEST_CASE("Bytes that nobody asked for close their connection",
+          "[adapters][guarantee]") {
+  Fixture fixture({.max_connections = 1});
+  const Pending first = fixture.Call(MakeCall("/first"));
+  const RawSocket server = fixture.listener.Accept();
+  server.ReadUntil(kEnd);
+  SECTION("Together with the answer") {
+    server.Send(Answer("first") + Answer("extra"));
+    CHECK(first.Get().body == "first");
+  }
+  SECTION("On the idle connection") {
+    server.Send(Answer("first"));
+    CHECK(first.Get().body == "first");
+    server.Send(Answer("extra"));
+  }
+  const Pending next = fixture.Call(MakeCall("/next"));
+  const RawSocket second = fixture.listener.Accept();
+  second.ReadUntil(kEnd);
+  second.Send(Answer("own"));
+  CHECK(next.Get().body == "own");
+}
+
+TEST_CASE("A stale idle connection costs no call", "[adapters]") {
+  const Fixture fixture;
+  RawSocket server = fixture.Warm();
+  // Sent before the client can have noticed the end of the old connection.
+  server.Close();
+  const Pending next = fixture.Call(MakeCall("/next"));
+  const RawSocket fresh = fixture.listener.Accept();
+  fresh.ReadUntil(kEnd);
+  fresh.Send(Answer("next"));
+  CHECK(next.Get().body == "next");
+}
+
+TEST_CASE("Idle connections are closed at their deadline", "[adapters]") {
+  const Fixture fixture({.idle_timeout = 50ms});
+  const RawSocket server = fixture.Warm();
+  CHECK(server.ReadAll().empty());
+  CHECK(WaitFor([&] { return fixture.client->OpenConnections() == 0; }));
+}
+
+TEST_CASE("A timeout closes idle connections that may be silent as well",
+          "[adapters]") {
+  const Fixture fixture({.max_connections = 2});
+  const Pending one = fixture.Call(MakeCall("/1"));
+  const RawSocket first = fixture.listener.Accept();
+  const Pending two = fixture.Call(MakeCall("/2"));
+  const RawSocket second = fixture.listener.Accept();
+  for (const RawSocket* server : {&first, &second}) {
+    server->ReadUntil(kEnd);
+    server->Send(Answer("x"));
+  }
+  one.Get();
+  two.Get();
+  CHECK(fixture.Call(MakeCall("/3", 50ms)).Get().delivery ==
+        HttpDelivery::kUnknown);
+  CHECK(WaitFor([&] { return fixture.client->OpenConnections() == 0; }));
+}
+
+TEST_CASE("The maximum of connections is never exceeded",
+          "[adapters][guarantee]") {
+  Fixture fixture({.max_connections = 3});
+  std::atomic<int> done = 0;
+  constexpr int kCalls = 40;
+  for (int i = 0; i < kCalls; ++i)
+    fixture.client->Call(MakeCall("/x"), [&](HttpResult result) {
+      CHECK(result.delivery == HttpDelivery::kAnswered);
+      ++done;
+    });
+  std::vector<RawSocket> servers;
+  std::vector<std::jthread> threads;
+  for (int i = 0; i < 3; ++i)
+    servers.push_back(fixture.listener.Accept());
+  CHECK(fixture.client->OpenConnections() == 3);
+  for (const RawSocket& server : servers) {
+    threads.emplace_back([&server] {
+      while (server.ReadUntil(kEnd).ends_with(kEnd))
+        server.Send(Answer("y"));
+    });
+  }
+  CHECK(WaitFor([&] { return done == kCalls; }));
+  fixture.client->SetMaxConnections(1);
+  CHECK(WaitFor([&] { return fixture.client->OpenConnections() == 1; }));
+  fixture.client->Close();
+  threads.clear();
+  fixture.listener.Close();
+}
+
+TEST_CASE("A pinned connection carries its own calls only, in order",
+          "[adapters][guarantee]") {
+  Fixture fixture({.max_connections = 1});
+  RawSocket server = fixture.Warm();
+  const auto pinned = fixture.Pin();
+  REQUIRE(pinned);
+  CHECK(pinned->Epoch() == 1);
+  const Pending other = fixture.Call(MakeCall("/other"));
+  Pending one;
+  Pending two;
+  pinned->Call(MakeCall("/one"), one.Callback());
+  pinned->Call(MakeCall("/two"), two.Callback());
+  CHECK(server.ReadUntil(kEnd).starts_with("GET /one "));
+  SECTION("Released, it serves other calls") {
+    server.Send(Answer("1"));
+    CHECK(one.Get().body == "1");
+    CHECK(server.ReadUntil(kEnd).starts_with("GET /two "));
+    server.Send(Answer("2"));
+    CHECK(two.Get().body == "2");
+    pinned->Release();
+    CHECK(server.ReadUntil(kEnd).starts_with("GET /other "));
+    server.Send(Answer("3"));
+    CHECK(other.Get().body == "3");
+    return;
+  }
+  SECTION("Closed by the peer, it is not replaced") {
+    server.Close();
+  }
+  SECTION("Closed by its holder, it ends its calls") {
+    pinned->Close();
+  }
+  SECTION("Released during a call, it is closed") {
+    pinned->Release();
+  }
+  CHECK(one.Get().delivery == HttpDelivery::kUnknown);
+  CHECK(two.Get().delivery == HttpDelivery::kNotSent);
+  const RawSocket fresh = fixture.listener.Accept();
+  CHECK(fresh.ReadUntil(kEnd).starts_with("GET /other "));
+}
+
+}  // namespace goldcrest::adapters
--- a/adapters/tests/peer_transport_test.cc
+++ b/adapters/tests/peer_transport_test.cc
@@ -0,0 +1,245 @@
+#include "goldcrest/adapters/peer_transport.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <mutex>
+
+#include "goldcrest/adapters/io_pool.h"
+#include "goldcrest/messages/codec.h"
+#include "tests/raw_socket.h"
+#include "tests/relay.h"
+#include "tests/wait.h"
+
+namespace goldcrest::adapters {
+namespace {
+
+using namespace std::chrono_literals;
+using messages::PeerMessage;
+
+// One daemon's end: keeps its log lines and what it received.
+class Node {
+ public:
+  explicit Node(const std::string& name, PeerTransportOptions options = {})
+      : transport_(
+            pool_.Context(),
+            Complete(name, std::move(options)),
+            std::make_shared<Logger>(LoggerOptions{
+                .sink = [this](std::string_view line) { AddLine(line); }}),
+            [this](const std::string& from, PeerMessage message) {
+              if (message.__isset.query)
+                AddMessage(from + ":" + message.query.path);
+            },
+            [this](const std::string& peer, bool up) {
+              AddMessage(peer + (up ? " up" : " down"));
+            }) {
+    transport_.Start();
+  }
+  ~Node() { pool_.Stop(); }
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  PeerTransport& Transport() { return transport_; }
+  void Know(const std::string& name, std::uint16_t port) {
+    transport_.SetPeers({{name, {"127.0.0.1", port}}});
+  }
+  bool Send(const std::string& to, const std::string& text) {
+    PeerMessage message;
+    message.__isset.query = true;
+    message.query.path = text;
+    return transport_.Send(to, message);
+  }
+  bool Received(const std::string& text) { return Has(received_, text); }
+  bool Logged(const std::string& text) { return Has(log_, text); }
+
+ private:
+  static PeerTransportOptions Complete(const std::string& name,
+                                       PeerTransportOptions options) {
+    options.self.instance = name;
+    if (options.cluster.empty())
+      options.cluster = "test";
+    return options;
+  }
+  void AddLine(std::string_view line) {
+    const std::lock_guard lock(mutex_);
+    log_ += line;
+  }
+  void AddMessage(const std::string& text) {
+    const std::lock_guard lock(mutex_);
+    received_ += text + "\n";
+  }
+  bool Has(const std::string& all, const std::string& text) {
+    const std::lock_guard lock(mutex_);
+    return all.find(text) != std::string::npos;
+  }
+
+  std::mutex mutex_;
+  std::string log_;
+  std::string received_;
+  IoPool pool_{2};
+  PeerTransport transport_;
+};
+
+std::string Frame(const std::string& bytes) {
+  const auto size = static_cast<std::uint32_t>(bytes.size());
+  std::string frame;
+  for (int shift = 24; shift >= 0; shift -= 8)
+    frame.push_back(static_cast<char>(size >> static_cast<unsigned>(shift)));
+  return frame + bytes;
+}
+
+std::string HelloFrame(const std::string& cluster,
+                       const std::string& name,
+                       std::int32_t version) {
+  PeerMessage message;
+  message.__isset.hello = true;
+  message.hello.cluster = cluster;
+  message.hello.instance.instance = name;
+  message.hello.version = version;
+  return Frame(messages::Encode(message));
+}
+
+}  // namespace
+
+TEST_CASE("Messages go both ways over the one link that is up", "[adapters]") {
+  Node a("a");
+  Node b("b");
+  CHECK_FALSE(a.Send("b", "early"));
+  a.Know("b", b.Transport().Port());
+  REQUIRE(WaitFor([&] {
+    return a.Transport().IsConnected("b") && b.Transport().IsConnected("a");
+  }));
+  CHECK(a.Send("b", "there"));
+  const std::string large(1 << 20, 'x');
+  CHECK(b.Send("a", large));
+  CHECK(b.Send("a", "back"));
+  CHECK(WaitFor([&] { return b.Received("a up\na:there"); }));
+  CHECK(WaitFor([&] { return a.Received("b:" + large + "\nb:back"); }));
+  a.Transport().SetPeers({});
+  CHECK(WaitFor([&] { return b.Received("a down"); }));
+  CHECK_FALSE(b.Send("a", "gone"));
+}
+
+TEST_CASE("A link that goes silent is replaced within its deadline",
+          "[adapters][guarantee]") {
+  Node a("a");
+  Node b("b");
+  Relay relay(b.Transport().Port());
+  a.Know("b", relay.Port());
+  REQUIRE(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+  const auto start = std::chrono::steady_clock::now();
+  relay.SilenceExisting();
+  REQUIRE(WaitFor([&] { return relay.Accepted() == 2; }));
+  const auto replaced = std::chrono::steady_clock::now() - start;
+  // 1 s from the last byte, which is at most one ping interval and a little
+  // before the silence, and a backoff of 50 ms.
+  CHECK(replaced > 700ms);
+  CHECK(replaced < 1'600ms);
+  REQUIRE(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+  CHECK(a.Logged("cause=silent"));
+  // Sent until it arrives: the other end may still use the silent link.
+  CHECK(WaitFor([&] {
+    a.Send("b", "after");
+    b.Send("a", "answer");
+    return b.Received("a:after") && a.Received("b:answer");
+  }));
+}
+
+TEST_CASE("A peer that comes back is found again", "[adapters]") {
+  Node a("a");
+  std::uint16_t port = 0;
+  {
+    Node b("b");
+    port = b.Transport().Port();
+    a.Know("b", port);
+    REQUIRE(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+    b.Transport().Close();
+    REQUIRE(WaitFor([&] { return !a.Transport().IsConnected("b"); }));
+  }
+  Node again("b", {.port = port});
+  CHECK(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+}
+
+TEST_CASE("Frames that are not what they must be close the link",
+          "[adapters]") {
+  Node a("a", {.max_frame_bytes = 100'000});
+  const RawSocket peer = RawSocket::Connect(a.Transport().Port());
+  std::string cause;
+  SECTION("Another cluster") {
+    peer.Send(HelloFrame("other", "b", 1));
+    cause = "code=703 peer=\"\" address=127.0.0.1 cause=\"cluster is other\"";
+  }
+  SECTION("Another version") {
+    peer.Send(HelloFrame("test", "b", 2));
+    cause = "code=703";
+  }
+  SECTION("The own name") {
+    peer.Send(HelloFrame("test", "a", 1));
+    cause = "code=703";
+  }
+  SECTION("No hello") {
+    peer.Send(Frame(messages::Encode(PeerMessage())));
+    cause = "code=703";
+  }
+  SECTION("A first frame larger than a hello") {
+    peer.Send(std::string("\x00\x01\x01\x01", 4));
+    cause = "code=101";
+  }
+  SECTION("A hello that doesn't come") {
+    cause = "";
+  }
+  SECTION("After the hello") {
+    peer.Send(HelloFrame("test", "b", 1));
+    REQUIRE(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+    SECTION("A frame too large") {
+      peer.Send(std::string("\x00\x01\x86\xa1", 4));
+      cause = "code=101 peer=b";
+    }
+    SECTION("An undecodable frame") {
+      peer.Send(Frame("\xff\xff\xff"));
+      cause = "code=100 peer=b";
+    }
+    SECTION("An empty frame") {
+      peer.Send(Frame(""));
+      cause = "code=100 peer=b";
+    }
+  }
+  CHECK(peer.ReadAll() != "timeout");
+  CHECK(WaitFor([&] { return a.Logged(cause); }));
+  CHECK(WaitFor([&] { return !a.Transport().IsConnected("b"); }));
+}
+
+TEST_CASE("An instance that answers for another gets no link",
+          "[adapters][guarantee]") {
+  Node a("a");
+  Node c("c");
+  a.Know("b", c.Transport().Port());
+  CHECK(WaitFor([&] { return a.Logged("instance is c, not b"); }));
+  CHECK_FALSE(a.Transport().IsConnected("b"));
+  CHECK_FALSE(a.Transport().IsConnected("c"));
+}
+
+TEST_CASE("A full queue drops its oldest messages and counts them",
+          "[adapters]") {
+  Node a("a", {.max_queued_messages = 4});
+  const RawSocket peer = RawSocket::Connect(a.Transport().Port());
+  peer.Send(HelloFrame("test", "b", 1));
+  REQUIRE(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+  const std::string large(1 << 20, 'x');
+  // The peer doesn't read, so the link's queue fills up.
+  CHECK(WaitFor([&] {
+    return a.Send("b", large) && a.Transport().DroppedMessages() >= 10;
+  }));
+  CHECK(a.Send("b", "newest"));
+  CHECK(peer.ReadUntil("newest").find("newest") != std::string::npos);
+}
+
+TEST_CASE("A message larger than a frame is refused", "[adapters]") {
+  Node a("a", {.max_frame_bytes = 1'000});
+  const RawSocket peer = RawSocket::Connect(a.Transport().Port());
+  peer.Send(HelloFrame("test", "b", 1));
+  REQUIRE(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+  CHECK_FALSE(a.Send("b", std::string(1'000, 'x')));
+  CHECK(a.Send("b", "small"));
+}
+
+}  // namespace goldcrest::adapters
