Add the stand-in database server

Tests and load measurements need a database group that reports terms and log positions, and no third-party server may be started. Keeping one thread per connection makes the server short; a shared event loop was ruled out since a database has some 25 connections.

A log entry holds all writes of a transaction, because single entries would let a promotion keep half of one. A replica reports position 0 after an order to follow until its log is compared with the new primary's, because a divergent tail would otherwise count as acknowledged. Status adds log_term and log_position: ranking by the ordered term alone could promote a replica that heard of a term and holds less than another.

Before: no endpoint. Each of them fails when its guard is removed: the index of request ids, the check for a lower term, the rollback on close, the truncation, and the mark that the log is not compared yet.

--- /dev/null
+++ b/settings/include/goldcrest/settings/http_client.h
@@ -0,0 +1,53 @@
+#ifndef GOLDCREST_SETTINGS_HTTP_CLIENT_H_
+#define GOLDCREST_SETTINGS_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace goldcrest::settings {
+
+struct HttpCall {
+  std::string method = "GET";
+  std::string target;
+  std::string body;
+  std::map<std::string, std::string> headers;
+};
+
+struct HttpAnswer {
+  int status = 0;
+  std::string body;
+};
+
+//! Blocking HTTP/1.1 client with one connection to one server. Used where no
+//! event loop runs: the operator's tool and the stand-in database.
+class HttpClient {
+ public:
+  HttpClient(std::string host, std::uint16_t port);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  //! Opens the connection if there is none. Returns nullopt when no complete
+  //! answer arrives within `timeout`; the connection is closed then, so a late
+  //! answer can't be taken for that of the next call.
+  std::optional<HttpAnswer> Call(const HttpCall& call,
+                                 std::chrono::milliseconds timeout);
+
+  //! Closes the connection.
+  void Close();
+
+ private:
+  class Connection;
+
+  std::string host_;
+  std::uint16_t port_;
+  std::unique_ptr<Connection> connection_;
+};
+
+}  // namespace goldcrest::settings
+
+#endif  // GOLDCREST_SETTINGS_HTTP_CLIENT_H_
--- /dev/null
+++ b/settings/src/boost_json.cc
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/settings/src/boost_url.cc
@@ -0,0 +1,1 @@
+#include <boost/url/src.hpp>
--- /dev/null
+++ b/testing/internal/statement.h
@@ -0,0 +1,46 @@
+#ifndef GOLDCREST_TESTING_STATEMENT_H_
+#define GOLDCREST_TESTING_STATEMENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace goldcrest::testing {
+
+enum class StatementKind : std::uint8_t {
+  kRead,
+  kWrite,
+  kBegin,
+  kCommit,
+  kRollback,
+};
+
+struct StatementRequest {
+  std::int64_t call_id = 0;
+  std::int64_t term = 0;
+  StatementKind kind = StatementKind::kRead;
+  std::string statement;
+  std::string request_id;
+  std::string transaction;
+  std::chrono::steady_clock::time_point deadline;
+};
+
+enum class StatementStatus : std::uint8_t {
+  kDone,
+  kFailed,  //!< It ran, reported an error and changed nothing.
+  kNotRun,
+};
+
+struct StatementAnswer {
+  std::int64_t call_id = 0;
+  StatementStatus status = StatementStatus::kNotRun;
+  std::string reason;
+  std::int64_t term = 0;
+  std::int64_t position = 0;
+  std::string value;
+  std::string transaction;
+};
+
+}  // namespace goldcrest::testing
+
+#endif  // GOLDCREST_TESTING_STATEMENT_H_
--- /dev/null
+++ b/testing/tests/standin_server_test.cc
@@ -0,0 +1,190 @@
+#include "standin_server.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/json/serialize.hpp>
+
+#include "standin_json.h"
+
+namespace goldcrest::testing {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kBound{5000};
+
+bool Eventually(const std::function<bool()>& condition) {
+  const auto deadline = steady_clock::now() + kBound;
+  while (!condition()) {
+    if (steady_clock::now() > deadline)
+      return false;
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  return true;
+}
+
+std::unique_ptr<StandinServer> StartServer(const std::string& name) {
+  StandinOptions options;
+  options.endpoint = name;
+  options.group = "bookings";
+  return std::make_unique<StandinServer>(options);
+}
+
+//! One connection to a server.
+class Caller {
+ public:
+  explicit Caller(const StandinServer& server)
+      : client_("127.0.0.1", server.port()) {}
+
+  json::object Post(const std::string& target, const json::value& body) {
+    return Answer({"POST", target, json::serialize(body), {}});
+  }
+  json::object Get(const std::string& target) {
+    return Answer({"GET", target});
+  }
+
+  json::object Execute(std::int64_t term,
+                       const std::string& kind,
+                       const std::string& statement,
+                       const std::string& request_id = "",
+                       const std::string& transaction = "") {
+    return Post("/v1/statement", {{"call_id", ++call_id_},
+                                  {"term", term},
+                                  {"kind", kind},
+                                  {"statement", statement},
+                                  {"request_id", request_id},
+                                  {"transaction", transaction}});
+  }
+  std::string Read(std::int64_t term, const std::string& key) {
+    return TextAt(Execute(term, "read", "get " + key), "value");
+  }
+  bool Promote(std::int64_t term) {
+    const auto status = Post("/v1/promote", {{"term", term}});
+    return TextAt(status, "role") == "primary" &&
+           NumberAt(status, "term") == term;
+  }
+  void Follow(std::int64_t term, const StandinServer& primary) {
+    Post("/v1/follow", {{"term", term},
+                        {"primary", "new"},
+                        {"host", "127.0.0.1"},
+                        {"port", primary.port()}});
+  }
+  std::int64_t Position() { return NumberAt(Get("/v1/status"), "position"); }
+  void SetFault(const std::string& kind, std::int64_t value) {
+    Post("/v1/test/fault", {{"kind", kind}, {"value", value}});
+  }
+  void Close() { client_.Close(); }
+
+ private:
+  json::object Answer(const settings::HttpCall& call) {
+    const auto answer = client_.Call(call, kBound);
+    return answer ? ParseObject(answer->body).value() : json::object();
+  }
+
+  settings::HttpClient client_;
+  std::int64_t call_id_ = 0;
+};
+
+void CheckRefused(const json::object& answer, const std::string& reason) {
+  CHECK(TextAt(answer, "status") == "not_run");
+  CHECK(TextAt(answer, "reason") == reason);
+}
+
+}  // namespace
+
+// Fails when a request id is kept outside the replicated log.
+TEST_CASE("A write resent after a promotion gets its first result",
+          "[testing]") {
+  const auto old_primary = StartServer("db-1");
+  const auto new_primary = StartServer("db-2");
+  Caller first(*old_primary);
+  Caller second(*new_primary);
+  REQUIRE(first.Promote(1));
+  second.Follow(1, *old_primary);
+  const auto written = first.Execute(1, "write", "incr pumps", "r-1");
+  REQUIRE(TextAt(written, "value") == "1");
+  REQUIRE(Eventually(
+      [&] { return second.Position() == NumberAt(written, "position"); }));
+  REQUIRE(second.Promote(2));
+  const auto resent = second.Execute(2, "write", "incr pumps", "r-1");
+  CHECK(TextAt(resent, "status") == "done");
+  CHECK(TextAt(resent, "value") == "1");
+  CHECK(second.Read(2, "pumps") == "1");
+  CheckRefused(second.Execute(2, "write", "incr vans", "r-1"),
+               "request_id_reused");
+  CHECK(json::serialize(second.Get("/v1/outcome?request_id=r%2D1")) ==
+        R"({"known":true,"value":"1","position":2})");
+}
+
+// Fails when a replaced primary goes on to accept the old term's statements.
+TEST_CASE("A statement of a lower term or at a replica does not run",
+          "[testing]") {
+  const auto server = StartServer("db-1");
+  const auto other = StartServer("db-2");
+  Caller caller(*server);
+  REQUIRE(caller.Promote(2));
+  CheckRefused(caller.Execute(1, "write", "set k v"), "stale_term");
+  CheckRefused(caller.Execute(3, "write", "set k v"), "unknown_term");
+  caller.Follow(3, *other);
+  CheckRefused(caller.Execute(2, "write", "set k v"), "stale_term");
+  CheckRefused(caller.Execute(3, "write", "set k v"), "not_primary");
+  CHECK_FALSE(caller.Promote(3));
+}
+
+// Fails when an abandoned transaction keeps its slot, its keys or its writes.
+TEST_CASE("A closed connection rolls its transaction back", "[testing]") {
+  const auto server = StartServer("db-1");
+  Caller owner(*server);
+  Caller other(*server);
+  REQUIRE(owner.Promote(1));
+  const auto begun = owner.Execute(1, "begin", "");
+  const std::string transaction = TextAt(begun, "transaction");
+  owner.Execute(1, "write", "set facade booked", "", transaction);
+  CHECK(other.Read(1, "facade").empty());
+  CheckRefused(other.Execute(1, "commit", "", "", transaction),
+               "unknown_transaction");
+  owner.Close();
+  REQUIRE(Eventually(
+      [&] { return NumberAt(other.Get("/v1/status"), "transactions") == 0; }));
+  CheckRefused(owner.Execute(1, "commit", "", "", transaction),
+               "unknown_transaction");
+  const auto written = other.Execute(1, "write", "append facade free");
+  CHECK(TextAt(written, "value") == "free");
+}
+
+// Fails when a replica counts entries that its primary never had.
+TEST_CASE("A member that follows a new primary drops its divergent tail",
+          "[testing]") {
+  const auto old_primary = StartServer("db-1");
+  const auto new_primary = StartServer("db-2");
+  Caller first(*old_primary);
+  Caller second(*new_primary);
+  REQUIRE(first.Promote(1));
+  second.Follow(1, *old_primary);
+  first.Execute(1, "write", "set shared yes");
+  REQUIRE(Eventually([&] { return second.Position() == 2; }));
+  second.SetFault("cut_replication", 1);
+  for (int i = 0; i < 5; ++i)
+    first.Execute(1, "write", "set lost yes", "lost");
+  first.Execute(1, "write", "set lost again");
+  REQUIRE(second.Promote(2));
+  first.Follow(2, *new_primary);
+  // The tail is not yet compared: it counts as nothing held.
+  CHECK(first.Position() == 0);
+  CheckRefused(first.Execute(2, "read", "get lost"), "not_synced");
+  second.SetFault("cut_replication", 0);
+  second.Execute(2, "write", "set kept yes");
+  REQUIRE(Eventually([&] { return first.Position() == 4; }));
+  CHECK(first.Read(2, "lost").empty());
+  CHECK(first.Read(2, "shared") == "yes");
+  CHECK(first.Read(2, "kept") == "yes");
+  CHECK(TextAt(first.Get("/v1/outcome?request_id=lost"), "value").empty());
+}
+
+}  // namespace goldcrest::testing
