Add the daemon's adapters, not built yet

Ruled out: one connection pool an endpoint, because a probe would wait behind statements and a busy primary would look dead. Before: none.

--- a/adapters/src/json_library.cc
+++ /dev/null
@@ -1,2 +0,0 @@
-// Boost.JSON is compiled here, once for all programs.
-#include <boost/json/src.hpp>
--- a/entry/include/goldcrest/entry/caller_request.h
+++ b/entry/include/goldcrest/entry/caller_request.h
@@ -39,6 +39,7 @@
   //! Set where the request can succeed after that time.
   std::optional<std::chrono::milliseconds> retry_after;
   std::string customer;  //!< For counters; empty when unknown.
+  std::string group;
 };
 
 }  // namespace goldcrest::entry
--- a/entry/src/ingress.cc
+++ b/entry/src/ingress.cc
@@ -282,6 +282,7 @@
   const auto it = pending_.find(id);
   answer.id = it->second.request.id;
   answer.customer = it->second.access.customer;
+  answer.group = it->second.request.group;
   coordinator_waiters_.erase(id);
   pending_.erase(it);
   effects_.answers.push_back(std::move(answer));
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -7995,6 +7995,11 @@
   this->query_response = val;
 __isset.query_response = true;
 }
+
+void PeerMessage::__set_drain(const bool val) {
+  this->drain = val;
+__isset.drain = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -8119,6 +8124,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->drain);
+          this->__isset.drain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8196,6 +8209,11 @@
     xfer += this->query_response.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.drain) {
+    xfer += oprot->writeFieldBegin("drain", ::apache::thrift::protocol::T_BOOL, 13);
+    xfer += oprot->writeBool(this->drain);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8215,6 +8233,7 @@
   swap(a.propose_response, b.propose_response);
   swap(a.query, b.query);
   swap(a.query_response, b.query_response);
+  swap(a.drain, b.drain);
   swap(a.__isset, b.__isset);
 }
 
@@ -8231,6 +8250,7 @@
   propose_response = other261.propose_response;
   query = other261.query;
   query_response = other261.query_response;
+  drain = other261.drain;
   __isset = other261.__isset;
 }
 PeerMessage::PeerMessage(PeerMessage&& other262) noexcept {
@@ -8246,6 +8266,7 @@
   propose_response = std::move(other262.propose_response);
   query = std::move(other262.query);
   query_response = std::move(other262.query_response);
+  drain = other262.drain;
   __isset = other262.__isset;
 }
 PeerMessage& PeerMessage::operator=(const PeerMessage& other263) {
@@ -8261,6 +8282,7 @@
   propose_response = other263.propose_response;
   query = other263.query;
   query_response = other263.query_response;
+  drain = other263.drain;
   __isset = other263.__isset;
   return *this;
 }
@@ -8277,6 +8299,7 @@
   propose_response = std::move(other264.propose_response);
   query = std::move(other264.query);
   query_response = std::move(other264.query_response);
+  drain = other264.drain;
   __isset = other264.__isset;
   return *this;
 }
@@ -8295,6 +8318,7 @@
   out << ", " << "propose_response="; (__isset.propose_response ? (out << to_string(propose_response)) : (out << "<null>"));
   out << ", " << "query="; (__isset.query ? (out << to_string(query)) : (out << "<null>"));
   out << ", " << "query_response="; (__isset.query_response ? (out << to_string(query_response)) : (out << "<null>"));
+  out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -2966,7 +2966,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : hello(false), ping(false), pong(false), consensus(false), report(false), update(false), forward(false), forward_response(false), propose(false), propose_response(false), query(false), query_response(false) {}
+  _PeerMessage__isset() : hello(false), ping(false), pong(false), consensus(false), report(false), update(false), forward(false), forward_response(false), propose(false), propose_response(false), query(false), query_response(false), drain(false) {}
   bool hello :1;
   bool ping :1;
   bool pong :1;
@@ -2979,6 +2979,7 @@
   bool propose_response :1;
   bool query :1;
   bool query_response :1;
+  bool drain :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -2990,7 +2991,8 @@
   PeerMessage& operator=(PeerMessage&&) noexcept;
   PeerMessage() noexcept
               : ping(0),
-                pong(0) {
+                pong(0),
+                drain(0) {
   }
 
   virtual ~PeerMessage() noexcept;
@@ -3006,6 +3008,7 @@
   ProposeResponse propose_response;
   QueryRequest query;
   QueryResponse query_response;
+  bool drain;
 
   _PeerMessage__isset __isset;
 
@@ -3033,6 +3036,8 @@
 
   void __set_query_response(const QueryResponse& val);
 
+  void __set_drain(const bool val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -3083,6 +3088,10 @@
       return false;
     else if (__isset.query_response && !(query_response == rhs.query_response))
       return false;
+    if (__isset.drain != rhs.__isset.drain)
+      return false;
+    else if (__isset.drain && !(drain == rhs.drain))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -380,6 +380,7 @@
   10: optional ProposeResponse propose_response,
   11: optional QueryRequest query,
   12: optional QueryResponse query_response,
+  13: optional bool drain,               // the receiver starts a planned stop
 }
 
 // ---- snapshot of the control state machine -------------------------------
--- a/policy/src/configuration.cc
+++ b/policy/src/configuration.cc
@@ -54,7 +54,9 @@
 }
 
 ChangeResult Configuration::Evaluate(const Change& change) {
-  if (change.base_revision != revision_)
+  // A negative base revision: the change holds on whatever is current, as the
+  // issue and the withdrawal of a key do.
+  if (change.base_revision >= 0 && change.base_revision != revision_)
     return Conflict(change);
   ChangeDraft draft(objects_);
   std::optional<Problem> problem;
--- /dev/null
+++ b/programs/goldcrestd/endpoint_gateway.cc
@@ -0,0 +1,299 @@
+#include "programs/goldcrestd/endpoint_gateway.h"
+
+#include <algorithm>
+
+#include "goldcrest/adapters/json.h"
+#include "goldcrest/adapters/system_clock.h"
+
+namespace goldcrest {
+namespace {
+
+using adapters::HttpDelivery;
+using adapters::JsonObject;
+using adapters::JsonWriter;
+using coordinator::AnswerStatus;
+using coordinator::CallResult;
+using coordinator::Delivery;
+using coordinator::EndpointAnswer;
+using coordinator::EndpointCall;
+using coordinator::EndpointOperation;
+using coordinator::NotRunReason;
+using coordinator::StatementKind;
+
+constexpr std::size_t kMaxTextBytes = std::size_t{1} << 20U;
+constexpr int kProbeConnections = 4;
+constexpr int kHttpOk = 200;
+
+std::string_view NameOf(StatementKind kind) {
+  switch (kind) {
+    case StatementKind::kRead:
+      return "read";
+    case StatementKind::kWrite:
+      return "write";
+    case StatementKind::kBegin:
+      return "begin";
+    case StatementKind::kCommit:
+      return "commit";
+    case StatementKind::kRollback:
+      return "rollback";
+  }
+  return "read";
+}
+
+std::int64_t MillisecondsUntil(Time deadline) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      deadline - adapters::SystemClock::Now());
+  return std::max<std::int64_t>(left.count(), 1);
+}
+
+adapters::HttpCall ToHttp(const EndpointCall& call) {
+  adapters::HttpCall http;
+  http.deadline = call.deadline;
+  JsonWriter body;
+  body.BeginObject();
+  switch (call.operation) {
+    case EndpointOperation::kStatement:
+      http.path = "/v1/statement";
+      body.Member("call_id", static_cast<std::int64_t>(call.id))
+          .Member("term", call.term)
+          .Member("kind", NameOf(call.kind))
+          .Member("statement", call.statement)
+          .Member("request_id", call.request_id)
+          .Member("transaction", call.transaction)
+          .Member("timeout_ms", MillisecondsUntil(call.deadline));
+      break;
+    case EndpointOperation::kStatus:
+      http.method = "GET";
+      http.path = "/v1/status";
+      return http;
+    case EndpointOperation::kPromote:
+      http.path = "/v1/promote";
+      body.Member("term", call.term);
+      break;
+    case EndpointOperation::kFollow:
+      http.path = "/v1/follow";
+      body.Member("term", call.term)
+          .Member("primary", call.primary)
+          .Member("host", call.primary_host)
+          .Member("port", call.primary_port);
+      break;
+    case EndpointOperation::kOutcome:
+      http.path = "/v1/outcome";
+      body.Member("term", call.term)
+          .Member("request_id", call.request_id)
+          .Member("fence", true);
+      break;
+  }
+  body.EndObject();
+  http.body = body.Take();
+  return http;
+}
+
+NotRunReason ReasonFrom(const std::string& name) {
+  if (name == "stale_term")
+    return NotRunReason::kStaleTerm;
+  if (name == "not_primary")
+    return NotRunReason::kNotPrimary;
+  if (name == "no_slot")
+    return NotRunReason::kNoSlot;
+  return NotRunReason::kOther;
+}
+
+// Nullopt when the body is not an answer to `call`.
+std::optional<EndpointAnswer> ParseAnswer(const EndpointCall& call,
+                                          const std::string& body) {
+  JsonObject json = JsonObject::Parse(body);
+  EndpointAnswer answer;
+  constexpr std::int64_t kMax = INT64_MAX;
+  answer.term = json.OptionalInteger("term", 0, kMax).value_or(0);
+  answer.position = json.OptionalInteger("position", 0, kMax).value_or(0);
+  answer.log_term = json.OptionalInteger("log_term", 0, kMax).value_or(0);
+  // The position of a member's last entry, compared or not, ranks it.
+  if (const auto log_position = json.OptionalInteger("log_position", 0, kMax))
+    answer.position = *log_position;
+  answer.endpoint = json.OptionalString("endpoint", kMaxTextBytes).value_or("");
+  answer.value = json.OptionalString("value", kMaxTextBytes).value_or("");
+  answer.transaction =
+      json.OptionalString("transaction", kMaxTextBytes).value_or("");
+  answer.known = json.OptionalBool("known").value_or(false);
+  answer.call_id = call.id;
+  if (call.operation == EndpointOperation::kStatement) {
+    answer.call_id =
+        static_cast<std::uint64_t>(json.RequiredInteger("call_id", 0, kMax));
+    const std::string status = json.RequiredString("status", kMaxTextBytes);
+    if (status == "not_run")
+      answer.status = AnswerStatus::kNotRun;
+    else if (status == "failed")
+      answer.status = AnswerStatus::kFailed;
+    else if (status != "done")
+      json.AddError("status", "is unknown");
+    const std::string reason =
+        json.OptionalString("reason", kMaxTextBytes).value_or("");
+    answer.reason = ReasonFrom(reason);
+    if (answer.status == AnswerStatus::kFailed)
+      answer.value = reason;
+  }
+  if (!json.Finish(adapters::UnknownFields::kIgnore).empty())
+    return std::nullopt;
+  return answer;
+}
+
+CallResult ToResult(const EndpointCall& call,
+                    const adapters::HttpResult& http) {
+  CallResult result;
+  if (http.delivery == HttpDelivery::kNotSent) {
+    result.delivery = Delivery::kNotSent;
+    return result;
+  }
+  if (http.delivery != HttpDelivery::kAnswered || http.status != kHttpOk)
+    return result;
+  const auto answer = ParseAnswer(call, http.body);
+  if (!answer || answer->call_id != call.id)
+    return result;
+  result.delivery = Delivery::kAnswered;
+  result.answer = *answer;
+  return result;
+}
+
+}  // namespace
+
+void EndpointGateway::SetEndpoints(
+    const std::vector<messages::EndpointInfo>& endpoints) {
+  const std::lock_guard lock(mutex_);
+  for (const messages::EndpointInfo& info : endpoints) {
+    Client& client = clients_[info.endpoint];
+    if (client.host == info.host && client.port == info.port) {
+      client.statements->SetMaxConnections(
+          static_cast<std::size_t>(info.connections));
+      continue;
+    }
+    client.host = info.host;
+    client.port = info.port;
+    client.statements = NewClient(info.host, info.port, info.connections);
+    client.probes = NewClient(info.host, info.port, kProbeConnections);
+  }
+}
+
+std::shared_ptr<adapters::HttpClient>
+EndpointGateway::NewClient(const std::string& host, int port, int connections) {
+  adapters::HttpClientOptions options;
+  options.host = host;
+  options.port = static_cast<std::uint16_t>(port);
+  options.max_connections = static_cast<std::size_t>(connections);
+  return std::make_shared<adapters::HttpClient>(context_, options);
+}
+
+void EndpointGateway::Call(const EndpointCall& call, Callback callback) {
+  std::shared_ptr<adapters::HttpClient> client;
+  const bool statement = call.operation == EndpointOperation::kStatement;
+  {
+    const std::lock_guard lock(mutex_);
+    if (const auto it = clients_.find(call.endpoint); it != clients_.end())
+      client = statement ? it->second.statements : it->second.probes;
+  }
+  if (client == nullptr) {
+    CallResult result;
+    result.delivery = Delivery::kNotSent;
+    callback(result);
+    return;
+  }
+  auto done = [call, callback](adapters::HttpResult http) {
+    callback(ToResult(call, http));
+  };
+  if (call.pin == 0)
+    client->Call(ToHttp(call), std::move(done));
+  else
+    CallPinned(call, client, ToHttp(call), std::move(done));
+}
+
+void EndpointGateway::CallPinned(
+    const EndpointCall& call,
+    const std::shared_ptr<adapters::HttpClient>& client,
+    adapters::HttpCall http,
+    adapters::HttpCallback done) {
+  const PinKey key(call.endpoint, call.pin);
+  std::shared_ptr<adapters::PinnedConnection> connection;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto [it, added] = pins_.try_emplace(key);
+    connection = it->second.connection;
+    if (!added && connection == nullptr) {
+      done({});  // not sent: the connection is still being opened
+      return;
+    }
+  }
+  if (connection != nullptr) {
+    connection->Call(std::move(http), std::move(done));
+    return;
+  }
+  client->OpenPinned(
+      call.deadline,
+      [this, key, http = std::move(http), done = std::move(done)](
+          std::shared_ptr<adapters::PinnedConnection> opened, std::string) {
+        {
+          const std::lock_guard lock(mutex_);
+          const auto it = pins_.find(key);
+          if (it == pins_.end() || opened == nullptr) {
+            if (it != pins_.end())
+              pins_.erase(it);
+            opened = nullptr;  // closes it if the pin was closed meanwhile
+          } else {
+            it->second.connection = opened;
+          }
+        }
+        if (opened == nullptr)
+          done({});
+        else
+          opened->Call(http, done);
+      });
+}
+
+void EndpointGateway::ClosePin(const std::string& endpoint, std::uint64_t pin) {
+  std::shared_ptr<adapters::PinnedConnection> connection;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto node = pins_.extract({endpoint, pin});
+    if (!node.empty())
+      connection = node.mapped().connection;
+  }
+  if (connection != nullptr)
+    connection->Close();
+}
+
+void EndpointGateway::ReleasePin(const std::string& endpoint,
+                                 std::uint64_t pin) {
+  std::shared_ptr<adapters::PinnedConnection> connection;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto node = pins_.extract({endpoint, pin});
+    if (!node.empty())
+      connection = node.mapped().connection;
+  }
+  if (connection != nullptr)
+    connection->Release();
+}
+
+void EndpointGateway::Verify(const messages::EndpointInfo& info,
+                             Time deadline,
+                             std::function<void(bool)> callback) {
+  const auto client = NewClient(info.host, info.port, 1);
+  adapters::HttpCall call;
+  call.method = "GET";
+  call.path = "/v1/status";
+  call.deadline = deadline;
+  client->Call(call, [client, info, callback = std::move(callback)](
+                         adapters::HttpResult http) {
+    if (http.delivery != HttpDelivery::kAnswered || http.status != kHttpOk) {
+      callback(false);
+      return;
+    }
+    JsonObject json = JsonObject::Parse(http.body);
+    const bool matches =
+        json.RequiredString("endpoint", kMaxTextBytes) == info.endpoint &&
+        json.RequiredString("group", kMaxTextBytes) == info.group &&
+        json.RequiredInteger("incarnation", 0, INT64_MAX) == info.incarnation;
+    callback(matches && json.Finish(adapters::UnknownFields::kIgnore).empty());
+  });
+}
+
+}  // namespace goldcrest
