--- a/programs/goldcrestd/daemon.cc
+++ b/programs/goldcrestd/daemon.cc
@@ -257,7 +257,7 @@
   if (!effects.failed)
     return;
   logger_->Error("log_failed", ResultCode::kLogWriteFailed,
-                 {{"folder", settings_.control.data_folder}});
+                 {{"folder", settings_.control.data_folder.string()}});
   if (on_failure_)
     on_failure_();
 }
--- a/programs/goldcrestd/main.cc
+++ b/programs/goldcrestd/main.cc
@@ -40,13 +40,17 @@
 stops at once.
 )";
 
-adapters::LogLevel LevelOf(const std::string& name) {
-  if (name == "debug")
-    return adapters::LogLevel::kDebug;
-  if (name == "warning")
-    return adapters::LogLevel::kWarning;
-  if (name == "error")
-    return adapters::LogLevel::kError;
+adapters::LogLevel LevelOf(settings::LogLevel level) {
+  switch (level) {
+    case settings::LogLevel::kDebug:
+      return adapters::LogLevel::kDebug;
+    case settings::LogLevel::kInfo:
+      return adapters::LogLevel::kInfo;
+    case settings::LogLevel::kWarning:
+      return adapters::LogLevel::kWarning;
+    case settings::LogLevel::kError:
+      return adapters::LogLevel::kError;
+  }
   return adapters::LogLevel::kInfo;
 }
 
@@ -83,13 +87,12 @@
 }
 
 leaf::result<int> Run(const std::string& config, bool bootstrap) {
-  std::vector<settings::Problem> problems;
-  const settings::DaemonSettings settings =
-      settings::LoadSettings(config, &problems);
-  if (!problems.empty()) {
-    ReportProblems(problems);
+  const settings::LoadedSettings loaded = settings::LoadSettings(config);
+  if (!loaded.problems.empty()) {
+    ReportProblems(loaded.problems);
     return EX_CONFIG;
   }
+  const settings::DaemonSettings& settings = loaded.settings;
   auto logger = std::make_shared<adapters::Logger>(adapters::LoggerOptions{
       LevelOf(settings.log.level), settings.instance, settings.zone, {}});
   storage::OpenedLog log;
@@ -110,8 +113,8 @@
                                         "goldcrestd " GOLDCREST_VERSION);
   const std::string config = arguments.at("--config").asString();
   if (arguments.at("check").asBool()) {
-    std::vector<settings::Problem> problems;
-    settings::LoadSettings(config, &problems);
+    const std::vector<settings::Problem> problems =
+        settings::CheckSettings(config);
     ReportProblems(problems);
     if (problems.empty())
       fmt::print("{}: settings are valid\n", config);
--- a/programs/goldcrestd/operator_api.cc
+++ b/programs/goldcrestd/operator_api.cc
@@ -144,7 +144,7 @@
         json.Member("revision", configuration.Revision()).BeginArray("objects");
         for (const messages::Object& object : configuration.ChangedSince(0)) {
           if (object.deleted || (!name.empty() && object.name != name) ||
-              (!kind.empty() && settings::KindName(object.kind) != kind))
+              (!kind.empty() && settings::ToText(object.kind) != kind))
             continue;
           json.ElementRaw(settings::ToJson(object));
         }
--- a/programs/goldcrestd/operator_api.h
+++ b/programs/goldcrestd/operator_api.h
@@ -11,6 +11,7 @@
 #include "goldcrest/adapters/http_server.h"
 #include "goldcrest/messages/messages.h"
 #include "goldcrest/policy/configuration.h"
+#include "goldcrest/types/time.h"
 #include "programs/goldcrestd/refusal_log.h"
 
 namespace goldcrest {
