--- /dev/null
+++ b/bench/bench.h
@@ -0,0 +1,16 @@
+#ifndef GOLDCREST_BENCH_BENCH_H_
+#define GOLDCREST_BENCH_BENCH_H_
+
+namespace goldcrest::bench {
+
+//! Wrongful refusals of leased shares against a static split. Virtual time; the
+//! same figures on each run.
+int RunQuota();
+
+//! Waiting times of the other customers while one exceeds its rate. Virtual
+//! time, but for the cost of the queue's operations.
+int RunFairness();
+
+}  // namespace goldcrest::bench
+
+#endif  // GOLDCREST_BENCH_BENCH_H_
--- /dev/null
+++ b/bench/main.cc
@@ -0,0 +1,16 @@
+#include <cstdio>
+#include <string_view>
+
+#include "bench/bench.h"
+
+int main(int argc, char** argv) {
+  const std::string_view command = argc == 2 ? argv[1] : "";
+  if (command == "quota") {
+    return goldcrest::bench::RunQuota();
+  }
+  if (command == "fairness") {
+    return goldcrest::bench::RunFairness();
+  }
+  std::fputs("usage: goldcrest_bench quota|fairness\n", stderr);
+  return 2;
+}
