Probe replicas as soon as a write waits for them

Cause: an acknowledgement waited for the next probe of a replica, up to 100 ms away, since only later probes used the shorter interval. Ruled out: a shorter interval at all times, which costs calls while no write waits; replication lag, which is 5 ms here. Conclusion: a write takes its lag plus a probe's round trip.

--- a/coordinator/include/goldcrest/coordinator/group_coordinator.h
+++ b/coordinator/include/goldcrest/coordinator/group_coordinator.h
@@ -27,7 +27,7 @@
 struct CoordinatorOptions {
   Duration probe_interval = std::chrono::milliseconds(100);
   //! Probe interval of replicas while a write waits for them.
-  Duration busy_probe_interval = std::chrono::milliseconds(20);
+  Duration busy_probe_interval = std::chrono::milliseconds(10);
   //! An endpoint that has not answered for this long has failed.
   Duration member_timeout = std::chrono::milliseconds(500);
   Duration probe_timeout = std::chrono::milliseconds(400);
@@ -190,6 +190,7 @@
   void OnProbeResult(const Call& call, const CallResult& result, Time now);
   void OnPromoteResult(const CallResult& result, Time now);
   void SendProbes(Time now);
+  void ProbeReplicasNow(Time now);
   void CheckPrimary(Time now);
   void Collect(Time now);
   void StartReplacement(const std::string& cause,
--- a/coordinator/src/group_coordinator_calls.cc
+++ b/coordinator/src/group_coordinator_calls.cc
@@ -121,6 +121,7 @@
     request.position = answer.position;
     request.value = answer.value;
     unreplicated_.insert(request.id);
+    ProbeReplicasNow(now);
     return;
   }
 
--- a/coordinator/src/group_coordinator_primary.cc
+++ b/coordinator/src/group_coordinator_primary.cc
@@ -129,6 +129,14 @@
     FollowPrimary(now);
 }
 
+void GroupCoordinator::ProbeReplicasNow(Time now) {
+  for (auto& [name, member] : members_.members()) {
+    if (name != primary())
+      member.next_probe = now;
+  }
+  SendProbes(now);
+}
+
 void GroupCoordinator::FollowPrimary(Time now) {
   const Member* leader = members_.Find(primary());
   if (leader == nullptr)
