Give a new coordinator one lease's time before assigning the group anew

Cause: a coordinator that was assigned by a new leader had no lease recorded, so the leader assigned the group again at each tick of 10 ms; the epoch moved on before the instance could ask for its lease (185 epochs in 5 s). Ruled out: lost reports; the transcript showed all instances registered and the leader holding its lease. Before: after a pause of the instance that led control and coordinated the group, no coordinator served within 10 s, and a resent commit ended as unknown. Conclusion: an assignment counts as a lease from the moment it is applied.

--- a/control/include/goldcrest/control/leader.h
+++ b/control/include/goldcrest/control/leader.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -101,7 +102,10 @@
     std::string message;
   };
 
-  void Propose(messages::Command command, std::string pending_key);
+  //! Logs the command unless one about the same thing is on its way.
+  void Propose(messages::Command command,
+               std::string_view about,
+               const std::string& name);
   void ProposeRegistrations(const messages::EntryReport& report,
                             std::int64_t wall_ms);
   void ProposeNotes(const messages::EntryReport& report);
--- a/control/src/leader.cc
+++ b/control/src/leader.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "internal/pending_key.h"
+
 namespace goldcrest::control {
 namespace {
 
@@ -58,7 +60,7 @@
     messages::Command command;
     command.__set_remove_instance(name);
     if (is_registered)
-      Propose(std::move(command), "remove " + name);
+      Propose(std::move(command), kRemoveKey, name);
     return TakeEffects();
   }
   // Only a registered instance gets leases: changes wait for every instance
@@ -107,6 +109,11 @@
                                 const ApplyResult& result,
                                 Time now) {
   if (const auto it = pending_keys_.find(id); it != pending_keys_.end()) {
+    // A new coordinator has one lease's time to ask for its first lease;
+    // without it the group would be assigned anew at each tick.
+    if (it->second.starts_with(kCoordinatorKey))
+      coordinator_lease_until_[it->second.substr(kCoordinatorKey.size())] =
+          now + WithDrift(options_.coordinator_lease);
     pending_.erase(it->second);
     pending_keys_.erase(it);
   }
@@ -132,7 +139,7 @@
   if (state_->session_secret().empty()) {
     messages::Command command;
     command.__set_session_secret(random_secret_());
-    Propose(std::move(command), "session secret");
+    Propose(std::move(command), "session secret", "");
   }
   AssignCoordinators(wall_ms, now);
   RemoveSilentInstances(wall_ms, now);
@@ -172,7 +179,10 @@
   return now - last > WithDrift(options_.control_lease);
 }
 
-void Leader::Propose(messages::Command command, std::string pending_key) {
+void Leader::Propose(messages::Command command,
+                     std::string_view about,
+                     const std::string& name) {
+  std::string pending_key = std::string(about) + name;
   if (!pending_.insert(pending_key).second)
     return;
   const std::uint64_t id = next_proposal_++;
--- a/control/src/leader_assignments.cc
+++ b/control/src/leader_assignments.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "goldcrest/control/leader.h"
+#include "internal/pending_key.h"
 
 namespace goldcrest::control {
 namespace {
@@ -21,7 +22,7 @@
     messages::Command command;
     command.wall_ms = wall_ms;
     command.__set_register_instance(report.instance);
-    Propose(std::move(command), "instance " + name);
+    Propose(std::move(command), kInstanceKey, name);
   }
   for (const messages::Announcement& announcement : report.announcements) {
     const messages::EndpointInfo& info = announcement.info;
@@ -32,7 +33,7 @@
     messages::Command command;
     command.wall_ms = wall_ms;
     command.__set_register_endpoint(info);
-    Propose(std::move(command), "endpoint " + info.endpoint);
+    Propose(std::move(command), kEndpointKey, info.endpoint);
   }
 }
 
@@ -65,7 +66,7 @@
       continue;
     }
     // An assignment of another instance may be on its way into the log.
-    if (pending_.contains("coordinator " + group_name))
+    if (pending_.contains(std::string(kCoordinatorKey) + group_name))
       continue;
     messages::CoordinatorLease lease;
     lease.group = group_name;
@@ -94,7 +95,7 @@
     messages::Command command;
     command.wall_ms = wall_ms;
     command.__set_assign_coordinator(assign);
-    Propose(std::move(command), "coordinator " + name);
+    Propose(std::move(command), kCoordinatorKey, name);
   }
 }
 
@@ -106,7 +107,7 @@
     ++load[other.coordinator];
   // Assignments in the log's queue are not in the state yet.
   for (const std::string& key : pending_) {
-    if (key.starts_with("coordinator "))
+    if (key.starts_with(kCoordinatorKey))
       ++load[key];
   }
 
@@ -141,7 +142,7 @@
     messages::Command command;
     command.wall_ms = wall_ms;
     command.__set_remove_instance(name);
-    Propose(std::move(command), "remove " + name);
+    Propose(std::move(command), kRemoveKey, name);
   }
 }
 
--- /dev/null
+++ b/sessions/tests/replaced_primary_test.cc
@@ -0,0 +1,130 @@
+#include <catch2/catch.hpp>
+
+#include "goldcrest/sessions/fleet.h"
+#include "goldcrest/sessions/golden.h"
+#include "tests/requests.h"
+
+namespace goldcrest::sessions {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// True when the primary that serves now has `statement` in its log.
+bool PrimaryHolds(Fleet& fleet, const std::string& statement) {
+  const std::string primary = fleet.PrimaryOf("bookings");
+  return !primary.empty() &&
+         fleet.group("bookings").TimesRun(primary, statement) == 1;
+}
+
+}  // namespace
+
+TEST_CASE("A primary cut off from its group acknowledges nothing",
+          "[sessions][guarantee]") {
+  // Guards against the loss of an acknowledged write: the primary still
+  // answers its coordinator, but no replica gets the write.
+  Fleet fleet(4, 3);
+  FakeGroup& group = fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  fleet.Note("bookings-1 is cut off from its group");
+  group.member("bookings-1").replicates = false;
+  const auto write =
+      fleet.CallAndWait("write", "e4", Write("set facade booked", "w1"));
+  CHECK(write.code == ResultCode::kOk);
+  CHECK(fleet.PrimaryOf("bookings") != "bookings-1");
+  CHECK(PrimaryHolds(fleet, "set facade booked"));
+  CHECK(CompareWithGolden(GOLDCREST_TEST_DATA "/golden/isolated_primary.txt",
+                          fleet.transcript()) == "");
+}
+
+TEST_CASE("An answer that comes after the promotion acknowledges nothing",
+          "[sessions][guarantee]") {
+  // Guards against a check of the term only when the statement leaves.
+  Fleet fleet(4, 3);
+  FakeGroup& group = fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  fleet.DelayAnswers("bookings-1", milliseconds(1500));
+  group.member("bookings-1").replicates = false;
+  entry::CallerRequest write = Write("set facade booked");
+  write.timeout = seconds(4);
+  fleet.Call("write without id", "e4", write);
+  fleet.Run(milliseconds(50));
+  const std::string coordinator = fleet.CoordinatorOf("bookings");
+  fleet.Note("links between " + coordinator + " and bookings-1 fail for 1 s");
+  fleet.Cut(coordinator, "bookings-1");
+  fleet.Run(seconds(1));
+  fleet.Heal(coordinator, "bookings-1");
+  fleet.Run(seconds(4));
+  REQUIRE(fleet.AnswerTo("write without id") != nullptr);
+  CHECK(InfoOf(fleet.AnswerTo("write without id")->code).outcome ==
+        Outcome::kUnknown);
+  CHECK(CompareWithGolden(GOLDCREST_TEST_DATA "/golden/late_answer.txt",
+                          fleet.transcript()) == "");
+}
+
+TEST_CASE("A coordinator that wakes after its lease acknowledges nothing",
+          "[sessions][guarantee]") {
+  // Guards against two coordinators at a time: the old one is paused with a
+  // write in flight and wakes when its successor serves.
+  Fleet fleet(4, 3);
+  fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  const std::string old = fleet.CoordinatorOf("bookings");
+  const std::string other = old == "e4" ? "e3" : "e4";
+  fleet.Call("write without id", other, Write("set facade booked"));
+  fleet.Run(milliseconds(8));
+  fleet.Freeze(old);
+  REQUIRE(fleet.RunUntil(
+      [&] { return !fleet.CoordinatorOf("bookings").empty(); }, seconds(5)));
+  fleet.Run(milliseconds(200));
+  fleet.Thaw(old);
+  fleet.Run(seconds(2));
+  CHECK(fleet.CoordinatorOf("bookings") != old);
+  REQUIRE(fleet.AnswerTo("write without id") != nullptr);
+  CHECK(InfoOf(fleet.AnswerTo("write without id")->code).outcome ==
+        Outcome::kUnknown);
+  CHECK(CompareWithGolden(GOLDCREST_TEST_DATA "/golden/paused_coordinator.txt",
+                          fleet.transcript()) == "");
+}
+
+TEST_CASE("A write without a majority is not acknowledged and later writes "
+          "are refused before they are sent",
+          "[sessions][guarantee]") {
+  Fleet fleet(4, 3);
+  FakeGroup& group = fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  fleet.Note("both replicas are 30 s behind");
+  group.member("bookings-2").lag = seconds(30);
+  group.member("bookings-3").lag = seconds(30);
+  entry::CallerRequest write = Write("set facade booked", "w1");
+  write.timeout = milliseconds(800);
+  CHECK(fleet.CallAndWait("write", "e4", write).code ==
+        ResultCode::kNotReplicated);
+}
+
+TEST_CASE("A failed primary is replaced within two seconds",
+          "[sessions][guarantee]") {
+  Fleet fleet(4, 3);
+  fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  fleet.CallAndWait("before", "e4", Write("set a 1", "w1"));
+  fleet.KillEndpoint("bookings-1");
+  const Time killed = fleet.now();
+
+  SECTION("with control in order") {
+    fleet.CallAndWait("after", "e4", Write("set b 2", "w2"));
+    CHECK(fleet.now() - killed < seconds(2));
+    CHECK(CompareWithGolden(GOLDCREST_TEST_DATA "/golden/failover.txt",
+                            fleet.transcript()) == "");
+  }
+  SECTION("with the control leader lost at the same moment") {
+    const std::string leader = fleet.ControlLeader();
+    fleet.Kill(leader);
+    const std::string at = leader == "e4" ? "e3" : "e4";
+    CHECK(fleet.CallAndWait("after", at, Write("set b 2", "w2")).code ==
+          ResultCode::kOk);
+    CHECK(fleet.now() - killed < seconds(5));
+  }
+}
+
+}  // namespace goldcrest::sessions
