--- a/policy/include/goldcrest/policy/object_table.h
+++ b/policy/include/goldcrest/policy/object_table.h
@@ -35,7 +35,7 @@
   const messages::Object* FindKey(std::string_view digest) const;
 
   //! Names of the live keys of a customer.
-  const std::set<std::string>& KeysOf(const std::string& customer) const;
+  std::set<std::string> KeysOf(const std::string& customer) const;
 
   //! Live objects of a kind in ascending order of name.
   std::vector<const messages::Object*> Live(
--- a/policy/src/configuration.cc
+++ b/policy/src/configuration.cc
@@ -48,7 +48,7 @@
   applied.change_id = change.change_id;
   applied.fingerprint = fingerprint;
   applied.result = Evaluate(change);
-  const ChangeResult result = applied.result;
+  ChangeResult result = applied.result;
   changes_.Add(std::move(applied));
   return result;
 }
--- a/policy/src/object_table.cc
+++ b/policy/src/object_table.cc
@@ -37,11 +37,10 @@
   return Find(messages::ObjectKind::KEY, name->second);
 }
 
-const std::set<std::string>& ObjectTable::KeysOf(
-    const std::string& customer) const {
-  static const std::set<std::string> kNone;
+std::set<std::string> ObjectTable::KeysOf(const std::string& customer) const {
   const auto keys = keys_by_customer_.find(customer);
-  return keys == keys_by_customer_.end() ? kNone : keys->second;
+  return keys == keys_by_customer_.end() ? std::set<std::string>()
+                                         : keys->second;
 }
 
 std::vector<const messages::Object*> ObjectTable::Live(
--- a/session/src/mark_codec.cc
+++ b/session/src/mark_codec.cc
@@ -19,6 +19,8 @@
 using apache::thrift::transport::TMemoryBuffer;
 using Protocol = TCompactProtocolT<TMemoryBuffer>;
 
+constexpr int kMaxBytes = static_cast<int>(TokenSealer::kMaxTokenBytes);
+
 // Throws on malformed bytes.
 std::optional<Marks> Read(Protocol& protocol) {
   Marks marks;
@@ -57,7 +59,6 @@
 std::optional<Marks> DecodeMarks(std::string_view bytes) {
   if (bytes.size() > TokenSealer::kMaxTokenBytes)
     return std::nullopt;
-  constexpr int kMaxBytes = static_cast<int>(TokenSealer::kMaxTokenBytes);
   // TMemoryBuffer takes a mutable pointer but only reads in OBSERVE mode.
   auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
   auto buffer = std::make_shared<TMemoryBuffer>(
--- a/session/tests/read_eligibility_test.cc
+++ b/session/tests/read_eligibility_test.cc
@@ -5,6 +5,8 @@
 namespace goldcrest::session {
 namespace {
 
+constexpr int kProbes = 20'000;
+
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -31,6 +33,7 @@
   SECTION("a late answer to an earlier question is ignored") {
     history.Record(At(2), 99);
     CHECK(history.AgeOf(20, At(9)) == seconds(6));
+    CHECK(history.AgeOf(99, At(9)) == seconds(6));
   }
   SECTION("a position that falls replaces the higher ones") {
     history.Record(At(4), 15);
@@ -47,7 +50,6 @@
 // memory.
 TEST_CASE("A full history gives ages that are exact or higher", "[session]") {
   PositionHistory history;
-  constexpr int kProbes = 20'000;
   for (int i = 0; i < kProbes; ++i)
     history.Record(Time(milliseconds(100 * i)), i);
   CHECK(history.Size() <= PositionHistory::kCapacity);
