--- a/policy/tests/changes_test.cc
+++ b/policy/tests/changes_test.cc
@@ -104,13 +104,15 @@
     messages::AppliedChange change;
     change.change_id = std::to_string(i);
     change.result.revision = static_cast<std::int64_t>(i);
+    // The oldest one that is kept is a refusal.
+    change.result.code = i == 2 ? Code(ResultCode::kRevisionConflict) : 0;
     memory.Add(change);
   }
   CHECK(memory.Find("1") == nullptr);
   REQUIRE(memory.Find("2") != nullptr);
   CHECK(memory.Find("2")->result.revision == 2);
   CHECK(memory.Find("10001")->result.revision == 10001);
-  CHECK(memory.FirstAcceptedAfter(0)->change_id == "2");
+  CHECK(memory.FirstAcceptedAfter(0)->change_id == "3");
   CHECK(memory.FirstAcceptedAfter(5000)->change_id == "5001");
   CHECK(memory.FirstAcceptedAfter(10001) == nullptr);
   CHECK(memory.All().size() == ChangeMemory::kCapacity);
