Adapt the owner's reserve to its level

With a fixed reserve of 20%, moving load at 90% had 1.154% wrongful refusals and even load at 100% had 1.081%: tokens lay unused in one share while another was empty. A fixed reserve of 70% of the burst and 85% of the rate was ruled out (trial): 0.000% and 0.115%, but 3.894% instead of 1.169% while the owner fails over at 50% load. Now the reserve follows the owner's level. Topping up shares at each report was tried and made even load at 100% and failover worse.

--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -84,6 +84,7 @@
     std::int64_t level_micros = 0;  // tokens kept by the owner
     std::int64_t remainder = 0;     // millionths of level_micros
     Time refilled_at;
+    std::int64_t plenty_permille = 0;  // how far the level is up, slow to rise
     std::map<ShareKey, Share> shares;
     Totals held;
     Time next_lapse = kNever;  // no share lapses earlier
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -5,8 +5,17 @@
 namespace goldcrest::quota {
 namespace {
 
-// Part of a limit that the owner keeps to answer requests for tokens at once.
+// Parts of a limit that the owner keeps to answer requests for tokens at once.
+// While its level is high, entries get large shares, which last through a
+// failover of the owner. While it is low, tokens that lie unused in one share
+// are missed in another, so that the owner keeps most of them.
 constexpr std::int64_t kReservePercent = 20;
+constexpr std::int64_t kScarceBurstReservePercent = 70;
+constexpr std::int64_t kScarceRateReservePercent = 85;
+
+// How long the level must be high before entries get large shares again.
+constexpr Duration kPlentyRise = std::chrono::seconds(1);
+constexpr std::int64_t kPermille = 1000;
 
 // An entry whose part of the burst would be smaller gets single tokens on
 // demand instead: a bucket of less than two tokens is empty most of the time.
@@ -29,6 +38,10 @@
                                    whole);
 }
 
+std::int64_t ReservePercent(std::int64_t plenty_permille, std::int64_t scarce) {
+  return scarce - (scarce - kReservePercent) * plenty_permille / kPermille;
+}
+
 // Moves from `held` towards `target`, by at most `free` upwards. Small moves
 // are left out, except to zero.
 std::int64_t Move(std::int64_t held,
@@ -192,6 +205,12 @@
   if (now > bucket.refilled_at) {
     Refill(FreeRate(bucket), FreeCapacity(bucket), now - bucket.refilled_at,
            bucket.level_micros, bucket.remainder);
+    const std::int64_t rise = kPermille *
+                              std::min(now - bucket.refilled_at, kPlentyRise) /
+                              kPlentyRise;
+    bucket.plenty_permille =
+        std::min(bucket.plenty_permille + rise,
+                 Scale(kPermille, bucket.level_micros, FreeCapacity(bucket)));
     bucket.refilled_at = now;
   }
   if (now >= bucket.next_lapse) {
@@ -300,14 +319,18 @@
     return grant;
   }
   const Limit& limit = *bucket.limit;
-  const std::int64_t reserve =
-      std::max(Percent(limit.burst_micros, kReservePercent),
-               std::min(limit.burst_micros, kRequestMicros));
+  const std::int64_t reserve = std::max(
+      Percent(limit.burst_micros, ReservePercent(bucket.plenty_permille,
+                                                 kScarceBurstReservePercent)),
+      std::min(limit.burst_micros, kRequestMicros));
   const std::int64_t demand = bucket.held.demand_micros;
   std::int64_t capacity =
       Scale(limit.burst_micros - reserve, report.demand_micros, demand);
-  std::int64_t rate = Scale(Percent(limit.rate_micros, 100 - kReservePercent),
-                            report.demand_micros, demand);
+  const std::int64_t rate_reserve = Percent(
+      limit.rate_micros,
+      ReservePercent(bucket.plenty_permille, kScarceRateReservePercent));
+  std::int64_t rate =
+      Scale(limit.rate_micros - rate_reserve, report.demand_micros, demand);
   if (capacity < kMinCapacityMicros) {
     capacity = 0;
     rate = 0;
@@ -317,8 +340,7 @@
       Move(grant.capacity_micros, capacity, free_capacity - reserve,
            Percent(limit.burst_micros, kMinChangePercent));
   grant.rate_micros =
-      Move(grant.rate_micros, rate,
-           FreeRate(bucket) - Percent(limit.rate_micros, kReservePercent),
+      Move(grant.rate_micros, rate, FreeRate(bucket) - rate_reserve,
            Percent(limit.rate_micros, kMinChangePercent));
 
   // Tokens move with capacity: an increase brings its part of the owner's
