Serve waiting entries in the order in which they began to wait

An entry that reported at a lucky time was served before one that had waited longer, whose requests then passed their 250 ms.

--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -70,6 +71,9 @@
     std::int64_t level_bound = 0;  // upper bound of tokens held, as confirmed
     std::optional<Grant> sent;     // not confirmed yet
     std::int64_t demand_micros = 0;
+    std::int64_t wanted_micros = 0;  // beyond what it holds
+    Time wanted_since;
+    Time reported_at;
     Time lease_end;
   };
   using ShareKey = std::pair<std::string, std::int64_t>;
@@ -86,6 +90,7 @@
     Time refilled_at;
     std::int64_t plenty_permille = 0;  // how far the level is up, slow to rise
     std::map<ShareKey, Share> shares;
+    std::set<std::pair<Time, ShareKey>> waiting;  // wanted_micros above 0
     Totals held;
     Time next_lapse = kNever;  // no share lapses earlier
   };
@@ -111,6 +116,12 @@
   bool Confirm(Bucket& bucket,
                Share& share,
                const messages::ShareReport& report) const;
+  std::int64_t OwedBefore(const Bucket& bucket, const Share& share) const;
+  static void UpdateWaiting(Time now,
+                            Bucket& bucket,
+                            const ShareKey& key,
+                            Share& share,
+                            std::int64_t wanted_micros);
   Grant Decide(const Bucket& bucket,
                const Share& share,
                const messages::ShareReport& report) const;
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -13,6 +13,9 @@
 constexpr std::int64_t kScarceBurstReservePercent = 70;
 constexpr std::int64_t kScarceRateReservePercent = 85;
 
+// A waiting entry that has not reported for this long is not waited for.
+constexpr Duration kWaitingExpiry = std::chrono::milliseconds(100);
+
 // How long the level must be high before entries get large shares again.
 constexpr Duration kPlentyRise = std::chrono::seconds(1);
 constexpr std::int64_t kPermille = 1000;
@@ -140,6 +143,7 @@
         continue;
       }
       AddTotals(bucket, share->second, -1);
+      bucket.waiting.erase({share->second.wanted_since, share->first});
       share = bucket.shares.erase(share);
     }
   }
@@ -228,6 +232,7 @@
     }
     // Its tokens may have been taken: only the capacity comes back.
     AddTotals(bucket, share->second, -1);
+    bucket.waiting.erase({share->second.wanted_since, share->first});
     share = bucket.shares.erase(share);
   }
 }
@@ -309,6 +314,40 @@
   return true;
 }
 
+// Tokens that entries wait for which began to wait before this one. Without it,
+// an entry that reports at a lucky time is served before one that waits longer.
+std::int64_t Owner::OwedBefore(const Bucket& bucket, const Share& share) const {
+  std::int64_t owed = 0;
+  for (const auto& [since, key] : bucket.waiting) {
+    const Share& other = bucket.shares.at(key);
+    if (&other == &share) {
+      break;
+    }
+    owed += bucket.refilled_at - other.reported_at <= kWaitingExpiry
+                ? other.wanted_micros
+                : 0;
+  }
+  return owed;
+}
+
+// Keeps the entries that wait in the order in which they began to.
+void Owner::UpdateWaiting(Time now,
+                          Bucket& bucket,
+                          const ShareKey& key,
+                          Share& share,
+                          std::int64_t wanted_micros) {
+  if (share.wanted_micros > 0) {
+    bucket.waiting.erase({share.wanted_since, key});
+  } else {
+    share.wanted_since = now;
+  }
+  share.wanted_micros = wanted_micros;
+  share.reported_at = now;
+  if (wanted_micros > 0) {
+    bucket.waiting.insert({share.wanted_since, key});
+  }
+}
+
 // What the entry should hold now, without a sequence.
 Owner::Grant Owner::Decide(const Bucket& bucket,
                            const Share& share,
@@ -350,7 +389,8 @@
   grant.added_micros = Scale(bucket.level_micros, increase, free_capacity);
   std::int64_t needed =
       std::max<std::int64_t>(report.wanted_micros - report.level_micros, 0);
-  needed = std::min(needed, bucket.level_micros);
+  needed = std::min(needed, bucket.level_micros - OwedBefore(bucket, share));
+  needed = std::max<std::int64_t>(needed, 0);
   if (grant.capacity_micros == 0) {
     needed -= needed % kRequestMicros;  // part of a token can't be used
   }
@@ -372,6 +412,11 @@
   const bool current = Confirm(bucket, share, report);
   AddTotals(bucket, share, 1);
   bucket.level_micros = std::min(bucket.level_micros, FreeCapacity(bucket));
+  if (current) {
+    UpdateWaiting(
+        now, bucket, key, share,
+        std::max<std::int64_t>(report.wanted_micros - report.level_micros, 0));
+  }
   if (current && !share.sent) {
     Grant grant = Decide(bucket, share, report);
     const bool adopted = share.confirmed.sequence == 0 &&
@@ -387,6 +432,9 @@
       share.sent = grant;
       AddTotals(bucket, share, 1);
       bucket.level_micros -= grant.added_micros;
+      UpdateWaiting(
+          now, bucket, key, share,
+          std::max<std::int64_t>(share.wanted_micros - grant.added_micros, 0));
       bucket.level_micros = std::min(bucket.level_micros, FreeCapacity(bucket));
     }
   }
