--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -16,6 +16,9 @@
 // A waiting entry that has not reported for this long is not waited for.
 constexpr Duration kWaitingExpiry = std::chrono::milliseconds(100);
 
+// The owner's level counts as full from here on.
+constexpr std::int64_t kFullPercent = 95;
+
 // How long the level must be high before entries get large shares again.
 constexpr Duration kPlentyRise = std::chrono::seconds(1);
 constexpr std::int64_t kPermille = 1000;
@@ -375,6 +378,10 @@
     rate = 0;
   }
   const std::int64_t free_capacity = FreeCapacity(bucket);
+  if (report.level_micros >= share.confirmed.capacity_micros &&
+      bucket.level_micros < Percent(free_capacity, kFullPercent)) {
+    rate = 0;
+  }
   grant.capacity_micros =
       Move(grant.capacity_micros, capacity, free_capacity - reserve,
            Percent(limit.burst_micros, kMinChangePercent));
