--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -10,8 +10,8 @@
 // failover of the owner. While it is low, tokens that lie unused in one share
 // are missed in another, so that the owner keeps most of them.
 constexpr std::int64_t kReservePercent = 20;
-constexpr std::int64_t kScarceBurstReservePercent = 70;
-constexpr std::int64_t kScarceRateReservePercent = 85;
+constexpr std::int64_t kScarceBurstReservePercent = 90;
+constexpr std::int64_t kScarceRateReservePercent = 95;
 
 // A waiting entry that has not reported for this long is not waited for.
 constexpr Duration kWaitingExpiry = std::chrono::milliseconds(100);
