Leave the whole rate to entries while the owner is full

A customer that uses one entry was refused 0.027% at 90% and 0.254% at 100%: the full owner wasted its 20% of the rate while the entry's bucket ran down.

--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -8,9 +8,11 @@
 // Parts of a limit that the owner keeps to answer requests for tokens at once.
 // While its level is high, entries get large shares, which last through a
 // failover of the owner. While it is low, tokens that lie unused in one share
-// are missed in another, so that the owner keeps most of them.
-constexpr std::int64_t kReservePercent = 20;
+// are missed in another, so that the owner keeps most of them. A full owner
+// needs no rate.
+constexpr std::int64_t kBurstReservePercent = 20;
 constexpr std::int64_t kScarceBurstReservePercent = 90;
+constexpr std::int64_t kRateReservePercent = 0;
 constexpr std::int64_t kScarceRateReservePercent = 95;
 
 // A waiting entry that has not reported for this long is not waited for.
@@ -44,8 +46,11 @@
                                    whole);
 }
 
-std::int64_t ReservePercent(std::int64_t plenty_permille, std::int64_t scarce) {
-  return scarce - (scarce - kReservePercent) * plenty_permille / kPermille;
+// From `scarce` percent down to `plenty` percent.
+std::int64_t ReservePercent(std::int64_t plenty_permille,
+                            std::int64_t scarce,
+                            std::int64_t plenty) {
+  return scarce - (scarce - plenty) * plenty_permille / kPermille;
 }
 
 // Moves from `held` towards `target`, by at most `free` upwards. Small moves
@@ -362,15 +367,17 @@
   }
   const Limit& limit = *bucket.limit;
   const std::int64_t reserve = std::max(
-      Percent(limit.burst_micros, ReservePercent(bucket.plenty_permille,
-                                                 kScarceBurstReservePercent)),
+      Percent(limit.burst_micros,
+              ReservePercent(bucket.plenty_permille, kScarceBurstReservePercent,
+                             kBurstReservePercent)),
       std::min(limit.burst_micros, kRequestMicros));
   const std::int64_t demand = bucket.held.demand_micros;
   std::int64_t capacity =
       Scale(limit.burst_micros - reserve, report.demand_micros, demand);
-  const std::int64_t rate_reserve = Percent(
-      limit.rate_micros,
-      ReservePercent(bucket.plenty_permille, kScarceRateReservePercent));
+  const std::int64_t rate_reserve =
+      Percent(limit.rate_micros,
+              ReservePercent(bucket.plenty_permille, kScarceRateReservePercent,
+                             kRateReservePercent));
   std::int64_t rate =
       Scale(limit.rate_micros - rate_reserve, report.demand_micros, demand);
   if (capacity < kMinCapacityMicros) {
