--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -179,6 +179,9 @@
       if (!entry.holder) {
         Start(entry);
       }
+      if (now == owner_known_at_) {
+        entry.holder->OnOwnerChange(now);
+      }
     }
   }
 
@@ -248,6 +251,7 @@
     if (owner_) {
       return;
     }
+    owner_known_at_ = now_ + kOneWayDelay;
     std::map<std::string, std::int64_t> registered;
     for (std::size_t index = 0; index < kEntries; ++index) {
       registered[NameOf(index)] = entries_[index].incarnation;
@@ -279,6 +283,7 @@
   std::array<Entry, kEntries> entries_;
   std::unique_ptr<quota::Owner> owner_;
   std::int64_t term_ = 0;
+  Time owner_known_at_;
   std::multimap<Time, Message> network_;
   std::int64_t reports_ = 0;
 };
--- a/quota/include/goldcrest/quota/holder.h
+++ b/quota/include/goldcrest/quota/holder.h
@@ -60,6 +60,10 @@
                  Time report_sent,
                  const std::vector<messages::ShareUpdate>& updates);
 
+  //! Another owner answers from now on. Makes a report due at once, so that the
+  //! owner learns early what is held.
+  void OnOwnerChange(Time now);
+
   //! Gives up all shares for good (drain): limited requests are refused from
   //! now on. Call before Owner::Release() is asked for.
   void Stop();
--- a/quota/src/holder.cc
+++ b/quota/src/holder.cc
@@ -142,6 +142,10 @@
   }
 }
 
+void Holder::OnOwnerChange(Time now) {
+  RequestReport(now);
+}
+
 void Holder::Stop() {
   stopped_ = true;
   for (auto& [customer, share] : shares_) {
