--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -5,8 +5,25 @@
 namespace goldcrest::quota {
 namespace {
 
-// Part of a limit that the owner keeps to answer requests for tokens at once.
-constexpr std::int64_t kReservePercent = 20;
+// Parts of a limit that the owner keeps to answer requests for tokens at once.
+// While its level is high, entries get large shares, which last through a
+// failover of the owner. While it is low, tokens that lie unused in one share
+// are missed in another, so that the owner keeps most of them. A full owner
+// needs no rate.
+constexpr std::int64_t kBurstReservePercent = 20;
+constexpr std::int64_t kScarceBurstReservePercent = 90;
+constexpr std::int64_t kRateReservePercent = 0;
+constexpr std::int64_t kScarceRateReservePercent = 95;
+
+// A waiting entry that has not reported for this long is not waited for.
+constexpr Duration kWaitingExpiry = std::chrono::milliseconds(100);
+
+// The owner's level counts as full from here on.
+constexpr std::int64_t kFullPercent = 95;
+
+// How long the level must be high before entries get large shares again.
+constexpr Duration kPlentyRise = std::chrono::seconds(1);
+constexpr std::int64_t kPermille = 1000;
 
 // An entry whose part of the burst would be smaller gets single tokens on
 // demand instead: a bucket of less than two tokens is empty most of the time.
@@ -29,6 +46,13 @@
                                    whole);
 }
 
+// From `scarce` percent down to `plenty` percent.
+std::int64_t ReservePercent(std::int64_t plenty_permille,
+                            std::int64_t scarce,
+                            std::int64_t plenty) {
+  return scarce - (scarce - plenty) * plenty_permille / kPermille;
+}
+
 // Moves from `held` towards `target`, by at most `free` upwards. Small moves
 // are left out, except to zero.
 std::int64_t Move(std::int64_t held,
@@ -127,6 +151,7 @@
         continue;
       }
       AddTotals(bucket, share->second, -1);
+      bucket.waiting.erase({share->second.wanted_since, share->first});
       share = bucket.shares.erase(share);
     }
   }
@@ -192,6 +217,12 @@
   if (now > bucket.refilled_at) {
     Refill(FreeRate(bucket), FreeCapacity(bucket), now - bucket.refilled_at,
            bucket.level_micros, bucket.remainder);
+    const std::int64_t rise = kPermille *
+                              std::min(now - bucket.refilled_at, kPlentyRise) /
+                              kPlentyRise;
+    bucket.plenty_permille =
+        std::min(bucket.plenty_permille + rise,
+                 Scale(kPermille, bucket.level_micros, FreeCapacity(bucket)));
     bucket.refilled_at = now;
   }
   if (now >= bucket.next_lapse) {
@@ -209,6 +240,7 @@
     }
     // Its tokens may have been taken: only the capacity comes back.
     AddTotals(bucket, share->second, -1);
+    bucket.waiting.erase({share->second.wanted_since, share->first});
     share = bucket.shares.erase(share);
   }
 }
@@ -290,6 +322,40 @@
   return true;
 }
 
+// Tokens that entries wait for which began to wait before this one. Without it,
+// an entry that reports at a lucky time is served before one that waits longer.
+std::int64_t Owner::OwedBefore(const Bucket& bucket, const Share& share) const {
+  std::int64_t owed = 0;
+  for (const auto& [since, key] : bucket.waiting) {
+    const Share& other = bucket.shares.at(key);
+    if (&other == &share) {
+      break;
+    }
+    owed += bucket.refilled_at - other.reported_at <= kWaitingExpiry
+                ? other.wanted_micros
+                : 0;
+  }
+  return owed;
+}
+
+// Keeps the entries that wait in the order in which they began to.
+void Owner::UpdateWaiting(Time now,
+                          Bucket& bucket,
+                          const ShareKey& key,
+                          Share& share,
+                          std::int64_t wanted_micros) {
+  if (share.wanted_micros > 0) {
+    bucket.waiting.erase({share.wanted_since, key});
+  } else {
+    share.wanted_since = now;
+  }
+  share.wanted_micros = wanted_micros;
+  share.reported_at = now;
+  if (wanted_micros > 0) {
+    bucket.waiting.insert({share.wanted_since, key});
+  }
+}
+
 // What the entry should hold now, without a sequence.
 Owner::Grant Owner::Decide(const Bucket& bucket,
                            const Share& share,
@@ -300,25 +366,34 @@
     return grant;
   }
   const Limit& limit = *bucket.limit;
-  const std::int64_t reserve =
-      std::max(Percent(limit.burst_micros, kReservePercent),
-               std::min(limit.burst_micros, kRequestMicros));
+  const std::int64_t reserve = std::max(
+      Percent(limit.burst_micros,
+              ReservePercent(bucket.plenty_permille, kScarceBurstReservePercent,
+                             kBurstReservePercent)),
+      std::min(limit.burst_micros, kRequestMicros));
   const std::int64_t demand = bucket.held.demand_micros;
   std::int64_t capacity =
       Scale(limit.burst_micros - reserve, report.demand_micros, demand);
-  std::int64_t rate = Scale(Percent(limit.rate_micros, 100 - kReservePercent),
-                            report.demand_micros, demand);
+  const std::int64_t rate_reserve =
+      Percent(limit.rate_micros,
+              ReservePercent(bucket.plenty_permille, kScarceRateReservePercent,
+                             kRateReservePercent));
+  std::int64_t rate =
+      Scale(limit.rate_micros - rate_reserve, report.demand_micros, demand);
   if (capacity < kMinCapacityMicros) {
     capacity = 0;
     rate = 0;
   }
   const std::int64_t free_capacity = FreeCapacity(bucket);
+  if (report.level_micros >= share.confirmed.capacity_micros &&
+      bucket.level_micros < Percent(free_capacity, kFullPercent)) {
+    rate = 0;
+  }
   grant.capacity_micros =
       Move(grant.capacity_micros, capacity, free_capacity - reserve,
            Percent(limit.burst_micros, kMinChangePercent));
   grant.rate_micros =
-      Move(grant.rate_micros, rate,
-           FreeRate(bucket) - Percent(limit.rate_micros, kReservePercent),
+      Move(grant.rate_micros, rate, FreeRate(bucket) - rate_reserve,
            Percent(limit.rate_micros, kMinChangePercent));
 
   // Tokens move with capacity: an increase brings its part of the owner's
@@ -328,7 +403,8 @@
   grant.added_micros = Scale(bucket.level_micros, increase, free_capacity);
   std::int64_t needed =
       std::max<std::int64_t>(report.wanted_micros - report.level_micros, 0);
-  needed = std::min(needed, bucket.level_micros);
+  needed = std::min(needed, bucket.level_micros - OwedBefore(bucket, share));
+  needed = std::max<std::int64_t>(needed, 0);
   if (grant.capacity_micros == 0) {
     needed -= needed % kRequestMicros;  // part of a token can't be used
   }
@@ -350,6 +426,11 @@
   const bool current = Confirm(bucket, share, report);
   AddTotals(bucket, share, 1);
   bucket.level_micros = std::min(bucket.level_micros, FreeCapacity(bucket));
+  if (current) {
+    UpdateWaiting(
+        now, bucket, key, share,
+        std::max<std::int64_t>(report.wanted_micros - report.level_micros, 0));
+  }
   if (current && !share.sent) {
     Grant grant = Decide(bucket, share, report);
     const bool adopted = share.confirmed.sequence == 0 &&
@@ -365,6 +446,9 @@
       share.sent = grant;
       AddTotals(bucket, share, 1);
       bucket.level_micros -= grant.added_micros;
+      UpdateWaiting(
+          now, bucket, key, share,
+          std::max<std::int64_t>(share.wanted_micros - grant.added_micros, 0));
       bucket.level_micros = std::min(bucket.level_micros, FreeCapacity(bucket));
     }
   }
