Add the operator's tool goldcrestctl

Operators change objects, keys and instances through the operator interface of any daemon. Object files are TOML; get prints one that apply accepts, with the revision it shows, so that of two operators who edit the same objects one is told. Reading the base revision only at the time of the apply was ruled out as the sole way, because it would overwrite the other operator's change.

docopt takes a word with an underscore in the usage text for a command, so check did not match its argument at first; the test now runs it.

The resend test fails when a change is sent once, the key test when the key itself is sent, and the file test when object revisions are written.

--- /dev/null
+++ b/programs/goldcrestctl/src/commands.cc
@@ -0,0 +1,424 @@
+#include "commands.h"
+
+#include <openssl/rand.h>
+#include <unistd.h>
+
+#include <array>
+#include <charconv>
+#include <exception>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string_view>
+#include <utility>
+
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/url/url.hpp>
+
+#include "goldcrest/settings/daemon_settings.h"
+#include "goldcrest/settings/object_json.h"
+#include "goldcrest/types/digest.h"
+#include "goldcrest/types/result_code.h"
+#include "object_diff.h"
+#include "object_file.h"
+#include "operator_client.h"
+#include "pretty_json.h"
+
+namespace goldcrest::ctl {
+namespace {
+
+namespace json = boost::json;
+
+using settings::HttpCall;
+
+constexpr const char* kVersion = "goldcrestctl 0.1.0";
+constexpr const char* kUsage =
+    R"(Operator's tool for a fleet of goldcrestd daemons.
+
+Usage:
+  goldcrestctl [options] apply FILE [--base-revision=N] [--change-id=ID]
+               [--dry-run] [--author=NAME] [--server=ADDRESS]...
+  goldcrestctl [options] get [KIND [NAME]] [--server=ADDRESS]...
+  goldcrestctl [options] diff FILE [--server=ADDRESS]...
+  goldcrestctl [options] keys issue CUSTOMER NAME [--server=ADDRESS]...
+  goldcrestctl [options] keys withdraw NAME [--server=ADDRESS]...
+  goldcrestctl [options] status [--server=ADDRESS]...
+  goldcrestctl [options] explain SUBJECT [--server=ADDRESS]...
+  goldcrestctl [options] journal [--server=ADDRESS]...
+  goldcrestctl [options] drain INSTANCE [--server=ADDRESS]...
+  goldcrestctl [options] report [--server=ADDRESS]...
+  goldcrestctl check FILE
+  goldcrestctl (-h | --help | --version)
+
+Options:
+  --server=ADDRESS   Operator listener of a daemon, HOST:PORT; repeat it to name
+                     others to try when one does not answer. Without it:
+                     127.0.0.1:8090.
+  --token-file=FILE  File with the operator token [default: operator.token].
+  --timeout-ms=MS    Time to wait for an answer [default: 10000].
+  --base-revision=N  Revision that the change is based on. Without it: that of
+                     the file, or else the current one.
+  --change-id=ID     Id of the change, to resend it after an unknown outcome.
+  --dry-run          Check the change without making it.
+  --author=NAME      Who makes the change; by default the user of this system.
+
+Exit code: 0 on success, 1 on refusal, 2 on wrong usage, 3 when no server
+answers.
+)";
+
+constexpr std::size_t kKeyBytes = 32;
+constexpr std::size_t kChangeIdBytes = 16;
+
+// Thrown for faults of the command line or the files it names.
+class UsageError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+std::string RandomHex(std::size_t size) {
+  std::string bytes(size, '\0');
+  if (RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()),
+                 static_cast<int>(size)) != 1)
+    throw std::runtime_error("no random numbers are available");
+  return ToHex(bytes);
+}
+
+settings::Address ParseServer(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  settings::Address address;
+  if (colon == std::string::npos)
+    throw UsageError(text + " is not HOST:PORT");
+  address.host = text.substr(0, colon);
+  const char* end = text.data() + text.size();
+  const auto parsed =
+      std::from_chars(text.data() + colon + 1, end, address.port);
+  if (parsed.ec != std::errc() || parsed.ptr != end || address.port == 0)
+    throw UsageError(text + " is not HOST:PORT");
+  return address;
+}
+
+std::string ReadToken(const std::string& path) {
+  std::ifstream file(path);
+  std::string token;
+  if (!std::getline(file, token) || token.empty())
+    throw UsageError("can't read the operator token from " + path);
+  return token;
+}
+
+std::string UserName() {
+  const char* name = getlogin();
+  return name ? name : fmt::format("uid-{}", getuid());
+}
+
+std::string Target(std::initializer_list<std::string_view> path,
+                   const std::map<std::string, std::string>& parameters = {}) {
+  boost::urls::url url;
+  url.set_path_absolute(true);
+  for (const std::string_view segment : path)
+    url.segments().push_back(segment);
+  for (const auto& [name, value] : parameters)
+    url.params().append({name, value});
+  return std::string(url.buffer());
+}
+
+//! One run of the tool.
+class Session {
+ public:
+  Session(std::map<std::string, docopt::value> arguments,
+          std::ostream& out,
+          std::ostream& err)
+      : arguments_(std::move(arguments)), out_(out), err_(err) {}
+
+  int Run() {
+    if (Given("check"))
+      return Check();
+    Connect();
+    if (Given("apply"))
+      return Apply();
+    if (Given("get"))
+      return Get();
+    if (Given("diff"))
+      return Diff();
+    if (Given("issue"))
+      return IssueKey();
+    if (Given("withdraw"))
+      return WithdrawKey();
+    if (Given("drain"))
+      return Print(
+          {"POST", "/v1/drain",
+           json::serialize(json::value{{"instance", Text("INSTANCE")}})});
+    if (Given("explain"))
+      return Print(
+          {"GET", Target({"v1", "explain"}, {{"subject", Text("SUBJECT")}})});
+    for (const char* name : {"status", "journal", "report"}) {
+      if (Given(name))
+        return Print({"GET", Target({"v1", name})});
+    }
+    return kExitUsage;
+  }
+
+ private:
+  bool Given(const std::string& name) const {
+    return arguments_.at(name).asBool();
+  }
+  bool Has(const std::string& name) const {
+    return arguments_.at(name).isString();
+  }
+  std::string Text(const std::string& name) const {
+    return arguments_.at(name).asString();
+  }
+  std::int64_t Number(const std::string& name) const {
+    const std::string text = Text(name);
+    std::int64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end || number < 0)
+      throw UsageError(name + " takes a number of at least 0");
+    return number;
+  }
+
+  void Connect() {
+    std::vector<settings::Address> servers;
+    for (const std::string& server : arguments_.at("--server").asStringList())
+      servers.push_back(ParseServer(server));
+    if (servers.empty())
+      servers.push_back({"127.0.0.1", 8090});
+    client_.emplace(std::move(servers), ReadToken(Text("--token-file")),
+                    std::chrono::milliseconds(Number("--timeout-ms")));
+  }
+
+  int Check() {
+    const auto problems = settings::CheckSettings(Text("FILE"));
+    for (const settings::Problem& problem : problems)
+      out_ << settings::ToString(problem) << "\n";
+    return problems.empty() ? kExitOk : kExitRefused;
+  }
+
+  //! The answer's body; nullopt after a message to the operator, with `exit_`
+  //! set. A refusal is left to Conclude.
+  std::optional<json::object> Send(HttpCall call) {
+    const auto answer = client_->Send(std::move(call));
+    if (!answer) {
+      err_ << "no server answers\n";
+      exit_ = kExitNoAnswer;
+      return std::nullopt;
+    }
+    boost::system::error_code error;
+    json::value body = json::parse(answer->body, error);
+    if (!error && body.is_object())
+      return std::move(body.get_object());
+    err_ << "the server's answer is not JSON (HTTP status " << answer->status
+         << ")\n";
+    exit_ = kExitRefused;
+    return std::nullopt;
+  }
+
+  //! Prints the result of a call, if the answer has one, and gives the exit
+  //! code.
+  int Conclude(const json::object& body) {
+    const json::value* value = body.if_contains("result");
+    const json::object* result = value ? value->if_object() : nullptr;
+    if (!result)
+      return kExitOk;
+    const json::value* code = result->if_contains("code");
+    if (code && code->is_int64() && code->get_int64() == 0)
+      return kExitOk;
+    err_ << "refused: " << json::serialize(*result) << "\n";
+    PrintMissing(body);
+    return kExitRefused;
+  }
+
+  void PrintMissing(const json::object& body) {
+    const json::value* missing = body.if_contains("missing");
+    if (missing && missing->is_array() && !missing->get_array().empty())
+      err_ << "not yet in force at: " << json::serialize(*missing) << "\n";
+  }
+
+  int Print(HttpCall call) {
+    const auto body = Send(std::move(call));
+    if (!body)
+      return exit_;
+    const int exit = Conclude(*body);
+    if (exit == kExitOk)
+      out_ << PrettyJson(*body) << "\n";
+    return exit;
+  }
+
+  //! The objects that the server has; nullopt with `exit_` set.
+  std::optional<ObjectFile> Fetch(
+      const std::map<std::string, std::string>& parameters) {
+    const auto body =
+        Send({"GET", Target({"v1", "objects"}, parameters), "", {}});
+    if (!body)
+      return std::nullopt;
+    exit_ = Conclude(*body);
+    if (exit_ != kExitOk)
+      return std::nullopt;
+    ObjectFile file;
+    std::vector<std::string> errors;
+    const json::value* objects = body->if_contains("objects");
+    const json::value* revision = body->if_contains("revision");
+    if (objects && revision && revision->is_int64()) {
+      file.base_revision = revision->get_int64();
+      file.objects = settings::ParseObjects(json::serialize(*objects), &errors);
+    } else {
+      errors.emplace_back("revision or objects: missing");
+    }
+    if (errors.empty())
+      return file;
+    for (const std::string& error : errors)
+      err_ << "in the server's answer: " << error << "\n";
+    exit_ = kExitRefused;
+    return std::nullopt;
+  }
+
+  std::optional<ObjectFile> ReadFile() {
+    std::vector<std::string> errors;
+    ObjectFile file = ReadObjectFile(Text("FILE"), &errors);
+    for (const std::string& error : errors)
+      err_ << error << "\n";
+    exit_ = kExitRefused;
+    return errors.empty() ? std::optional(std::move(file)) : std::nullopt;
+  }
+
+  int Apply() {
+    auto file = ReadFile();
+    if (!file)
+      return exit_;
+    if (Has("--base-revision"))
+      file->base_revision = Number("--base-revision");
+    if (!file->base_revision) {
+      const auto current = Fetch({});
+      if (!current)
+        return exit_;
+      file->base_revision = current->base_revision;
+    }
+    messages::Change change;
+    change.change_id =
+        Has("--change-id") ? Text("--change-id") : RandomHex(kChangeIdBytes);
+    change.base_revision = *file->base_revision;
+    change.author = Has("--author") ? Text("--author") : UserName();
+    change.objects = file->objects;
+    std::map<std::string, std::string> parameters;
+    if (Given("--dry-run"))
+      parameters.emplace("dry_run", "1");
+    const auto body = Send({"POST",
+                            Target({"v1", "changes"}, parameters),
+                            settings::ToJson(change),
+                            {}});
+    if (!body) {
+      if (exit_ == kExitNoAnswer)
+        err_ << "the outcome is unknown; resend with --change-id="
+             << change.change_id << " --base-revision=" << change.base_revision
+             << "\n";
+      return exit_;
+    }
+    const int exit = Conclude(*body);
+    if (exit == kExitOk)
+      out_ << PrettyJson(*body) << "\n";
+    return exit;
+  }
+
+  int Get() {
+    std::map<std::string, std::string> parameters;
+    if (Has("KIND"))
+      parameters["kind"] = Text("KIND");
+    if (Has("NAME"))
+      parameters["name"] = Text("NAME");
+    const auto file = Fetch(parameters);
+    if (file)
+      out_ << WriteObjectFile(*file);
+    return exit_;
+  }
+
+  int Diff() {
+    const auto file = ReadFile();
+    if (!file)
+      return exit_;
+    const auto current = Fetch({});
+    if (!current)
+      return exit_;
+    for (const std::string& line : DiffObjects(current->objects, file->objects))
+      out_ << line << "\n";
+    return kExitOk;
+  }
+
+  int IssueKey() {
+    const std::string key = RandomHex(kKeyBytes);
+    const auto body = Send(
+        {"POST",
+         "/v1/keys",
+         json::serialize(json::value{{"change_id", RandomHex(kChangeIdBytes)},
+                                     {"customer", Text("CUSTOMER")},
+                                     {"name", Text("NAME")},
+                                     {"digest", ToHex(Sha256(key))}}),
+         {}});
+    if (!body) {
+      if (exit_ == kExitNoAnswer)
+        err_ << "the outcome is unknown; withdraw the key before issuing it "
+                "again\n";
+      return exit_;
+    }
+    const int exit = Conclude(*body);
+    // A key that is logged but not yet in force everywhere is issued as well.
+    if (exit == kExitOk || MayHaveRun(*body))
+      out_ << key << "\n";
+    return exit;
+  }
+
+  static bool MayHaveRun(const json::object& body) {
+    const json::value* outcome = nullptr;
+    if (const json::value* result = body.if_contains("result"))
+      outcome = result->is_object()
+                    ? result->get_object().if_contains("outcome")
+                    : nullptr;
+    return outcome && outcome->is_string() &&
+           outcome->get_string() != ToString(Outcome::kNotRun);
+  }
+
+  int WithdrawKey() {
+    return Print({"DELETE",
+                  Target({"v1", "keys", Text("NAME")},
+                         {{"change_id", RandomHex(kChangeIdBytes)}}),
+                  "",
+                  {}});
+  }
+
+  std::map<std::string, docopt::value> arguments_;
+  std::ostream& out_;
+  std::ostream& err_;
+  std::optional<OperatorClient> client_;
+  int exit_ = kExitOk;
+};
+
+}  // namespace
+
+int RunCommand(const std::vector<std::string>& arguments,
+               std::ostream& out,
+               std::ostream& err) {
+  try {
+    return Session(docopt::docopt_parse(kUsage, arguments, true, true), out,
+                   err)
+        .Run();
+  } catch (const docopt::DocoptExitHelp&) {
+    out << kUsage;
+    return kExitOk;
+  } catch (const docopt::DocoptExitVersion&) {
+    out << kVersion << "\n";
+    return kExitOk;
+  } catch (const docopt::DocoptArgumentError&) {
+    err << kUsage;
+    return kExitUsage;
+  } catch (const std::exception& error) {
+    err << "goldcrestctl: " << error.what() << "\n";
+    return kExitUsage;
+  }
+}
+
+}  // namespace goldcrest::ctl
--- a/settings/src/object_json.cc
+++ b/settings/src/object_json.cc
@@ -87,6 +87,9 @@
 }
 
 json::value FromMicros(std::int64_t micros) {
+  constexpr std::int64_t whole = 1'000'000;
+  if (micros % whole == 0)
+    return micros / whole;
   return static_cast<double>(micros) / kMicrosPerUnit;
 }
 
--- a/settings/tests/object_json_test.cc
+++ b/settings/tests/object_json_test.cc
@@ -28,7 +28,7 @@
       R"("endpoints":"group=bookings","mode":"write","max_age_ms":500,)"
       R"("durability":"primary","open":false,"order":-1},)"
       R"({"kind":"quota","name":"gold","callers":"tier=gold","order":2,)"
-      R"("rate":2.5E0,"burst":1.0000001E1},)"
+      R"("rate":2.5E0,"burst":10.000001},)"
       R"({"kind":"objective","name":"all","callers":"","objective":9.99E-1,)"
       R"("latency_ms":200},)"
       R"({"kind":"quota","name":"old","deleted":true}])";
--- a/testing/internal/standin_server.h
+++ b/testing/internal/standin_server.h
@@ -14,7 +14,7 @@
 #include "database.h"
 #include "faults.h"
 #include "goldcrest/settings/http_client.h"
-#include "http_listener.h"
+#include "goldcrest/testing/http_listener.h"
 #include "seen_requests.h"
 #include "standin_options.h"
 
--- a/testing/src/http_listener.cc
+++ b/testing/src/http_listener.cc
@@ -1,4 +1,4 @@
-#include "http_listener.h"
+#include "goldcrest/testing/http_listener.h"
 
 #include <poll.h>
 #include <sys/socket.h>
