--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -41,7 +41,7 @@
 start_daemon() {
   local i=$1
   shift
-  "$build/programs/goldcrestd" run --config "$work/e$i.toml" "$@" 2>>"$work/e$i.log" &
+  "$build/programs/goldcrestd/goldcrestd" run --config "$work/e$i.toml" "$@" 2>>"$work/e$i.log" &
   daemon_pid[$i]=$!
   pids+=($!)
 }
