Test single shares, takeovers, lapses and changed limits

With the reserve that follows the owner's level, the fleets of the rapidcheck property hold too little in a share for a lapsed share that comes back full, or an owner that is ready after its first entry, to show. Focused tests now fail with these guards taken out, and without the term fence and without the sequence kept after a lapse, which nothing failed for before. All other guards listed with the shares were seen failing again. Nothing fails when a restarted entry counts as known at a takeover, or when reports of an earlier incarnation are accepted.

--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -323,6 +323,7 @@
   Traffic traffic(pattern, load_percent);
   Split split;
   std::vector<Bucket> audit;
+  audit.reserve(kCustomers.size());
   for (const auto& [rate, burst] : kCustomers) {
     audit.emplace_back(rate * kRequestMicros, burst * kRequestMicros, true);
   }
--- /dev/null
+++ b/quota/tests/share_test.cc
@@ -0,0 +1,193 @@
+#include <catch2/catch.hpp>
+
+#include "goldcrest/quota/holder.h"
+#include "goldcrest/quota/owner.h"
+
+namespace goldcrest::quota {
+namespace {
+
+using messages::ShareUpdate;
+using std::chrono::milliseconds;
+
+constexpr Time kStart = Time(std::chrono::seconds(10));
+constexpr Limit kLimit{.rate_micros = 100 * kRequestMicros,
+                       .burst_micros = 50 * kRequestMicros};
+const std::string kCustomer = "customer";
+
+ShareUpdate MakeUpdate(std::int64_t term, std::int64_t sequence, int tokens) {
+  ShareUpdate update;
+  update.customer = kCustomer;
+  update.owner_term = term;
+  update.share_sequence = sequence;
+  update.capacity_micros = tokens * kRequestMicros;
+  update.added_micros = tokens * kRequestMicros;
+  update.lease_ms = kShareLease / milliseconds(1);
+  return update;
+}
+
+int TakeAll(Holder& holder, Time now) {
+  int taken = 0;
+  while (holder.TryTake(now, kCustomer)) {
+    ++taken;
+  }
+  return taken;
+}
+
+// Reports to the owner and applies the answer at once.
+void Exchange(Holder& holder, Owner& owner, Time now, const std::string& name) {
+  holder.OnUpdates(now, now, owner.OnReport(now, name, 1, holder.Report(now)));
+}
+
+}  // namespace
+
+// Guards against an answer that is repeated after its share has lapsed: the
+// entry must still know that it took these tokens.
+TEST_CASE("A repeated update brings no tokens, even after a lapse",
+          "[quota][guarantee]") {
+  Holder holder;
+  holder.SetLimit(kCustomer, kLimit);
+  holder.Report(kStart);
+  holder.OnUpdates(kStart, kStart, {MakeUpdate(1, 7, 3)});
+  CHECK(TakeAll(holder, kStart) == 3);
+  const Time lapsed = kStart + kShareLease;
+  holder.Report(lapsed);
+  holder.OnUpdates(lapsed, lapsed, {MakeUpdate(1, 7, 3)});
+  CHECK(TakeAll(holder, lapsed) == 0);
+}
+
+// Guards against an update of an earlier owner that arrives after the new owner
+// has counted what the entry holds.
+TEST_CASE("A new owner counts an entry only when it refuses older updates",
+          "[quota][guarantee]") {
+  Holder holder;
+  holder.SetLimit(kCustomer, kLimit);
+  Owner owner(2, kStart, {{"entry", 1}});
+  owner.SetLimit(kStart, kCustomer, kLimit);
+  Exchange(holder, owner, kStart, "entry");
+  CHECK_FALSE(owner.Ready(kStart));
+  holder.OnUpdates(kStart, kStart, {MakeUpdate(1, 900, 40)});
+  CHECK(TakeAll(holder, kStart) == 0);
+  Exchange(holder, owner, kStart, "entry");
+  CHECK(owner.Ready(kStart));
+}
+
+TEST_CASE("A new owner waits a lease and its margin for a silent entry",
+          "[quota][guarantee]") {
+  Owner owner(2, kStart, {{"entry", 1}, {"silent", 1}});
+  Holder holder;
+  for (int exchange = 0; exchange < 2; ++exchange) {
+    Exchange(holder, owner, kStart, "entry");
+  }
+  CHECK_FALSE(owner.Ready(kStart + kShareLapse - Duration(1)));
+  CHECK(owner.Ready(kStart + kShareLapse));
+}
+
+// Guards against tokens that an entry takes just before its share lapses and
+// that the owner hands out again just after.
+TEST_CASE("A lapsed share comes back without its tokens",
+          "[quota][guarantee]") {
+  const Limit slow{.rate_micros = 5 * kRequestMicros,
+                   .burst_micros = 50 * kRequestMicros};
+  Owner owner(1, kStart, {});
+  owner.SetLimit(kStart, kCustomer, slow);
+  Holder lost;
+  Holder other;
+  for (Holder* holder : {&lost, &other}) {
+    holder->SetLimit(kCustomer, slow);
+  }
+  owner.Register("lost", 1);
+  owner.Register("other", 1);
+  Time now = kStart;
+  for (; now < kStart + std::chrono::seconds(20); now += milliseconds(250)) {
+    lost.TryTake(now, kCustomer);
+    Exchange(lost, owner, now, "lost");
+  }
+  const Time last_report = now - milliseconds(250);
+  const int taken = TakeAll(lost, last_report + kShareLease - Duration(1));
+  CHECK(taken >= 30);
+  now = last_report + kShareLapse;
+  for (int request = 0; request < 60; ++request) {
+    other.Wait(now, kCustomer);
+  }
+  int taken_after = 0;
+  for (int exchange = 0; exchange < 4; ++exchange) {
+    Exchange(other, owner, now, "other");
+    while (other.TryTakeWaiting(now, kCustomer)) {
+      ++taken_after;
+    }
+  }
+  CHECK(taken + taken_after <= 50 + 5 * 0.3);
+}
+
+// Guards against shares too small to hold a token: the limit would be lost.
+TEST_CASE("A burst of one request serves every entry in turn", "[quota]") {
+  const Limit single{.rate_micros = 10 * kRequestMicros,
+                     .burst_micros = kRequestMicros};
+  Owner owner(1, kStart, {});
+  owner.SetLimit(kStart, kCustomer, single);
+  std::vector<Holder> holders(11);
+  Time now = kStart;
+  int served = 0;
+  for (int round = 0; round < 44; ++round, now += milliseconds(110)) {
+    const auto index = static_cast<std::size_t>(round) % holders.size();
+    const std::string name = std::to_string(index);
+    Holder& holder = holders[index];
+    owner.Register(name, 1);
+    holder.SetLimit(kCustomer, single);
+    CHECK_FALSE(holder.TryTake(now, kCustomer));
+    holder.Wait(now, kCustomer);
+    for (int exchange = 0; exchange < 2; ++exchange) {
+      Exchange(holder, owner, now, name);
+    }
+    served += holder.TryTakeWaiting(now, kCustomer) ? 1 : 0;
+    holder.StopWaiting(kCustomer);
+    Exchange(holder, owner, now, name);
+  }
+  CHECK(served == 43);  // the bucket starts empty
+}
+
+TEST_CASE("The demand reported follows a step within a second", "[quota]") {
+  Holder holder;
+  holder.SetLimit(kCustomer, kLimit);
+  Time now = kStart;
+  const auto demand = [&] {
+    return holder.Report(now).at(1).demand_micros / kRequestMicros;
+  };
+  for (int request = 0; request < 50; ++request, now += milliseconds(20)) {
+    holder.TryTake(now, kCustomer);
+  }
+  CHECK(demand() >= 45);
+  CHECK(demand() <= 55);
+  now += std::chrono::seconds(1);
+  CHECK(demand() <= 5);
+}
+
+// Guards against a lowered limit that entries with old shares exceed for longer
+// than it takes to reach them, and against tokens made by raising it.
+TEST_CASE("A changed limit is in force once the entries have reported",
+          "[quota][guarantee]") {
+  Owner owner(1, kStart, {});
+  owner.SetLimit(kStart, kCustomer, kLimit);
+  owner.Register("entry", 1);
+  Holder holder;
+  holder.SetLimit(kCustomer, kLimit);
+  Time now = kStart;
+  const auto run = [&](int seconds) {
+    int taken = 0;
+    for (const Time end = now + std::chrono::seconds(seconds); now < end;
+         now += milliseconds(10)) {
+      taken += TakeAll(holder, now);
+      Exchange(holder, owner, now, "entry");
+    }
+    return taken;
+  };
+  CHECK(run(10) >= 900);
+  owner.SetLimit(now, kCustomer, {10 * kRequestMicros, 5 * kRequestMicros});
+  CHECK(run(1) <= 100 + 50);
+  CHECK(run(10) <= 100 + 5);
+  owner.SetLimit(now, kCustomer, kLimit);
+  CHECK(run(1) <= 100 + 5);
+  CHECK(run(10) >= 900);
+}
+
+}  // namespace goldcrest::quota
