Keep the silent-connection test apart from the idle deadline

Without the guard that drops idle connections after a timeout the test passed, since the idle deadline of 5 s closed them within the test's wait; the deadline is now 60 s and the test fails without the guard.

--- a/adapters/tests/http_client_test.cc
+++ b/adapters/tests/http_client_test.cc
@@ -272,7 +272,7 @@
 
 TEST_CASE("A timeout closes idle connections that may be silent as well",
           "[adapters]") {
-  const Fixture fixture({.max_connections = 2});
+  const Fixture fixture({.max_connections = 2, .idle_timeout = 60s});
   const Pending one = fixture.Call(MakeCall("/1"));
   const RawSocket first = fixture.listener.Accept();
   const Pending two = fixture.Call(MakeCall("/2"));
--- a/adapters/tests/http_server_test.cc
+++ b/adapters/tests/http_server_test.cc
@@ -23,8 +23,8 @@
       : server_(
             pool_.Context(),
             std::move(options),
-            [this](HttpRequest request, HttpServer::Respond respond) {
-              Handle(std::move(request), std::move(respond));
+            [this](const HttpRequest& request, HttpServer::Respond respond) {
+              Handle(request, std::move(respond));
             },
             [this](std::uint64_t) { ++disconnects; }) {
     server_.Start();
@@ -59,7 +59,7 @@
   std::atomic<int> disconnects = 0;
 
  private:
-  void Handle(HttpRequest request, HttpServer::Respond respond) {
+  void Handle(const HttpRequest& request, HttpServer::Respond respond) {
     ++handled;
     if (request.path == "/block")
       unblocked.wait();
@@ -137,8 +137,9 @@
   }
   SECTION("A large body on its way") {
     // More than the buffers between both ends hold: a reset fails the sending.
-    client.Send("POST / HTTP/1.1\r\nContent-Length: 16000000\r\n\r\n" +
-                std::string(16'000'000, 'b'));
+    std::string request = "POST / HTTP/1.1\r\nContent-Length: 16000000\r\n\r\n";
+    request.append(16'000'000, 'b');
+    client.Send(request);
     code = ResultCode::kBodyTooLarge;
   }
   SECTION("A chunked body larger than allowed") {
--- a/adapters/tests/peer_transport_test.cc
+++ b/adapters/tests/peer_transport_test.cc
@@ -25,7 +25,7 @@
             Complete(name, std::move(options)),
             std::make_shared<Logger>(LoggerOptions{
                 .sink = [this](std::string_view line) { AddLine(line); }}),
-            [this](const std::string& from, PeerMessage message) {
+            [this](const std::string& from, const PeerMessage& message) {
               if (message.__isset.query)
                 AddMessage(from + ":" + message.query.path);
             },
