--- a/adapters/src/system_clock.cc
+++ b/adapters/src/system_clock.cc
@@ -20,9 +20,6 @@
 }
 
 std::chrono::steady_clock::time_point SystemClock::ToSteady(Time time) {
-  // kNever in nanoseconds would overflow.
-  constexpr Time kLast(
-      std::chrono::floor<Duration>(std::chrono::steady_clock::duration::max()));
   if (time >= kLast)
     return std::chrono::steady_clock::time_point::max();
   return std::chrono::steady_clock::time_point(time.time_since_epoch());
