Answer the stand-in's fault calls at once

A call that orders a freeze waited for the end of the freeze itself, so a test could not order one and go on. A separate port for test hooks was ruled out as more than is needed.

Before: limits and faults had no test, and a freeze of 50 ms delayed its own order. It fails when the slot limit, the connection limit or the crossing is removed.

--- a/testing/src/standin_server.cc
+++ b/testing/src/standin_server.cc
@@ -139,7 +139,7 @@
   else if (route == "GET /v1/log")
     reply = HandleLog(request);
   else if (route == "POST /v1/test/fault")
-    reply = HandleFault(request);
+    return HandleFault(request);  // at once, though it may order a freeze
   else if (route == "GET /v1/test/seen_headers")
     reply = {200, seen_.ToJson()};
   faults_.WaitWhileFrozen();
--- a/testing/tests/standin_server_test.cc
+++ b/testing/tests/standin_server_test.cc
@@ -53,13 +53,15 @@
                        const std::string& kind,
                        const std::string& statement,
                        const std::string& request_id = "",
-                       const std::string& transaction = "") {
+                       const std::string& transaction = "",
+                       std::int64_t timeout_ms = 1000) {
     return Post("/v1/statement", {{"call_id", ++call_id_},
                                   {"term", term},
                                   {"kind", kind},
                                   {"statement", statement},
                                   {"request_id", request_id},
-                                  {"transaction", transaction}});
+                                  {"transaction", transaction},
+                                  {"timeout_ms", timeout_ms}});
   }
   std::string Read(std::int64_t term, const std::string& key) {
     return TextAt(Execute(term, "read", "get " + key), "value");
@@ -187,4 +189,31 @@
   CHECK(TextAt(first.Get("/v1/outcome?request_id=lost"), "value").empty());
 }
 
+// Fails when a test of the proxy relies on a limit or a fault that is not
+// there.
+TEST_CASE("Limits and faults are seen by the caller", "[testing]") {
+  StandinOptions options;
+  options.slots = 1;
+  options.connections = 2;
+  const StandinServer server(options);
+  Caller owner(server);
+  Caller other(server);
+  Caller third(server);
+  REQUIRE(owner.Promote(1));
+  owner.Execute(1, "begin", "");
+  CheckRefused(other.Execute(1, "read", "get k", "", "", 1), "no_slot");
+  CheckRefused(third.Execute(1, "read", "get k"), "too_many_connections");
+  owner.Close();
+  third.SetFault("drop_answer", 1);
+  CHECK(other.Execute(1, "write", "set k v", "r-1").empty());
+  CHECK(TextAt(third.Get("/v1/outcome?request_id=r-1"), "value") == "v");
+  third.SetFault("cross_answers", 1);
+  CHECK(NumberAt(other.Execute(1, "read", "get k"), "call_id") != 3);
+  CHECK(NumberAt(other.Execute(1, "read", "get k"), "call_id") == 4);
+  third.SetFault("freeze_ms", 50);
+  const auto frozen = steady_clock::now();
+  other.Read(1, "k");
+  CHECK(steady_clock::now() - frozen > milliseconds(40));
+}
+
 }  // namespace goldcrest::testing
