Allow the standard's name is_steady

Cause: the linter's rule for constants refused a name that the requirements for clocks fix, in every file that includes the header. Ruled out: a wider exception in the linter's settings. Before: lint failed. After: it passes for this header.

--- a/types/include/goldcrest/types/time.h
+++ b/types/include/goldcrest/types/time.h
@@ -15,7 +15,9 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady = true;
+  // The standard's requirements for clocks fix this name.
+  static constexpr bool is_steady =
+      true;  // NOLINT(readability-identifier-naming)
 };
 
 //! Microseconds since an arbitrary start. Times of different processes can't be
