Let an endpoint fence a request id that it does not know

Cause: the coordinator calls a commit with a lost answer aborted when the endpoint does not know its request id; the commit could still be on its way. Ruled out: waiting for the connection to close, which has no bound. Before: the stand-in had GET /v1/outcome only. After: POST /v1/outcome refuses an unknown id from then on and only the primary of the term answers. Conclusion: "aborted" stays true after it has been said.

--- a/sessions/src/fake_group.cc
+++ b/sessions/src/fake_group.cc
@@ -67,6 +67,10 @@
         member.source = call.primary;
       break;
     case EndpointOperation::kOutcome: {
+      if (!member.primary || call.term != member.term) {
+        answer.status = AnswerStatus::kNotRun;
+        return answer;
+      }
       std::int64_t position = 0;
       const Entry* entry = FindRequest(member, call.request_id, &position);
       answer.known = entry != nullptr;
--- a/testing/internal/database.h
+++ b/testing/internal/database.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,14 @@
   Status status() const;
   std::optional<Store::Known> FindRequest(const std::string& request_id) const;
 
+  struct Outcome {
+    bool refused = false;  //!< Not the primary of that term.
+    std::optional<Store::Known> known;
+  };
+  //! As FindRequest; an id that is not known is refused from now on, so that
+  //! the answer stays true while a request with it is on its way.
+  Outcome Fence(std::int64_t term, const std::string& request_id);
+
   std::optional<Source> source() const;
   std::int64_t NextPosition() const;
   //! Takes the answer to a pull sent at `sent`, unless the source has changed.
@@ -132,6 +141,7 @@
   std::uint64_t next_transaction_ = 1;
   std::map<std::string, Transaction> transactions_;
   std::map<std::string, std::string> locked_keys_;  // to their transaction
+  std::set<std::string> fenced_ids_;
 };
 
 }  // namespace goldcrest::testing
--- a/testing/internal/standin_server.h
+++ b/testing/internal/standin_server.h
@@ -42,7 +42,7 @@
   HttpReply HandleStatement(const HttpRequest& request);
   HttpReply HandlePromote(const HttpRequest& request);
   HttpReply HandleFollow(const HttpRequest& request);
-  HttpReply HandleOutcome(const HttpRequest& request) const;
+  HttpReply HandleOutcome(const HttpRequest& request);
   HttpReply HandleLog(const HttpRequest& request) const;
   HttpReply HandleFault(const HttpRequest& request);
   void Record(const HttpRequest& request);
--- a/testing/src/database.cc
+++ b/testing/src/database.cc
@@ -180,6 +180,21 @@
   return store_.Find(request_id);
 }
 
+Database::Outcome Database::Fence(std::int64_t term,
+                                  const std::string& request_id) {
+  const Lock lock(mutex_);
+  Outcome outcome;
+  outcome.refused = !primary_ || term != term_;
+  if (outcome.refused)
+    return outcome;
+  outcome.known = store_.Find(request_id);
+  if (outcome.known)
+    outcome.known->position = std::max(outcome.known->position, term_start_);
+  else
+    fenced_ids_.insert(request_id);
+  return outcome;
+}
+
 std::optional<Database::Source> Database::source() const {
   const Lock lock(mutex_);
   return source_;
@@ -248,6 +263,8 @@
     return "not_primary";
   if (!verified_)
     return "not_synced";
+  if (fenced_ids_.contains(request.request_id))
+    return "fenced";
   const bool ends = request.kind == StatementKind::kCommit ||
                     request.kind == StatementKind::kRollback;
   if (!ends && request.transaction.empty())
--- a/testing/src/standin_server.cc
+++ b/testing/src/standin_server.cc
@@ -134,7 +134,7 @@
     reply = HandlePromote(request);
   else if (route == "POST /v1/follow")
     reply = HandleFollow(request);
-  else if (route == "GET /v1/outcome")
+  else if (path == "/v1/outcome")
     reply = HandleOutcome(request);
   else if (route == "GET /v1/log")
     reply = HandleLog(request);
@@ -193,9 +193,20 @@
   return {follows ? 200 : 409, StatusJson()};
 }
 
-HttpReply StandinServer::HandleOutcome(const HttpRequest& request) const {
-  const auto known =
-      database_.FindRequest(Parameter(request.target, "request_id"));
+HttpReply StandinServer::HandleOutcome(const HttpRequest& request) {
+  std::optional<Store::Known> known;
+  if (request.method == "POST") {
+    const auto object = ParseObject(request.body);
+    if (!object)
+      return Error(400, "not_json");
+    const Database::Outcome outcome = database_.Fence(
+        NumberAt(*object, "term"), TextAt(*object, "request_id"));
+    if (outcome.refused)
+      return Error(409, "not_primary_of_term");
+    known = outcome.known;
+  } else {
+    known = database_.FindRequest(Parameter(request.target, "request_id"));
+  }
   return {200, json::serialize(
                    json::value{{"known", known.has_value()},
                                {"value", known ? known->value : ""},
