Never repeat a session token's nonce, and report early to a new owner

Cause: random 96-bit nonces are safe for some 2^32 tokens under one secret, and the fleet shares one. An owner of buckets that takes over hands out nothing new until all entries have reported. Ruled out: the incarnation as a prefix: two instances can start in the same millisecond. After: a random prefix per process and a counter; a report at once. Conclusion: a prefix is drawn again each 2^32 tokens.

--- a/entry/include/goldcrest/entry/ingress.h
+++ b/entry/include/goldcrest/entry/ingress.h
@@ -1,6 +1,7 @@
 #ifndef GOLDCREST_ENTRY_INGRESS_H_
 #define GOLDCREST_ENTRY_INGRESS_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -96,7 +97,9 @@
   void Answer(std::int64_t id, CallerAnswer answer);
   void Refuse(std::int64_t id, ResultCode code, Time now);
   std::string SealToken(const Pending& pending,
-                        const messages::ForwardResponse& response) const;
+                        const messages::ForwardResponse& response);
+  //! Never the same twice under one secret, on any instance.
+  std::array<std::uint8_t, session::TokenSealer::kNonceBytes> NextNonce();
   IngressEffects TakeEffects();
 
   const View* view_;
@@ -105,6 +108,8 @@
   std::function<std::string(std::size_t)> random_bytes_;
   Time control_lease_until_;
   std::int64_t next_forward_id_ = 1;
+  std::string nonce_prefix_;
+  std::uint32_t nonce_counter_ = 0;
   std::map<std::int64_t, Pending> pending_;  // by forward id
   std::map<std::string, std::deque<std::int64_t>> token_waiters_;  // customer
   std::set<std::int64_t> coordinator_waiters_;
--- a/entry/src/control_client.cc
+++ b/entry/src/control_client.cc
@@ -74,6 +74,8 @@
     OnTargetFailed(update.leader);
     return result;
   }
+  if (update.leader_term > newest_leader_term_)
+    holder_->OnOwnerChange(now);
   newest_leader_term_ = update.leader_term;
   result.accepted = true;
   target_ = update.leader;
--- a/entry/src/ingress.cc
+++ b/entry/src/ingress.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstring>
 
 namespace goldcrest::entry {
 namespace {
@@ -10,6 +11,11 @@
 
 constexpr std::int64_t kMicrosPerRequest = 1'000'000;
 
+// A nonce is a random prefix and a counter. Random nonces alone would repeat
+// after some 2^32 tokens of the fleet; a prefix is drawn once a process and
+// once per 2^32 tokens.
+constexpr std::size_t kNoncePrefixBytes = 8;
+
 bool Writes(Operation::type operation) {
   return operation != Operation::READ;
 }
@@ -306,9 +312,8 @@
   Answer(id, std::move(answer));
 }
 
-std::string Ingress::SealToken(
-    const Pending& pending,
-    const messages::ForwardResponse& response) const {
+std::string Ingress::SealToken(const Pending& pending,
+                               const messages::ForwardResponse& response) {
   if (response.term == 0)
     return {};
   session::Marks marks = pending.marks;
@@ -320,13 +325,21 @@
   const auto sealer = session::TokenSealer::FromBytes(view_->session_secret());
   if (!sealer)
     return {};
-  const std::string bytes = random_bytes_(session::TokenSealer::kNonceBytes);
-  std::array<std::uint8_t, session::TokenSealer::kNonceBytes> nonce{};
-  std::ranges::copy(bytes, nonce.begin());
-  auto token = sealer->Seal(marks, nonce);
+  auto token = sealer->Seal(marks, NextNonce());
   return token ? *token : std::string();
 }
 
+std::array<std::uint8_t, session::TokenSealer::kNonceBytes>
+Ingress::NextNonce() {
+  if (nonce_counter_ == 0)
+    nonce_prefix_ = random_bytes_(kNoncePrefixBytes);
+  std::array<std::uint8_t, session::TokenSealer::kNonceBytes> nonce{};
+  std::ranges::copy(nonce_prefix_, nonce.begin());
+  const std::uint32_t counter = nonce_counter_++;
+  std::memcpy(nonce.data() + kNoncePrefixBytes, &counter, sizeof(counter));
+  return nonce;
+}
+
 IngressEffects Ingress::TakeEffects() {
   return std::exchange(effects_, IngressEffects());
 }
