Let operators change the control members

Cause: a member that lost its disk joins without a vote and no command admitted it again. Ruled out: admitting it by itself when it has caught up: it may have voted before it lost its disk, so it must be removed and added. Before: it stayed without a vote. Conclusion: an addition is logged once the member has caught up.

--- a/entry/include/goldcrest/entry/control_node.h
+++ b/entry/include/goldcrest/entry/control_node.h
@@ -52,17 +52,19 @@
   //! Hands leadership over before a planned stop.
   ControlEffects TransferLeadership(Time now);
 
-  //! Adds or removes one control member.
-  ResultCode ProposeMembers(std::vector<std::string> members,
-                            Time now,
-                            ControlEffects* effects);
-
   bool IsLeader() const { return leader_ != nullptr; }
   const control::ControlState& state() const { return state_; }
   const consensus::Replica& replica() const { return replica_; }
   const control::Leader* leader() const { return leader_.get(); }
 
  private:
+  void OnPropose(const std::string& from,
+                 const messages::ProposeRequest& request,
+                 Time now);
+  void Respond(const std::string& to,
+               std::int64_t id,
+               ResultCode code,
+               const std::string& message);
   void Process(consensus::Output output, Time now);
   void ApplyCommitted(const messages::LogEntry& entry, Time now);
   void CarryOut(control::LeaderEffects effects, Time now);
--- a/entry/include/goldcrest/entry/entry_node.h
+++ b/entry/include/goldcrest/entry/entry_node.h
@@ -71,11 +71,10 @@
   //! An announcement that has been authenticated.
   EntryEffects OnAnnouncement(const messages::Announcement& announcement,
                               Time now);
-  //! An operator's command for the log. Resent to a new leader until
-  //! `deadline`, so the command must carry a change id if it is a change.
+  //! An operator's request for the log; its id is set here. Resent to a new
+  //! leader until `deadline`, so a change must carry a change id.
   EntryEffects OnOperatorProposal(std::uint64_t id,
-                                  const messages::Command& command,
-                                  bool wait_in_force,
+                                  const messages::ProposeRequest& request,
                                   Time deadline,
                                   Time now);
   //! Call each 10 ms.
@@ -99,8 +98,7 @@
 
  private:
   struct OperatorProposal {
-    messages::Command command;
-    bool wait_in_force = false;
+    messages::ProposeRequest request;
     Time deadline;
     Time retry_at;
   };
@@ -115,9 +113,7 @@
   void OnProposeResponse(const messages::ProposeResponse& response, Time now);
   void Take(coordinator::CoordinatorEffects effects, const std::string& group);
   void Take(IngressEffects effects);
-  void SendProposal(std::int64_t id,
-                    const messages::Command& command,
-                    bool wait_in_force);
+  void SendProposal(const messages::ProposeRequest& request);
   void ResendProposals(Time now);
   void DrainStep(Time now);
   void SendReport(Time now);
--- a/entry/src/control_node.cc
+++ b/entry/src/control_node.cc
@@ -51,23 +51,43 @@
       Send(from, std::move(hint));
     }
   }
-  if (message.__isset.propose) {
-    if (leads) {
-      CarryOut(leader_->OnPropose(from, message.propose, hooks_.wall_ms(), now),
-               now);
-    } else {
-      messages::ProposeResponse response;
-      response.id = message.propose.id;
-      response.code = ToNumber(ResultCode::kNotLeader);
-      response.message = replica_.Leader();
-      messages::PeerMessage answer;
-      answer.__set_propose_response(response);
-      Send(from, std::move(answer));
-    }
-  }
+  if (message.__isset.propose)
+    OnPropose(from, message.propose, now);
   return TakeEffects();
 }
 
+void ControlNode::OnPropose(const std::string& from,
+                            const messages::ProposeRequest& request,
+                            Time now) {
+  if (leader_ == nullptr || !replica_.HoldsLeaderLease(now)) {
+    Respond(from, request.id, ResultCode::kNotLeader, replica_.Leader());
+    return;
+  }
+  if (!request.__isset.members) {
+    CarryOut(leader_->OnPropose(from, request, hooks_.wall_ms(), now), now);
+    return;
+  }
+  consensus::Proposal proposal = replica_.ProposeMembers(now, request.members);
+  Process(std::move(proposal.output), now);
+  // An addition is logged once the new member has caught up.
+  const bool follows = proposal.code == ResultCode::kOk && proposal.index == 0;
+  Respond(from, request.id, proposal.code,
+          follows ? "in force once the member has caught up" : "");
+}
+
+void ControlNode::Respond(const std::string& to,
+                          std::int64_t id,
+                          ResultCode code,
+                          const std::string& message) {
+  messages::ProposeResponse response;
+  response.id = id;
+  response.code = ToNumber(code);
+  response.message = message;
+  messages::PeerMessage answer;
+  answer.__set_propose_response(response);
+  Send(to, std::move(answer));
+}
+
 ControlEffects ControlNode::Tick(Time now) {
   if (now >= replica_.NextDeadline())
     Process(replica_.Tick(now), now);
@@ -84,16 +104,6 @@
   return TakeEffects();
 }
 
-ResultCode ControlNode::ProposeMembers(std::vector<std::string> members,
-                                       Time now,
-                                       ControlEffects* effects) {
-  consensus::Proposal proposal =
-      replica_.ProposeMembers(now, std::move(members));
-  Process(std::move(proposal.output), now);
-  *effects = TakeEffects();
-  return proposal.code;
-}
-
 void ControlNode::Process(consensus::Output output, Time now) {
   if (!output.writes.empty() && !hooks_.persist(output.writes)) {
     effects_.failed = true;
--- a/entry/src/entry_node.cc
+++ b/entry/src/entry_node.cc
@@ -77,15 +77,15 @@
   return TakeEffects();
 }
 
-EntryEffects EntryNode::OnOperatorProposal(std::uint64_t id,
-                                           const messages::Command& command,
-                                           bool wait_in_force,
-                                           Time deadline,
-                                           Time now) {
-  const std::int64_t proposal = next_proposal_++;
-  operator_proposals_[proposal] = {
-      id, {command, wait_in_force, deadline, now + kProposalRetry}};
-  SendProposal(proposal, command, wait_in_force);
+EntryEffects EntryNode::OnOperatorProposal(
+    std::uint64_t id,
+    const messages::ProposeRequest& request,
+    Time deadline,
+    Time now) {
+  OperatorProposal proposal{request, deadline, now + kProposalRetry};
+  proposal.request.id = next_proposal_++;
+  SendProposal(proposal.request);
+  operator_proposals_[proposal.request.id] = {id, std::move(proposal)};
   return TakeEffects();
 }
 
@@ -234,11 +234,11 @@
     effects_.messages.emplace_back(answer.instance, std::move(message));
   }
   for (const messages::SetPrimary& proposal : effects.proposals) {
-    const std::int64_t id = next_proposal_++;
-    coordinator_proposals_[id] = proposal.group;
-    messages::Command command;
-    command.__set_set_primary(proposal);
-    SendProposal(id, command, false);
+    messages::ProposeRequest request;
+    request.id = next_proposal_++;
+    request.command.__set_set_primary(proposal);
+    coordinator_proposals_[request.id] = proposal.group;
+    SendProposal(request);
   }
   for (messages::JournalEntry& entry : effects.journal) {
     entry.wall_ms = hooks_.wall_ms();
@@ -257,13 +257,7 @@
   }
 }
 
-void EntryNode::SendProposal(std::int64_t id,
-                             const messages::Command& command,
-                             bool wait_in_force) {
-  messages::ProposeRequest request;
-  request.id = id;
-  request.command = command;
-  request.wait_in_force = wait_in_force;
+void EntryNode::SendProposal(const messages::ProposeRequest& request) {
   messages::PeerMessage message;
   message.__set_propose(request);
   effects_.messages.emplace_back(client_.target(), std::move(message));
@@ -283,7 +277,7 @@
     }
     if (now >= proposal.retry_at) {
       proposal.retry_at = now + kProposalRetry;
-      SendProposal(it->first, proposal.command, proposal.wait_in_force);
+      SendProposal(proposal.request);
     }
     ++it;
   }
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -7180,6 +7180,11 @@
 void ProposeRequest::__set_wait_in_force(const bool val) {
   this->wait_in_force = val;
 }
+
+void ProposeRequest::__set_members(const std::vector<std::string> & val) {
+  this->members = val;
+__isset.members = true;
+}
 std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
 {
   obj.printTo(out);
@@ -7232,6 +7237,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readListBegin(_etype238, _size235);
+            this->members.resize(_size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
+            {
+              xfer += iprot->readString(this->members[_i239]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7261,6 +7286,19 @@
   xfer += oprot->writeBool(this->wait_in_force);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.members) {
+    xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
+      std::vector<std::string> ::const_iterator _iter240;
+      for (_iter240 = this->members.begin(); _iter240 != this->members.end(); ++_iter240)
+      {
+        xfer += oprot->writeString((*_iter240));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7271,33 +7309,38 @@
   swap(a.id, b.id);
   swap(a.command, b.command);
   swap(a.wait_in_force, b.wait_in_force);
+  swap(a.members, b.members);
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other235) {
-  id = other235.id;
-  command = other235.command;
-  wait_in_force = other235.wait_in_force;
-  __isset = other235.__isset;
-}
-ProposeRequest::ProposeRequest(ProposeRequest&& other236) noexcept {
-  id = other236.id;
-  command = std::move(other236.command);
-  wait_in_force = other236.wait_in_force;
-  __isset = other236.__isset;
-}
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other237) {
-  id = other237.id;
-  command = other237.command;
-  wait_in_force = other237.wait_in_force;
-  __isset = other237.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other241) {
+  id = other241.id;
+  command = other241.command;
+  wait_in_force = other241.wait_in_force;
+  members = other241.members;
+  __isset = other241.__isset;
+}
+ProposeRequest::ProposeRequest(ProposeRequest&& other242) noexcept {
+  id = other242.id;
+  command = std::move(other242.command);
+  wait_in_force = other242.wait_in_force;
+  members = std::move(other242.members);
+  __isset = other242.__isset;
+}
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other243) {
+  id = other243.id;
+  command = other243.command;
+  wait_in_force = other243.wait_in_force;
+  members = other243.members;
+  __isset = other243.__isset;
   return *this;
 }
-ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other238) noexcept {
-  id = other238.id;
-  command = std::move(other238.command);
-  wait_in_force = other238.wait_in_force;
-  __isset = other238.__isset;
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other244) noexcept {
+  id = other244.id;
+  command = std::move(other244.command);
+  wait_in_force = other244.wait_in_force;
+  members = std::move(other244.members);
+  __isset = other244.__isset;
   return *this;
 }
 void ProposeRequest::printTo(std::ostream& out) const {
@@ -7306,6 +7349,7 @@
   out << "id=" << to_string(id);
   out << ", " << "command=" << to_string(command);
   out << ", " << "wait_in_force=" << to_string(wait_in_force);
+  out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7397,14 +7441,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size239;
-            ::apache::thrift::protocol::TType _etype242;
-            xfer += iprot->readListBegin(_etype242, _size239);
-            this->missing.resize(_size239);
-            uint32_t _i243;
-            for (_i243 = 0; _i243 < _size239; ++_i243)
+            uint32_t _size245;
+            ::apache::thrift::protocol::TType _etype248;
+            xfer += iprot->readListBegin(_etype248, _size245);
+            this->missing.resize(_size245);
+            uint32_t _i249;
+            for (_i249 = 0; _i249 < _size245; ++_i249)
             {
-              xfer += iprot->readString(this->missing[_i243]);
+              xfer += iprot->readString(this->missing[_i249]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7449,10 +7493,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing.size()));
-    std::vector<std::string> ::const_iterator _iter244;
-    for (_iter244 = this->missing.begin(); _iter244 != this->missing.end(); ++_iter244)
+    std::vector<std::string> ::const_iterator _iter250;
+    for (_iter250 = this->missing.begin(); _iter250 != this->missing.end(); ++_iter250)
     {
-      xfer += oprot->writeString((*_iter244));
+      xfer += oprot->writeString((*_iter250));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7473,38 +7517,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeResponse::ProposeResponse(const ProposeResponse& other245) {
-  id = other245.id;
-  code = other245.code;
-  revision = other245.revision;
-  message = other245.message;
-  missing = other245.missing;
-  __isset = other245.__isset;
-}
-ProposeResponse::ProposeResponse(ProposeResponse&& other246) noexcept {
-  id = other246.id;
-  code = other246.code;
-  revision = other246.revision;
-  message = std::move(other246.message);
-  missing = std::move(other246.missing);
-  __isset = other246.__isset;
-}
-ProposeResponse& ProposeResponse::operator=(const ProposeResponse& other247) {
-  id = other247.id;
-  code = other247.code;
-  revision = other247.revision;
-  message = other247.message;
-  missing = other247.missing;
-  __isset = other247.__isset;
+ProposeResponse::ProposeResponse(const ProposeResponse& other251) {
+  id = other251.id;
+  code = other251.code;
+  revision = other251.revision;
+  message = other251.message;
+  missing = other251.missing;
+  __isset = other251.__isset;
+}
+ProposeResponse::ProposeResponse(ProposeResponse&& other252) noexcept {
+  id = other252.id;
+  code = other252.code;
+  revision = other252.revision;
+  message = std::move(other252.message);
+  missing = std::move(other252.missing);
+  __isset = other252.__isset;
+}
+ProposeResponse& ProposeResponse::operator=(const ProposeResponse& other253) {
+  id = other253.id;
+  code = other253.code;
+  revision = other253.revision;
+  message = other253.message;
+  missing = other253.missing;
+  __isset = other253.__isset;
   return *this;
 }
-ProposeResponse& ProposeResponse::operator=(ProposeResponse&& other248) noexcept {
-  id = other248.id;
-  code = other248.code;
-  revision = other248.revision;
-  message = std::move(other248.message);
-  missing = std::move(other248.missing);
-  __isset = other248.__isset;
+ProposeResponse& ProposeResponse::operator=(ProposeResponse&& other254) noexcept {
+  id = other254.id;
+  code = other254.code;
+  revision = other254.revision;
+  message = std::move(other254.message);
+  missing = std::move(other254.missing);
+  __isset = other254.__isset;
   return *this;
 }
 void ProposeResponse::printTo(std::ostream& out) const {
@@ -7611,26 +7655,26 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryRequest::QueryRequest(const QueryRequest& other249) {
-  id = other249.id;
-  path = other249.path;
-  __isset = other249.__isset;
+QueryRequest::QueryRequest(const QueryRequest& other255) {
+  id = other255.id;
+  path = other255.path;
+  __isset = other255.__isset;
 }
-QueryRequest::QueryRequest(QueryRequest&& other250) noexcept {
-  id = other250.id;
-  path = std::move(other250.path);
-  __isset = other250.__isset;
+QueryRequest::QueryRequest(QueryRequest&& other256) noexcept {
+  id = other256.id;
+  path = std::move(other256.path);
+  __isset = other256.__isset;
 }
-QueryRequest& QueryRequest::operator=(const QueryRequest& other251) {
-  id = other251.id;
-  path = other251.path;
-  __isset = other251.__isset;
+QueryRequest& QueryRequest::operator=(const QueryRequest& other257) {
+  id = other257.id;
+  path = other257.path;
+  __isset = other257.__isset;
   return *this;
 }
-QueryRequest& QueryRequest::operator=(QueryRequest&& other252) noexcept {
-  id = other252.id;
-  path = std::move(other252.path);
-  __isset = other252.__isset;
+QueryRequest& QueryRequest::operator=(QueryRequest&& other258) noexcept {
+  id = other258.id;
+  path = std::move(other258.path);
+  __isset = other258.__isset;
   return *this;
 }
 void QueryRequest::printTo(std::ostream& out) const {
@@ -7751,30 +7795,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryResponse::QueryResponse(const QueryResponse& other253) {
-  id = other253.id;
-  code = other253.code;
-  body = other253.body;
-  __isset = other253.__isset;
+QueryResponse::QueryResponse(const QueryResponse& other259) {
+  id = other259.id;
+  code = other259.code;
+  body = other259.body;
+  __isset = other259.__isset;
 }
-QueryResponse::QueryResponse(QueryResponse&& other254) noexcept {
-  id = other254.id;
-  code = other254.code;
-  body = std::move(other254.body);
-  __isset = other254.__isset;
+QueryResponse::QueryResponse(QueryResponse&& other260) noexcept {
+  id = other260.id;
+  code = other260.code;
+  body = std::move(other260.body);
+  __isset = other260.__isset;
 }
-QueryResponse& QueryResponse::operator=(const QueryResponse& other255) {
-  id = other255.id;
-  code = other255.code;
-  body = other255.body;
-  __isset = other255.__isset;
+QueryResponse& QueryResponse::operator=(const QueryResponse& other261) {
+  id = other261.id;
+  code = other261.code;
+  body = other261.body;
+  __isset = other261.__isset;
   return *this;
 }
-QueryResponse& QueryResponse::operator=(QueryResponse&& other256) noexcept {
-  id = other256.id;
-  code = other256.code;
-  body = std::move(other256.body);
-  __isset = other256.__isset;
+QueryResponse& QueryResponse::operator=(QueryResponse&& other262) noexcept {
+  id = other262.id;
+  code = other262.code;
+  body = std::move(other262.body);
+  __isset = other262.__isset;
   return *this;
 }
 void QueryResponse::printTo(std::ostream& out) const {
@@ -7896,30 +7940,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other257) {
-  cluster = other257.cluster;
-  instance = other257.instance;
-  version = other257.version;
-  __isset = other257.__isset;
+Hello::Hello(const Hello& other263) {
+  cluster = other263.cluster;
+  instance = other263.instance;
+  version = other263.version;
+  __isset = other263.__isset;
 }
-Hello::Hello(Hello&& other258) noexcept {
-  cluster = std::move(other258.cluster);
-  instance = std::move(other258.instance);
-  version = other258.version;
-  __isset = other258.__isset;
+Hello::Hello(Hello&& other264) noexcept {
+  cluster = std::move(other264.cluster);
+  instance = std::move(other264.instance);
+  version = other264.version;
+  __isset = other264.__isset;
 }
-Hello& Hello::operator=(const Hello& other259) {
-  cluster = other259.cluster;
-  instance = other259.instance;
-  version = other259.version;
-  __isset = other259.__isset;
+Hello& Hello::operator=(const Hello& other265) {
+  cluster = other265.cluster;
+  instance = other265.instance;
+  version = other265.version;
+  __isset = other265.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other260) noexcept {
-  cluster = std::move(other260.cluster);
-  instance = std::move(other260.instance);
-  version = other260.version;
-  __isset = other260.__isset;
+Hello& Hello::operator=(Hello&& other266) noexcept {
+  cluster = std::move(other266.cluster);
+  instance = std::move(other266.instance);
+  version = other266.version;
+  __isset = other266.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -8237,70 +8281,70 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other261) {
-  hello = other261.hello;
-  ping = other261.ping;
-  pong = other261.pong;
-  consensus = other261.consensus;
-  report = other261.report;
-  update = other261.update;
-  forward = other261.forward;
-  forward_response = other261.forward_response;
-  propose = other261.propose;
-  propose_response = other261.propose_response;
-  query = other261.query;
-  query_response = other261.query_response;
-  drain = other261.drain;
-  __isset = other261.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other267) {
+  hello = other267.hello;
+  ping = other267.ping;
+  pong = other267.pong;
+  consensus = other267.consensus;
+  report = other267.report;
+  update = other267.update;
+  forward = other267.forward;
+  forward_response = other267.forward_response;
+  propose = other267.propose;
+  propose_response = other267.propose_response;
+  query = other267.query;
+  query_response = other267.query_response;
+  drain = other267.drain;
+  __isset = other267.__isset;
 }
-PeerMessage::PeerMessage(PeerMessage&& other262) noexcept {
-  hello = std::move(other262.hello);
-  ping = other262.ping;
-  pong = other262.pong;
-  consensus = std::move(other262.consensus);
-  report = std::move(other262.report);
-  update = std::move(other262.update);
-  forward = std::move(other262.forward);
-  forward_response = std::move(other262.forward_response);
-  propose = std::move(other262.propose);
-  propose_response = std::move(other262.propose_response);
-  query = std::move(other262.query);
-  query_response = std::move(other262.query_response);
-  drain = other262.drain;
-  __isset = other262.__isset;
+PeerMessage::PeerMessage(PeerMessage&& other268) noexcept {
+  hello = std::move(other268.hello);
+  ping = other268.ping;
+  pong = other268.pong;
+  consensus = std::move(other268.consensus);
+  report = std::move(other268.report);
+  update = std::move(other268.update);
+  forward = std::move(other268.forward);
+  forward_response = std::move(other268.forward_response);
+  propose = std::move(other268.propose);
+  propose_response = std::move(other268.propose_response);
+  query = std::move(other268.query);
+  query_response = std::move(other268.query_response);
+  drain = other268.drain;
+  __isset = other268.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other263) {
-  hello = other263.hello;
-  ping = other263.ping;
-  pong = other263.pong;
-  consensus = other263.consensus;
-  report = other263.report;
-  update = other263.update;
-  forward = other263.forward;
-  forward_response = other263.forward_response;
-  propose = other263.propose;
-  propose_response = other263.propose_response;
-  query = other263.query;
-  query_response = other263.query_response;
-  drain = other263.drain;
-  __isset = other263.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other269) {
+  hello = other269.hello;
+  ping = other269.ping;
+  pong = other269.pong;
+  consensus = other269.consensus;
+  report = other269.report;
+  update = other269.update;
+  forward = other269.forward;
+  forward_response = other269.forward_response;
+  propose = other269.propose;
+  propose_response = other269.propose_response;
+  query = other269.query;
+  query_response = other269.query_response;
+  drain = other269.drain;
+  __isset = other269.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other264) noexcept {
-  hello = std::move(other264.hello);
-  ping = other264.ping;
-  pong = other264.pong;
-  consensus = std::move(other264.consensus);
-  report = std::move(other264.report);
-  update = std::move(other264.update);
-  forward = std::move(other264.forward);
-  forward_response = std::move(other264.forward_response);
-  propose = std::move(other264.propose);
-  propose_response = std::move(other264.propose_response);
-  query = std::move(other264.query);
-  query_response = std::move(other264.query_response);
-  drain = other264.drain;
-  __isset = other264.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other270) noexcept {
+  hello = std::move(other270.hello);
+  ping = other270.ping;
+  pong = other270.pong;
+  consensus = std::move(other270.consensus);
+  report = std::move(other270.report);
+  update = std::move(other270.update);
+  forward = std::move(other270.forward);
+  forward_response = std::move(other270.forward_response);
+  propose = std::move(other270.propose);
+  propose_response = std::move(other270.propose_response);
+  query = std::move(other270.query);
+  query_response = std::move(other270.query_response);
+  drain = other270.drain;
+  __isset = other270.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -8432,30 +8476,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other265) {
-  change_id = other265.change_id;
-  fingerprint = other265.fingerprint;
-  result = other265.result;
-  __isset = other265.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other271) {
+  change_id = other271.change_id;
+  fingerprint = other271.fingerprint;
+  result = other271.result;
+  __isset = other271.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other266) noexcept {
-  change_id = std::move(other266.change_id);
-  fingerprint = std::move(other266.fingerprint);
-  result = std::move(other266.result);
-  __isset = other266.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other272) noexcept {
+  change_id = std::move(other272.change_id);
+  fingerprint = std::move(other272.fingerprint);
+  result = std::move(other272.result);
+  __isset = other272.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other267) {
-  change_id = other267.change_id;
-  fingerprint = other267.fingerprint;
-  result = other267.result;
-  __isset = other267.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other273) {
+  change_id = other273.change_id;
+  fingerprint = other273.fingerprint;
+  result = other273.result;
+  __isset = other273.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other268) noexcept {
-  change_id = std::move(other268.change_id);
-  fingerprint = std::move(other268.fingerprint);
-  result = std::move(other268.result);
-  __isset = other268.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other274) noexcept {
+  change_id = std::move(other274.change_id);
+  fingerprint = std::move(other274.fingerprint);
+  result = std::move(other274.result);
+  __isset = other274.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -8547,14 +8591,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size269;
-            ::apache::thrift::protocol::TType _etype272;
-            xfer += iprot->readListBegin(_etype272, _size269);
-            this->objects.resize(_size269);
-            uint32_t _i273;
-            for (_i273 = 0; _i273 < _size269; ++_i273)
+            uint32_t _size275;
+            ::apache::thrift::protocol::TType _etype278;
+            xfer += iprot->readListBegin(_etype278, _size275);
+            this->objects.resize(_size275);
+            uint32_t _i279;
+            for (_i279 = 0; _i279 < _size275; ++_i279)
             {
-              xfer += this->objects[_i273].read(iprot);
+              xfer += this->objects[_i279].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8567,14 +8611,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size274;
-            ::apache::thrift::protocol::TType _etype277;
-            xfer += iprot->readListBegin(_etype277, _size274);
-            this->changes.resize(_size274);
-            uint32_t _i278;
-            for (_i278 = 0; _i278 < _size274; ++_i278)
+            uint32_t _size280;
+            ::apache::thrift::protocol::TType _etype283;
+            xfer += iprot->readListBegin(_etype283, _size280);
+            this->changes.resize(_size280);
+            uint32_t _i284;
+            for (_i284 = 0; _i284 < _size280; ++_i284)
             {
-              xfer += this->changes[_i278].read(iprot);
+              xfer += this->changes[_i284].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8595,14 +8639,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size279;
-            ::apache::thrift::protocol::TType _etype282;
-            xfer += iprot->readListBegin(_etype282, _size279);
-            this->groups.resize(_size279);
-            uint32_t _i283;
-            for (_i283 = 0; _i283 < _size279; ++_i283)
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->groups.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
             {
-              xfer += this->groups[_i283].read(iprot);
+              xfer += this->groups[_i289].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8615,14 +8659,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size284;
-            ::apache::thrift::protocol::TType _etype287;
-            xfer += iprot->readListBegin(_etype287, _size284);
-            this->endpoints.resize(_size284);
-            uint32_t _i288;
-            for (_i288 = 0; _i288 < _size284; ++_i288)
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->endpoints.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
             {
-              xfer += this->endpoints[_i288].read(iprot);
+              xfer += this->endpoints[_i294].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8635,14 +8679,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size289;
-            ::apache::thrift::protocol::TType _etype292;
-            xfer += iprot->readListBegin(_etype292, _size289);
-            this->instances.resize(_size289);
-            uint32_t _i293;
-            for (_i293 = 0; _i293 < _size289; ++_i293)
+            uint32_t _size295;
+            ::apache::thrift::protocol::TType _etype298;
+            xfer += iprot->readListBegin(_etype298, _size295);
+            this->instances.resize(_size295);
+            uint32_t _i299;
+            for (_i299 = 0; _i299 < _size295; ++_i299)
             {
-              xfer += this->instances[_i293].read(iprot);
+              xfer += this->instances[_i299].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8655,14 +8699,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size294;
-            ::apache::thrift::protocol::TType _etype297;
-            xfer += iprot->readListBegin(_etype297, _size294);
-            this->journal.resize(_size294);
-            uint32_t _i298;
-            for (_i298 = 0; _i298 < _size294; ++_i298)
+            uint32_t _size300;
+            ::apache::thrift::protocol::TType _etype303;
+            xfer += iprot->readListBegin(_etype303, _size300);
+            this->journal.resize(_size300);
+            uint32_t _i304;
+            for (_i304 = 0; _i304 < _size300; ++_i304)
             {
-              xfer += this->journal[_i298].read(iprot);
+              xfer += this->journal[_i304].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8703,10 +8747,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter299;
-    for (_iter299 = this->objects.begin(); _iter299 != this->objects.end(); ++_iter299)
+    std::vector<Object> ::const_iterator _iter305;
+    for (_iter305 = this->objects.begin(); _iter305 != this->objects.end(); ++_iter305)
     {
-      xfer += (*_iter299).write(oprot);
+      xfer += (*_iter305).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8715,10 +8759,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter300;
-    for (_iter300 = this->changes.begin(); _iter300 != this->changes.end(); ++_iter300)
+    std::vector<AppliedChange> ::const_iterator _iter306;
+    for (_iter306 = this->changes.begin(); _iter306 != this->changes.end(); ++_iter306)
     {
-      xfer += (*_iter300).write(oprot);
+      xfer += (*_iter306).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8731,10 +8775,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter301;
-    for (_iter301 = this->groups.begin(); _iter301 != this->groups.end(); ++_iter301)
+    std::vector<GroupState> ::const_iterator _iter307;
+    for (_iter307 = this->groups.begin(); _iter307 != this->groups.end(); ++_iter307)
     {
-      xfer += (*_iter301).write(oprot);
+      xfer += (*_iter307).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8743,10 +8787,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter302;
-    for (_iter302 = this->endpoints.begin(); _iter302 != this->endpoints.end(); ++_iter302)
+    std::vector<EndpointInfo> ::const_iterator _iter308;
+    for (_iter308 = this->endpoints.begin(); _iter308 != this->endpoints.end(); ++_iter308)
     {
-      xfer += (*_iter302).write(oprot);
+      xfer += (*_iter308).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8755,10 +8799,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter303;
-    for (_iter303 = this->instances.begin(); _iter303 != this->instances.end(); ++_iter303)
+    std::vector<InstanceInfo> ::const_iterator _iter309;
+    for (_iter309 = this->instances.begin(); _iter309 != this->instances.end(); ++_iter309)
     {
-      xfer += (*_iter303).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8767,10 +8811,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter304;
-    for (_iter304 = this->journal.begin(); _iter304 != this->journal.end(); ++_iter304)
+    std::vector<JournalEntry> ::const_iterator _iter310;
+    for (_iter310 = this->journal.begin(); _iter310 != this->journal.end(); ++_iter310)
     {
-      xfer += (*_iter304).write(oprot);
+      xfer += (*_iter310).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8799,54 +8843,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other305) {
-  revision = other305.revision;
-  objects = other305.objects;
-  changes = other305.changes;
-  groups_revision = other305.groups_revision;
-  groups = other305.groups;
-  endpoints = other305.endpoints;
-  instances = other305.instances;
-  journal = other305.journal;
-  session_secret = other305.session_secret;
-  __isset = other305.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other306) noexcept {
-  revision = other306.revision;
-  objects = std::move(other306.objects);
-  changes = std::move(other306.changes);
-  groups_revision = other306.groups_revision;
-  groups = std::move(other306.groups);
-  endpoints = std::move(other306.endpoints);
-  instances = std::move(other306.instances);
-  journal = std::move(other306.journal);
-  session_secret = std::move(other306.session_secret);
-  __isset = other306.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other307) {
-  revision = other307.revision;
-  objects = other307.objects;
-  changes = other307.changes;
-  groups_revision = other307.groups_revision;
-  groups = other307.groups;
-  endpoints = other307.endpoints;
-  instances = other307.instances;
-  journal = other307.journal;
-  session_secret = other307.session_secret;
-  __isset = other307.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other311) {
+  revision = other311.revision;
+  objects = other311.objects;
+  changes = other311.changes;
+  groups_revision = other311.groups_revision;
+  groups = other311.groups;
+  endpoints = other311.endpoints;
+  instances = other311.instances;
+  journal = other311.journal;
+  session_secret = other311.session_secret;
+  __isset = other311.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other312) noexcept {
+  revision = other312.revision;
+  objects = std::move(other312.objects);
+  changes = std::move(other312.changes);
+  groups_revision = other312.groups_revision;
+  groups = std::move(other312.groups);
+  endpoints = std::move(other312.endpoints);
+  instances = std::move(other312.instances);
+  journal = std::move(other312.journal);
+  session_secret = std::move(other312.session_secret);
+  __isset = other312.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other313) {
+  revision = other313.revision;
+  objects = other313.objects;
+  changes = other313.changes;
+  groups_revision = other313.groups_revision;
+  groups = other313.groups;
+  endpoints = other313.endpoints;
+  instances = other313.instances;
+  journal = other313.journal;
+  session_secret = other313.session_secret;
+  __isset = other313.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other308) noexcept {
-  revision = other308.revision;
-  objects = std::move(other308.objects);
-  changes = std::move(other308.changes);
-  groups_revision = other308.groups_revision;
-  groups = std::move(other308.groups);
-  endpoints = std::move(other308.endpoints);
-  instances = std::move(other308.instances);
-  journal = std::move(other308.journal);
-  session_secret = std::move(other308.session_secret);
-  __isset = other308.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other314) noexcept {
+  revision = other314.revision;
+  objects = std::move(other314.objects);
+  changes = std::move(other314.changes);
+  groups_revision = other314.groups_revision;
+  groups = std::move(other314.groups);
+  endpoints = std::move(other314.endpoints);
+  instances = std::move(other314.instances);
+  journal = std::move(other314.journal);
+  session_secret = std::move(other314.session_secret);
+  __isset = other314.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -2667,10 +2667,11 @@
 std::ostream& operator<<(std::ostream& out, const ForwardResponse& obj);
 
 typedef struct _ProposeRequest__isset {
-  _ProposeRequest__isset() : id(false), command(false), wait_in_force(false) {}
+  _ProposeRequest__isset() : id(false), command(false), wait_in_force(false), members(false) {}
   bool id :1;
   bool command :1;
   bool wait_in_force :1;
+  bool members :1;
 } _ProposeRequest__isset;
 
 class ProposeRequest : public virtual ::apache::thrift::TBase {
@@ -2689,6 +2690,7 @@
   int64_t id;
   Command command;
   bool wait_in_force;
+  std::vector<std::string>  members;
 
   _ProposeRequest__isset __isset;
 
@@ -2698,6 +2700,8 @@
 
   void __set_wait_in_force(const bool val);
 
+  void __set_members(const std::vector<std::string> & val);
+
   bool operator == (const ProposeRequest & rhs) const
   {
     if (!(id == rhs.id))
@@ -2706,6 +2710,10 @@
       return false;
     if (!(wait_in_force == rhs.wait_in_force))
       return false;
+    if (__isset.members != rhs.__isset.members)
+      return false;
+    else if (__isset.members && !(members == rhs.members))
+      return false;
     return true;
   }
   bool operator != (const ProposeRequest &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -338,6 +338,8 @@
   1: i64 id,
   2: Command command,
   3: bool wait_in_force,                 // answer when in force everywhere
+  4: optional list<string> members,      // in place of a command: the control
+                                         // members from now on
 }
 
 struct ProposeResponse {
--- a/programs/goldcrestctl/src/commands.cc
+++ b/programs/goldcrestctl/src/commands.cc
@@ -52,6 +52,7 @@
   goldcrestctl [options] explain SUBJECT [--server=ADDRESS]...
   goldcrestctl [options] journal [--server=ADDRESS]...
   goldcrestctl [options] drain INSTANCE [--server=ADDRESS]...
+  goldcrestctl [options] members MEMBER... [--server=ADDRESS]...
   goldcrestctl [options] report [--server=ADDRESS]...
   goldcrestctl check FILE
   goldcrestctl (-h | --help | --version)
@@ -149,6 +150,8 @@
       return IssueKey();
     if (Given("withdraw"))
       return WithdrawKey();
+    if (Given("members"))
+      return SetMembers();
     if (Given("drain"))
       return Print(
           {"POST", "/v1/drain",
@@ -390,6 +393,15 @@
                   {}});
   }
 
+  int SetMembers() {
+    json::array members;
+    for (const std::string& member : arguments_.at("MEMBER").asStringList())
+      members.emplace_back(member);
+    return Print(
+        {"POST", "/v1/members",
+         json::serialize(json::value{{"members", std::move(members)}})});
+  }
+
   std::map<std::string, docopt::value> arguments_;
   std::ostream& out_;
   std::ostream& err_;
--- a/programs/goldcrestd/daemon.cc
+++ b/programs/goldcrestd/daemon.cc
@@ -515,11 +515,10 @@
 
 OperatorApiHooks Daemon::MakeOperatorHooks() {
   OperatorApiHooks hooks;
-  hooks.propose = [this](std::uint64_t id, messages::Command command,
-                         bool wait_in_force) {
+  hooks.propose = [this](std::uint64_t id,
+                         const messages::ProposeRequest& request) {
     WithEntry([&](entry::EntryNode& node, Time now) {
-      return node.OnOperatorProposal(id, command, wait_in_force,
-                                     now + kOperatorDeadline, now);
+      return node.OnOperatorProposal(id, request, now + kOperatorDeadline, now);
     });
   };
   hooks.query = [this](messages::QueryRequest query) {
--- a/programs/goldcrestd/operator_api.cc
+++ b/programs/goldcrestd/operator_api.cc
@@ -17,6 +17,7 @@
 using adapters::JsonWriter;
 
 constexpr std::size_t kMaxNameBytes = 128;
+constexpr std::size_t kMaxMembers = 17;
 constexpr std::size_t kMaxChangeBytes = std::size_t{4} << 20U;
 constexpr std::string_view kKeysPath = "/v1/keys/";
 constexpr Duration kQueryTimeout = std::chrono::seconds(3);
@@ -63,6 +64,8 @@
     HandleKeyWithdrawal(request, std::move(respond));
   else if (route == "GET /v1/objects")
     HandleObjects(request, respond);
+  else if (route == "POST /v1/members")
+    HandleMembers(request, std::move(respond));
   else if (route == "POST /v1/drain")
     HandleDrain(request, respond);
   else if (route == "GET /v1/status" || route == "GET /v1/journal" ||
@@ -167,6 +170,22 @@
   respond(adapters::ResultResponse(ResultCode::kOk, "drain started"));
 }
 
+void OperatorApi::HandleMembers(const adapters::HttpRequest& request,
+                                Respond respond) {
+  JsonObject json = JsonObject::Parse(request.body);
+  messages::ProposeRequest proposal;
+  proposal.__set_members(
+      json.OptionalStrings("members", kMaxMembers, kMaxNameBytes));
+  if (proposal.members.empty())
+    json.AddError("members", "must name at least one instance");
+  const auto errors = json.Finish();
+  if (!errors.empty()) {
+    respond(InvalidField(errors));
+    return;
+  }
+  Propose(std::move(proposal), std::move(respond));
+}
+
 void OperatorApi::HandleQuery(const std::string& path,
                               const std::string& subject,
                               Respond respond) {
@@ -209,15 +228,20 @@
 }
 
 void OperatorApi::Propose(messages::Change change, Respond respond) {
-  messages::Command command;
-  command.__set_change(std::move(change));
+  messages::ProposeRequest request;
+  request.command.__set_change(std::move(change));
+  request.wait_in_force = true;
+  Propose(std::move(request), std::move(respond));
+}
+
+void OperatorApi::Propose(messages::ProposeRequest request, Respond respond) {
   std::uint64_t id = 0;
   {
     const std::lock_guard lock(mutex_);
     id = next_id_++;
     changes_[id] = std::move(respond);
   }
-  hooks_.propose(id, std::move(command), true);
+  hooks_.propose(id, std::move(request));
 }
 
 void OperatorApi::OnAnswer(std::uint64_t id,
--- a/programs/goldcrestd/operator_api.h
+++ b/programs/goldcrestd/operator_api.h
@@ -19,8 +19,7 @@
 //! What the operator interface needs of the daemon.
 struct OperatorApiHooks {
   //! Starts a logged change; its answer comes through OnAnswer with this id.
-  std::function<
-      void(std::uint64_t id, messages::Command command, bool wait_in_force)>
+  std::function<void(std::uint64_t id, messages::ProposeRequest request)>
       propose;
   //! Asks the control leader; its answer comes through OnQueryAnswer.
   std::function<void(messages::QueryRequest)> query;
@@ -67,7 +66,9 @@
                    const std::string& subject,
                    Respond respond);
   void DryRun(const messages::Change& change, const Respond& respond);
+  void HandleMembers(const adapters::HttpRequest& request, Respond respond);
   void Propose(messages::Change change, Respond respond);
+  void Propose(messages::ProposeRequest request, Respond respond);
 
   std::string token_digest_;
   OperatorApiHooks hooks_;
--- a/sessions/include/goldcrest/sessions/fleet.h
+++ b/sessions/include/goldcrest/sessions/fleet.h
@@ -33,6 +33,10 @@
   messages::ProposeResponse Configure(const std::string& entry,
                                       const messages::Change& change);
 
+  //! Sends an operator's request and waits for its answer.
+  messages::ProposeResponse Propose(const std::string& entry,
+                                    const messages::ProposeRequest& request);
+
   //! Starts a request; its answer is found by `label` once it has come.
   void Call(const std::string& label,
             const std::string& entry,
--- a/sessions/src/fleet.cc
+++ b/sessions/src/fleet.cc
@@ -126,13 +126,20 @@
 
 messages::ProposeResponse Fleet::Configure(const std::string& entry_name,
                                            const messages::Change& change) {
+  messages::ProposeRequest request;
+  request.command.__set_change(change);
+  request.wait_in_force = true;
+  return Propose(entry_name, request);
+}
+
+messages::ProposeResponse Fleet::Propose(
+    const std::string& entry_name,
+    const messages::ProposeRequest& request) {
   const std::uint64_t id = next_caller_++;
-  messages::Command command;
-  command.__set_change(change);
   CarryOut(entry_name,
            entry(entry_name)
-               .OnOperatorProposal(id, command, true,
-                                   now_ + std::chrono::seconds(10), now_));
+               .OnOperatorProposal(id, request, now_ + std::chrono::seconds(10),
+                                   now_));
   RunUntil([&] { return operator_answers_.contains(id); }, kAnswerBound);
   return operator_answers_[id];
 }
--- a/sessions/tests/configuration_test.cc
+++ b/sessions/tests/configuration_test.cc
@@ -91,6 +91,27 @@
     fleet.Run(seconds(3));
     CHECK(AllHave(fleet, answer.revision));
     CHECK(fleet.control(follower).replica().IsJoining());
+
+    // Replacing it: out, then in again, which waits until it has caught up. A
+    // second loss right after must not lose the change.
+    std::vector<std::string> rest = {"e1", "e2", "e3"};
+    std::erase(rest, follower);
+    messages::ProposeRequest request;
+    request.__set_members(rest);
+    CHECK(fleet.Propose("e4", request).code == 0);
+    fleet.Run(milliseconds(500));
+    request.__set_members({"e1", "e2", "e3"});
+    CHECK(fleet.Propose("e4", request).code == 0);
+    REQUIRE(fleet.RunUntil(
+        [&] { return !fleet.control(follower).replica().IsJoining(); },
+        seconds(5)));
+    fleet.Kill(fleet.ControlLeader());
+    REQUIRE(fleet.RunUntil([&] { return !fleet.ControlLeader().empty(); },
+                           seconds(5)));
+    const auto next = fleet.Configure(
+        "e5", ChangeOf("c2", -1, {Customer("library", "office")}));
+    CHECK(next.code == 0);
+    CHECK(next.revision == answer.revision + 1);
   }
   SECTION("with all control members restarted at once") {
     const auto answer = fleet.Configure(
