Acknowledge nothing by replication once the lease has lapsed

Cause: OnCallResult() checked replication without the coordinator's lease. A coordinator that was paused and finds a replica's report before its timer on waking acknowledged a write, although a successor may have promoted a member from positions reported before that member got the write. Ruled out: a check in Tick() alone, which is there and runs too late. A check of the answer of the primary, which is there and covers only that answer. After: the test passes; a refused proposal is made again after 50 ms. The goldens that were there are unchanged. Conclusion: every way to an acknowledgement now asks for the lease.

--- a/coordinator/include/goldcrest/coordinator/group_coordinator.h
+++ b/coordinator/include/goldcrest/coordinator/group_coordinator.h
@@ -241,6 +241,7 @@
   std::string excluded_primary_;
   Time collect_until_;            // wait no longer for silent members
   Time phase_deadline_ = kNever;  // of kProposing
+  Time propose_after_;            // pause after a refused proposal
   Duration isolation_timeout_;
   Time isolation_timeout_reset_;  // back to the shortest timeout by then
   std::uint64_t replica_reads_ = 0;
--- a/coordinator/src/group_coordinator.cc
+++ b/coordinator/src/group_coordinator.cc
@@ -426,6 +426,10 @@
 }
 
 void GroupCoordinator::CheckReplication(Time now) {
+  // Without the lease a successor may have chosen a primary from positions
+  // that members reported before they got the write.
+  if (!HasLease(now))
+    return;
   std::vector<std::uint64_t> replicated;
   std::vector<std::uint64_t> overdue;
   for (const std::uint64_t id : unreplicated_) {
--- a/coordinator/src/group_coordinator_calls.cc
+++ b/coordinator/src/group_coordinator_calls.cc
@@ -177,13 +177,9 @@
     }
     return;
   }
-  if (forward.operation == Operation::READ) {
-    RetryLater(request, now);
-    return;
-  }
   request.may_have_run = true;
   // With a request id the endpoint recognises the second attempt.
-  if (forward.idempotent || has_id)
+  if (forward.operation == Operation::READ || forward.idempotent || has_id)
     RetryLater(request, now);
   else
     Refuse(request.id, ResultCode::kOutcomeUnknown);
--- a/coordinator/src/group_coordinator_primary.cc
+++ b/coordinator/src/group_coordinator_primary.cc
@@ -3,6 +3,13 @@
 #include "goldcrest/coordinator/group_coordinator.h"
 
 namespace goldcrest::coordinator {
+namespace {
+
+// Pause after a refusal. Control members that know no leader refuse at once,
+// and each proposal leaves a journal entry.
+constexpr Duration kProposalPause = std::chrono::milliseconds(50);
+
+}  // namespace
 
 CoordinatorEffects GroupCoordinator::OnGroupState(
     const messages::GroupState& state,
@@ -23,6 +30,7 @@
   if (phase_ == Phase::kProposing) {
     phase_ = Phase::kCollecting;
     collect_until_ = now;
+    propose_after_ = now + kProposalPause;
   }
   return TakeEffects();
 }
@@ -53,8 +61,10 @@
       Collect(now);
       break;
     case Phase::kProposing:
-      if (now >= phase_deadline_)
-        OnProposalRefused(now);
+      if (now >= phase_deadline_) {
+        phase_ = Phase::kCollecting;
+        collect_until_ = now;
+      }
       break;
     case Phase::kServing:
       CheckPrimary(now);
@@ -238,6 +248,8 @@
 }
 
 void GroupCoordinator::Collect(Time now) {
+  if (now < propose_after_)
+    return;
   const bool all_answered =
       std::ranges::all_of(members_.members(), [&](const auto& entry) {
         return members_.IsAlive(entry.second, now, options_.member_timeout);
