--- a/sessions/include/goldcrest/sessions/fleet.h
+++ b/sessions/include/goldcrest/sessions/fleet.h
@@ -32,6 +32,10 @@
   //! Sets configuration objects through `entry` and waits until in force.
   messages::ProposeResponse Configure(const std::string& entry,
                                       const messages::Change& change);
+  //! As Configure(), without waiting. Returns what AnswerToChange() takes.
+  std::uint64_t StartChange(const std::string& entry,
+                            const messages::Change& change);
+  const messages::ProposeResponse* AnswerToChange(std::uint64_t id) const;
 
   //! Starts a request; its answer is found by `label` once it has come.
   void Call(const std::string& label,
@@ -67,6 +71,8 @@
   //! another call.
   void CrossAnswers(const std::string& endpoint, int count);
   void KillEndpoint(const std::string& endpoint);
+  //! Kills all instances and endpoints with this zone label at once.
+  void KillZone(const std::string& zone);
   //! Starts a planned stop; the instance's callers have gone.
   void Drain(const std::string& instance);
   //! An endpoint announces itself to `entry`.
--- a/sessions/src/fleet.cc
+++ b/sessions/src/fleet.cc
@@ -126,6 +126,13 @@
 
 messages::ProposeResponse Fleet::Configure(const std::string& entry_name,
                                            const messages::Change& change) {
+  const std::uint64_t id = StartChange(entry_name, change);
+  RunUntil([&] { return operator_answers_.contains(id); }, kAnswerBound);
+  return operator_answers_[id];
+}
+
+std::uint64_t Fleet::StartChange(const std::string& entry_name,
+                                 const messages::Change& change) {
   const std::uint64_t id = next_caller_++;
   messages::Command command;
   command.__set_change(change);
@@ -133,8 +140,12 @@
            entry(entry_name)
                .OnOperatorProposal(id, command, true,
                                    now_ + std::chrono::seconds(10), now_));
-  RunUntil([&] { return operator_answers_.contains(id); }, kAnswerBound);
-  return operator_answers_[id];
+  return id;
+}
+
+const messages::ProposeResponse* Fleet::AnswerToChange(std::uint64_t id) const {
+  const auto it = operator_answers_.find(id);
+  return it == operator_answers_.end() ? nullptr : &it->second;
 }
 
 void Fleet::Call(const std::string& label,
@@ -236,6 +247,17 @@
   GroupOf(endpoint).member(endpoint).up = false;
 }
 
+void Fleet::KillZone(const std::string& zone) {
+  for (const auto& [name, node] : nodes_) {
+    if (node.info.zone == zone)
+      Kill(name);
+  }
+  for (const auto& [endpoint, group] : group_by_endpoint_) {
+    if (groups_.at(group).member(endpoint).info.zone == zone)
+      KillEndpoint(endpoint);
+  }
+}
+
 void Fleet::Drain(const std::string& instance) {
   Note("drain " + instance);
   Node& node = nodes_.at(instance);
