Keep acknowledged writes and spare leaving members in planned promotions

Cause: a planned replacement compared replicas with the primary's last probe, which may be older than its last write. A write that the primary alone had to acknowledge (durability "primary") was lost when the label "leaving" came within one probe interval after it. A member that an operator labelled as leaving could be promoted, as only an announcement kept it out. With both, a group whose only complete member was leaving got no primary at all. Ruled out: never lowering a member's position in the table, since a restarted member may hold less than before. Before: "A leaving primary keeps what it has until another has it" finds the write 0 times on the new primary; "A replica with the label of a leaving one is not promoted" finds a promotion of bookings-2; "A leaving member is promoted only if no other holds all writes" gets no member. Conclusion: a planned promotion waits for the last write of the term, and a leaving member is promoted only to pass its log on.

--- a/coordinator/include/goldcrest/coordinator/group_coordinator.h
+++ b/coordinator/include/goldcrest/coordinator/group_coordinator.h
@@ -244,6 +244,7 @@
   Time propose_after_;            // pause after a refused proposal
   Duration isolation_timeout_;
   Time isolation_timeout_reset_;  // back to the shortest timeout by then
+  std::int64_t written_ = 0;      // highest position written in this term
   std::uint64_t replica_reads_ = 0;
   std::uint64_t primary_reads_ = 0;
   CoordinatorEffects effects_;
--- a/coordinator/include/goldcrest/coordinator/member_table.h
+++ b/coordinator/include/goldcrest/coordinator/member_table.h
@@ -65,8 +65,9 @@
   //! The member to promote: the highest (log term, position) among those that
   //! answered within `timeout`. Nullopt unless enough members answered to be
   //! sure that the chosen one holds every write a majority held. Of equals
-  //! `preferred` wins, then the lower name; `excluded` and members that leave
-  //! are never chosen.
+  //! `preferred` wins, then the lower name; `excluded` is never chosen. A
+  //! member that leaves is chosen only where no other may be, so that its log
+  //! reaches one that stays.
   std::optional<std::string> ChoosePrimary(Time now,
                                            Duration timeout,
                                            const std::string& preferred,
@@ -82,6 +83,12 @@
   void SetPrimary(const std::string& endpoint, Time now);
 
  private:
+  std::optional<std::string> ChooseAmong(Time now,
+                                         Duration timeout,
+                                         const std::string& preferred,
+                                         const std::string& excluded,
+                                         bool with_leaving) const;
+
   std::string primary_;
   std::map<std::string, Member> members_;
 };
--- a/coordinator/src/group_coordinator.cc
+++ b/coordinator/src/group_coordinator.cc
@@ -43,7 +43,10 @@
 void GroupCoordinator::SetEndpoints(
     const std::vector<messages::EndpointInfo>& endpoints,
     Time now) {
-  members_.SetEndpoints(endpoints, now);
+  std::vector<messages::EndpointInfo> members = endpoints;
+  for (messages::EndpointInfo& info : members)
+    info.leaving = info.leaving || hooks_.endpoint_leaving(info);
+  members_.SetEndpoints(members, now);
   for (const messages::EndpointInfo& info : endpoints) {
     const auto [it, added] =
         limits_.try_emplace(info.endpoint, info.slots, info.connections);
--- a/coordinator/src/group_coordinator_calls.cc
+++ b/coordinator/src/group_coordinator_calls.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "goldcrest/coordinator/group_coordinator.h"
 
 namespace goldcrest::coordinator {
@@ -113,6 +115,8 @@
   if (operation == Operation::COMMIT || operation == Operation::ROLLBACK)
     EndTransaction(request.transaction, false);
 
+  if (changes_data)
+    written_ = std::max(written_, answer.position);
   if (changes_data &&
       request.forward.durability != messages::Durability::PRIMARY) {
     // The primary's last entry is of its own term: a promotion writes one.
--- a/coordinator/src/group_coordinator_primary.cc
+++ b/coordinator/src/group_coordinator_primary.cc
@@ -198,13 +198,15 @@
   const admission::EndpointLimits& limits = limits_.at(primary());
   if (limits.slots_in_use() > 0 || !unreplicated_.empty())
     return;
+  // The last probe of the primary may be older than its last write.
+  const std::int64_t position = std::max(leader->position, written_);
   const bool caught_up =
       std::ranges::any_of(members_.members(), [&](const auto& entry) {
         const Member& member = entry.second;
         return entry.first != primary() && !IsLeaving(entry.first) &&
                members_.IsAlive(member, now, options_.member_timeout) &&
                member.log_term == leader->log_term &&
-               member.position == leader->position;
+               member.position >= position;
       });
   if (caught_up)
     StartReplacement("primary is leaving", primary(), now);
@@ -297,6 +299,7 @@
   members_.OnReport(primary(), answer.term, answer.log_term, answer.position,
                     now);
   members_.SetPrimary(primary(), now);
+  written_ = answer.position;
   history_ = session::PositionHistory();
   excluded_primary_.clear();
   phase_ = Phase::kServing;
--- a/coordinator/src/member_table.cc
+++ b/coordinator/src/member_table.cc
@@ -85,6 +85,18 @@
     Duration timeout,
     const std::string& preferred,
     const std::string& excluded) const {
+  auto chosen = ChooseAmong(now, timeout, preferred, excluded, false);
+  if (!chosen)
+    chosen = ChooseAmong(now, timeout, preferred, excluded, true);
+  return chosen;
+}
+
+std::optional<std::string> MemberTable::ChooseAmong(
+    Time now,
+    Duration timeout,
+    const std::string& preferred,
+    const std::string& excluded,
+    bool with_leaving) const {
   const Member* best = nullptr;
   const auto rank = [&](const Member& member) {
     return std::tuple(member.log_term, member.position,
@@ -93,7 +105,7 @@
   for (const auto& [name, member] : members_) {
     if (!IsAlive(member, now, timeout))
       continue;
-    if (name == excluded || member.info.leaving)
+    if (name == excluded || (member.info.leaving && !with_leaving))
       continue;
     if (best == nullptr || rank(member) > rank(*best))
       best = &member;
--- a/coordinator/tests/group_coordinator_test.cc
+++ b/coordinator/tests/group_coordinator_test.cc
@@ -72,11 +72,12 @@
   EndpointCall* Statement() { return Open(EndpointOperation::kStatement, "a"); }
   void Finish(const EndpointCall* call,
               std::int64_t position,
-              Delivery delivery = Delivery::kAnswered) {
+              Delivery delivery = Delivery::kAnswered,
+              std::uint64_t id_offset = 0) {
     REQUIRE(call != nullptr);
     CallResult result;
     result.delivery = delivery;
-    result.answer.call_id = call->id;
+    result.answer.call_id = call->id + id_offset;
     result.answer.endpoint = call->endpoint;
     result.answer.term = result.answer.log_term = call->term;
     result.answer.position = position;
@@ -198,6 +199,25 @@
   }
 }
 
+TEST_CASE("An answer with another call's id answers nothing",
+          "[coordinator][guarantee]") {
+  Bench bench;
+  const auto write =
+      bench.Request(Operation::WRITE, "", messages::Durability::PRIMARY);
+  bench.Finish(bench.Statement(), 2, Delivery::kAnswered, 1);
+  CHECK(bench.CodeOf(write) == ResultCode::kOutcomeUnknown);
+}
+
+TEST_CASE("A write without an id is sent once", "[coordinator][guarantee]") {
+  // Guards against a second run when the first one's answer is lost early.
+  Bench bench;
+  const auto write = bench.Write();
+  bench.Finish(bench.Statement(), 0, Delivery::kUnknown);
+  bench.Tick(milliseconds(60));
+  CHECK(bench.Statement() == nullptr);
+  CHECK(bench.CodeOf(write) == ResultCode::kOutcomeUnknown);
+}
+
 TEST_CASE("A write that may have run is never refused as not run",
           "[coordinator][guarantee]") {
   // Guards against the truth about the second sending being given for both.
@@ -249,6 +269,23 @@
     CHECK(bench.closed_pins().size() == 1);
     CHECK(bench.Statement() == nullptr);
   }
+  SECTION("a lost commit with an id is looked up") {
+    const auto commit =
+        bench.Request(Operation::COMMIT, "c1", messages::Durability::PRIMARY);
+    bench.Finish(bench.Statement(), 0, Delivery::kUnknown);
+    bench.Finish(bench.Open(EndpointOperation::kOutcome, "a"), 2);
+    CHECK(bench.CodeOf(commit) == ResultCode::kOk);
+  }
+  SECTION("a planned stop lets it end and takes nothing else") {
+    bench.coordinator().BeginDrain();
+    const auto inside = bench.Write();
+    bench.Finish(bench.Statement(), 1);
+    CHECK(bench.CodeOf(inside) == ResultCode::kOk);
+    bench.transaction.clear();
+    CHECK(bench.CodeOf(bench.Request(Operation::BEGIN_WORK, "",
+                                     messages::Durability::MAJORITY)) ==
+          ResultCode::kCoordinatorMoved);
+  }
   SECTION("a lost commit without an id is unknown") {
     const auto commit =
         bench.Request(Operation::COMMIT, "", messages::Durability::MAJORITY);
--- a/coordinator/tests/member_table_test.cc
+++ b/coordinator/tests/member_table_test.cc
@@ -79,6 +79,21 @@
   CHECK_FALSE(table.ChoosePrimary(Time(), kTimeout, "", "").has_value());
 }
 
+TEST_CASE("A leaving member is promoted only if no other holds all writes",
+          "[coordinator][guarantee]") {
+  // Guards against a group without a primary as well: "a" has failed, and a
+  // write that "a" and "b" held is acknowledged.
+  MemberTable table = GroupOfThree();
+  messages::EndpointInfo leaving = InfoOf("b");
+  leaving.leaving = true;
+  table.SetEndpoints({InfoOf("a"), leaving, InfoOf("c")}, Time());
+  table.OnReport("b", 1, 1, 10, Time());
+  table.OnReport("c", 1, 1, 10, Time());
+  CHECK(table.ChoosePrimary(Time(), kTimeout, "", "") == "c");
+  table.OnReport("c", 1, 1, 9, Time());
+  CHECK(table.ChoosePrimary(Time(), kTimeout, "", "") == "b");
+}
+
 TEST_CASE("Equal positions of an earlier term are not replicas of a write",
           "[coordinator][guarantee]") {
   MemberTable table = GroupOfThree();
--- a/coordinator/tests/request_table_test.cc
+++ b/coordinator/tests/request_table_test.cc
@@ -46,6 +46,9 @@
         table.Add({"e2", 9}, Write("town-hall", "incr pump"), Time());
     CHECK(again.result == Result::kFinished);
     CHECK(again.finished_answer.value == "42");
+    CHECK(
+        table.Add({"e2", 9}, Write("town-hall", "incr gate"), Time()).result ==
+        Result::kReused);
   }
   SECTION("but a different statement under the same id is refused") {
     CHECK(
--- a/sessions/tests/stop_test.cc
+++ b/sessions/tests/stop_test.cc
@@ -100,6 +100,75 @@
   CHECK(StatementsSent(fleet, leaving) == sent);
 }
 
+TEST_CASE("A leaving primary keeps what it has until another has it",
+          "[sessions][guarantee]") {
+  // Guards against a planned promotion that cuts a statement or loses a write
+  // that was acknowledged by the primary alone.
+  Fleet fleet(4, 3);
+  FakeGroup& group = fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  const messages::Change leave =
+      ChangeOf("leave", -1, {LeavingLabel("bookings-1")});
+
+  SECTION("a statement that runs") {
+    fleet.DelayAnswers("bookings-1", milliseconds(400));
+    fleet.Call("slow", "e4", Write("set slow 1"));
+    fleet.Run(milliseconds(50));
+    REQUIRE(fleet.Configure("e2", leave).code == 0);
+    SendLoad(fleet, "during", 20, {"e3", "e4"});
+    fleet.Run(seconds(2));
+    CHECK(CountFailed(fleet, "during", 20) == 0);
+    CHECK(fleet.AnswerTo("slow")->code == ResultCode::kOk);
+  }
+  SECTION("a write that no replica has yet") {
+    messages::Object rule = *fleet.entry("e1").view().configuration().Find(
+        messages::ObjectKind::ACCESS, "bookings");
+    rule.__set_durability(messages::Durability::PRIMARY);
+    REQUIRE(fleet.Configure("e2", ChangeOf("risk", -1, {rule})).code == 0);
+    group.member("bookings-2").lag = seconds(1);
+    group.member("bookings-3").lag = seconds(1);
+    CHECK(fleet.CallAndWait("write", "e4", Write("set a 1")).code ==
+          ResultCode::kOk);
+    REQUIRE(fleet.Configure("e2", leave).code == 0);
+    fleet.Run(seconds(2));
+    CHECK(group.TimesRun(fleet.PrimaryOf("bookings"), "set a 1") == 1);
+  }
+  CHECK(fleet.PrimaryOf("bookings") != "bookings-1");
+}
+
+TEST_CASE("A replica with the label of a leaving one is not promoted",
+          "[sessions][guarantee]") {
+  Fleet fleet(4, 3);
+  fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  REQUIRE(
+      fleet.Configure("e2", ChangeOf("leave", -1, {LeavingLabel("bookings-2")}))
+          .code == 0);
+  fleet.KillEndpoint("bookings-1");
+  CHECK(fleet.CallAndWait("write", "e4", Write("set a 1", "w1")).code ==
+        ResultCode::kOk);
+  CHECK(fleet.PrimaryOf("bookings") == "bookings-3");
+  for (const auto& [sent, call] : fleet.sent_calls()) {
+    if (call.endpoint == "bookings-2")
+      CHECK(call.operation != coordinator::EndpointOperation::kPromote);
+  }
+}
+
+TEST_CASE("An entry stops after its own requests have ended",
+          "[sessions][guarantee]") {
+  Fleet fleet(4, 3);
+  fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(Prepare(fleet));
+  fleet.DelayAnswers("bookings-1", milliseconds(500));
+  fleet.Call("slow", "e4", Write("set slow 1"));
+  fleet.Run(milliseconds(50));
+  fleet.Drain("e4");
+  REQUIRE(fleet.RunUntil([&] { return fleet.entry("e4").IsDrained(); },
+                         seconds(5)));
+  REQUIRE(fleet.AnswerTo("slow") != nullptr);
+  CHECK(fleet.AnswerTo("slow")->code == ResultCode::kOk);
+}
+
 TEST_CASE("A planned stop cuts no request", "[sessions][guarantee]") {
   Fleet fleet(4, 3);
   fleet.AddGroup("bookings", 3, 3);
