Measure processor time, memory, control bytes and recovery

Cause: docs/CAPACITY.md needs slopes against customers, keys, instances, groups and changes, and none had been measured. Ruled out: wall time for operations, because other processes share the machine; processor time is used. Only recovery and appends, which wait for the disk, are in wall time. Before: no figures beyond the fair queue's cost. After: goldcrest_bench cost prints them, a baseline beside each.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -11,6 +11,13 @@
 //! time, but for the cost of the queue's operations.
 int RunFairness();
 
+//! Processor time, memory, control bytes and recovery against the number of
+//! customers, keys, instances and changes.
+int RunCost();
+
+//! The part of RunCost() that concerns control.
+void RunControlCost();
+
 }  // namespace goldcrest::bench
 
 #endif  // GOLDCREST_BENCH_BENCH_H_
--- /dev/null
+++ b/bench/fleet_setup.cc
@@ -0,0 +1,79 @@
+#include "bench/fleet_setup.h"
+
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "bench/objects.h"
+#include "goldcrest/types/digest.h"
+
+namespace goldcrest::bench {
+namespace {
+
+using std::chrono::seconds;
+
+bool Apply(sessions::Fleet& fleet, std::vector<messages::Object> objects) {
+  messages::Change change;
+  change.base_revision = fleet.entry("e1").view().configuration().Revision();
+  change.change_id = fmt::format("change-{}", change.base_revision);
+  change.author = "bench";
+  change.objects = std::move(objects);
+  return fleet.Configure("e1", change).code == 0;
+}
+
+entry::CallerRequest Request(std::size_t customer, const std::string& group) {
+  entry::CallerRequest request;
+  request.key_digest = Sha256(KeyText(customer));
+  request.group = group;
+  request.timeout = seconds(5);
+  return request;
+}
+
+}  // namespace
+
+bool StartFleet(sessions::Fleet& fleet,
+                std::size_t customers,
+                int slots,
+                const Load& load) {
+  fleet.AddGroup("bookings", 3, slots);
+  if (!fleet.RunUntil([&] { return !fleet.ControlLeader().empty(); },
+                      seconds(10)))
+    return false;
+  std::vector<messages::Object> objects;
+  for (std::size_t i = 0; i < customers; ++i) {
+    objects.push_back(Customer(CustomerName(i)));
+    objects.push_back(Key(i, i));
+  }
+  objects.push_back(Quota(load.rate, load.burst));
+  messages::Object rule = Rule(0);
+  rule.__set_callers("plan=gold");
+  rule.__set_max_age_ms(load.max_age.count());
+  objects.push_back(rule);
+  if (!Apply(fleet, std::move(objects)))
+    return false;
+  const bool serves = fleet.RunUntil(
+      [&] { return !fleet.CoordinatorOf("bookings").empty(); }, seconds(10));
+  // Buckets start empty and replicas pull.
+  fleet.Run(seconds(2));
+  return serves;
+}
+
+void AddKey(sessions::Fleet& fleet, std::size_t number) {
+  Apply(fleet, {Key(number, 0)});
+}
+
+entry::CallerRequest ReadBy(std::size_t customer, const std::string& group) {
+  entry::CallerRequest request = Request(customer, group);
+  request.operation = messages::Operation::READ;
+  request.statement = "get facade";
+  return request;
+}
+
+entry::CallerRequest WriteBy(std::size_t customer, const std::string& group) {
+  entry::CallerRequest request = Request(customer, group);
+  request.operation = messages::Operation::WRITE;
+  request.statement = "set facade booked";
+  return request;
+}
+
+}  // namespace goldcrest::bench
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -11,6 +11,9 @@
   if (command == "fairness") {
     return goldcrest::bench::RunFairness();
   }
-  std::fputs("usage: goldcrest_bench quota|fairness\n", stderr);
+  if (command == "cost") {
+    return goldcrest::bench::RunCost();
+  }
+  std::fputs("usage: goldcrest_bench quota|fairness|cost\n", stderr);
   return 2;
 }
