--- a/messages/src/codec.cc
+++ b/messages/src/codec.cc
@@ -27,14 +27,14 @@
 }
 
 template <typename Message>
-std::optional<Message> DecodeAny(std::string_view bytes) {
-  if (bytes.size() > kMaxEncodedBytes)
+std::optional<Message> DecodeAny(std::string_view bytes,
+                                 std::size_t max_bytes = kMaxEncodedBytes) {
+  if (bytes.size() > max_bytes)
     return std::nullopt;
   // TMemoryBuffer takes a mutable pointer but only reads in OBSERVE mode.
   auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
   auto configuration = std::make_shared<TConfiguration>(
-      static_cast<int>(kMaxEncodedBytes), static_cast<int>(kMaxEncodedBytes),
-      kMaxNesting);
+      static_cast<int>(max_bytes), static_cast<int>(max_bytes), kMaxNesting);
   auto buffer = std::make_shared<TMemoryBuffer>(
       data, static_cast<std::uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE,
       configuration);
@@ -81,7 +81,7 @@
 }
 
 std::optional<ControlSnapshot> DecodeControlSnapshot(std::string_view bytes) {
-  return DecodeAny<ControlSnapshot>(bytes);
+  return DecodeAny<ControlSnapshot>(bytes, kMaxSnapshotBytes);
 }
 
 std::optional<LogEntry> DecodeLogEntry(std::string_view bytes) {
--- a/messages/tests/codec_test.cc
+++ b/messages/tests/codec_test.cc
@@ -34,4 +34,15 @@
   CHECK_FALSE(DecodePeerMessage(bytes + "x").has_value());
 }
 
+TEST_CASE("A snapshot larger than the largest message can be read",
+          "[messages]") {
+  // Guards against a control member that writes a snapshot and can't start
+  // from it.
+  ControlSnapshot snapshot;
+  snapshot.session_secret = std::string(kMaxEncodedBytes + 1, 's');
+  const auto decoded = DecodeControlSnapshot(Encode(snapshot));
+  REQUIRE(decoded.has_value());
+  CHECK((*decoded == snapshot));
+}
+
 }  // namespace goldcrest::messages
