Find the groups of an instance without a walk over all groups

Cause: the control leader compared each group's coordinator with the sender of each report. Ruled out: the groups named in the report, because a new coordinator does not name a group before it has its first lease. Before (goldcrest_bench cost): 40.5 us a report with 650 instances and 1,945 groups, 527 us with 3,900 and 11,667; 1.5 us with 11 and 3. After: 3.2 us, 6.5 us and 1.4 us. The leader's tick still walks all groups (6.3 ms at 11,667 groups).

--- a/control/include/goldcrest/control/control_state.h
+++ b/control/include/goldcrest/control/control_state.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   const std::map<std::string, messages::GroupState>& groups() const {
     return groups_;
   }
+  //! Names of the groups that an instance coordinates.
+  const std::set<std::string>& GroupsOf(const std::string& instance) const;
   const std::map<std::string, messages::EndpointInfo>& endpoints() const {
     return endpoints_;
   }
@@ -61,6 +64,8 @@
   std::string session_secret_;
   std::int64_t groups_revision_ = 0;
   std::map<std::string, messages::GroupState> groups_;
+  // Lets the leader answer a report without a walk over all groups.
+  std::map<std::string, std::set<std::string>> groups_by_coordinator_;
   std::map<std::string, messages::EndpointInfo> endpoints_;
   std::map<std::string, messages::InstanceInfo> instances_;
   std::deque<messages::JournalEntry> journal_;
--- a/control/src/control_state.cc
+++ b/control/src/control_state.cc
@@ -117,6 +117,13 @@
   messages::GroupState& group = it->second;
   if (assign.epoch != group.coordinator_epoch + 1)
     return Refused(ResultCode::kCoordinatorMoved, "epoch has moved on");
+  if (const auto old = groups_by_coordinator_.find(group.coordinator);
+      old != groups_by_coordinator_.end()) {
+    old->second.erase(assign.group);
+    if (old->second.empty())
+      groups_by_coordinator_.erase(old);
+  }
+  groups_by_coordinator_[assign.coordinator].insert(assign.group);
   group.coordinator = assign.coordinator;
   group.coordinator_epoch = assign.epoch;
   group.revision = ++groups_revision_;
@@ -161,6 +168,13 @@
     journal_.pop_front();
 }
 
+const std::set<std::string>& ControlState::GroupsOf(
+    const std::string& instance) const {
+  static const std::set<std::string> kNone;
+  const auto it = groups_by_coordinator_.find(instance);
+  return it == groups_by_coordinator_.end() ? kNone : it->second;
+}
+
 messages::ControlSnapshot ControlState::Save() const {
   messages::ControlSnapshot snapshot;
   policy::ConfigurationState saved = configuration_.Save();
@@ -184,8 +198,11 @@
   configuration_.Load({snapshot.revision, snapshot.objects, snapshot.changes});
   groups_revision_ = snapshot.groups_revision;
   session_secret_ = snapshot.session_secret;
-  for (const messages::GroupState& group : snapshot.groups)
+  for (const messages::GroupState& group : snapshot.groups) {
     groups_[group.group] = group;
+    if (!group.coordinator.empty())
+      groups_by_coordinator_[group.coordinator].insert(group.group);
+  }
   for (const messages::EndpointInfo& endpoint : snapshot.endpoints)
     endpoints_[endpoint.endpoint] = endpoint;
   for (const messages::InstanceInfo& instance : snapshot.instances)
--- a/control/src/leader_assignments.cc
+++ b/control/src/leader_assignments.cc
@@ -58,9 +58,7 @@
     if (coordinator.resign)
       resigned.insert(coordinator.group);
   }
-  for (const auto& [group_name, group] : state_->groups()) {
-    if (group.coordinator != name)
-      continue;
+  for (const std::string& group_name : state_->GroupsOf(name)) {
     if (resigned.contains(group_name)) {
       coordinator_lease_until_[group_name] = now;
       continue;
@@ -70,7 +68,7 @@
       continue;
     messages::CoordinatorLease lease;
     lease.group = group_name;
-    lease.epoch = group.coordinator_epoch;
+    lease.epoch = state_->groups().at(group_name).coordinator_epoch;
     lease.lease_ms = options_.coordinator_lease.count();
     update->leases.push_back(lease);
     coordinator_lease_until_[group_name] =
