Test fleets of real processes that are killed, frozen and stopped

Cause: only the pieces and single sessions had tests; nothing showed that daemons and stand-ins as processes keep the guarantees when one of them is killed, frozen, stopped or restarted.

process_tests starts three control members, two entries and three stand-ins on loopback for each test. A launcher sets PR_SET_PDEATHSIG, which posix_spawn can't; reserved ports stay bound without a listener, so that no outgoing connection takes them while a daemon is down. The blocking HTTP client now gives response headers (session token) and tells a request that was sent from one that found no connection, which the count of cut requests needs.

Ruled out: one fleet shared by all tests (saves about 1 s a test, but a test would depend on what an earlier one killed).

Before: no such tests. Conclusion: the package can run in CTest, serially.

--- /dev/null
+++ b/process_tests/src/child_process.cc
@@ -0,0 +1,90 @@
+#include "child_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <system_error>
+
+#include "wait.h"
+
+namespace goldcrest::process_tests {
+namespace {
+
+constexpr int kSignalStatus = 128;
+
+int ToStatus(int raw) {
+  return WIFEXITED(raw) ? WEXITSTATUS(raw) : kSignalStatus + WTERMSIG(raw);
+}
+
+}  // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command,
+                           const std::filesystem::path& log) {
+  std::vector<std::string> all = {GOLDCREST_LAUNCHER, std::to_string(getpid())};
+  all.insert(all.end(), command.begin(), command.end());
+  std::vector<char*> arguments;
+  arguments.reserve(all.size() + 1);
+  for (std::string& argument : all)
+    arguments.push_back(argument.data());
+  arguments.push_back(nullptr);
+
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kMode = 0600;
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kMode);
+  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  const int error = posix_spawn(&pid_, arguments[0], &actions, nullptr,
+                                arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0)
+    throw std::system_error(error, std::generic_category(), command.front());
+}
+
+ChildProcess::~ChildProcess() {
+  Kill();
+}
+
+void ChildProcess::Signal(int signal) const {
+  // A reaped process id may belong to another process by now.
+  if (!status_)
+    kill(pid_, signal);
+}
+
+void ChildProcess::Kill() {
+  Signal(SIGKILL);
+  Reap(0);
+}
+
+std::optional<int> ChildProcess::WaitForExit(
+    std::chrono::milliseconds timeout) {
+  Eventually(timeout, [this] { return !Running(); });
+  return status_;
+}
+
+bool ChildProcess::Running() {
+  Reap(WNOHANG);
+  return !status_;
+}
+
+void ChildProcess::Reap(int flags) {
+  int raw = 0;
+  while (!status_) {
+    const pid_t reaped = waitpid(pid_, &raw, flags);
+    if (reaped == pid_)
+      status_ = ToStatus(raw);
+    else if (reaped == 0 || errno != EINTR)
+      return;
+  }
+}
+
+bool HasChildren() {
+  siginfo_t info = {};
+  return waitid(P_ALL, 0, &info, WEXITED | WNOHANG | WNOWAIT) == 0;
+}
+
+}  // namespace goldcrest::process_tests
--- /dev/null
+++ b/process_tests/src/reserved_port.cc
@@ -0,0 +1,35 @@
+#include "reserved_port.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <system_error>
+
+namespace goldcrest::process_tests {
+
+ReservedPort::ReservedPort()
+    : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  const int on = 1;
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+      bind(socket_, generic, size) != 0 ||
+      getsockname(socket_, generic, &size) != 0) {
+    const int error = errno;
+    close(socket_);
+    throw std::system_error(error, std::generic_category(), "reserve a port");
+  }
+  number_ = ntohs(address.sin_port);
+}
+
+ReservedPort::~ReservedPort() {
+  close(socket_);
+}
+
+}  // namespace goldcrest::process_tests
--- a/settings/include/goldcrest/settings/http_client.h
+++ b/settings/include/goldcrest/settings/http_client.h
@@ -20,6 +20,7 @@
 struct HttpAnswer {
   int status = 0;
   std::string body;
+  std::map<std::string, std::string> headers;  //!< Names in lower case.
 };
 
 //! Blocking HTTP/1.1 client with one connection to one server. Used where no
@@ -40,12 +41,17 @@
   //! Closes the connection.
   void Close();
 
+  //! Whether the last call had a connection, so that the server may have got
+  //! its request although no answer came.
+  bool last_call_sent() const { return last_call_sent_; }
+
  private:
   class Connection;
 
   std::string host_;
   std::uint16_t port_;
   std::unique_ptr<Connection> connection_;
+  bool last_call_sent_ = false;
 };
 
 }  // namespace goldcrest::settings
--- a/settings/src/http_client.cc
+++ b/settings/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/settings/http_client.h"
 
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,15 @@
 // Largest answer accepted: a whole fleet's objects fit in it.
 constexpr std::uint64_t kMaxAnswerBytes = std::uint64_t{64} << 20U;
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  for (char& letter : lower)
+    letter = letter >= 'A' && letter <= 'Z'
+                 ? static_cast<char>(letter - 'A' + 'a')
+                 : letter;
+  return lower;
+}
+
 }  // namespace
 
 //! Runs asynchronous operations one at a time, because blocking ones of Beast
@@ -64,8 +74,13 @@
     if (error)
       return std::nullopt;
     keep_alive_ = parser.get().keep_alive();
-    return HttpAnswer{static_cast<int>(parser.get().result_int()),
-                      std::move(parser.get().body())};
+    HttpAnswer answer{static_cast<int>(parser.get().result_int()),
+                      std::move(parser.get().body()),
+                      {}};
+    for (const auto& field : parser.get())
+      answer.headers[LowerCase(field.name_string())] =
+          std::string(field.value());
+    return answer;
   }
 
   bool keep_alive() const { return keep_alive_; }
@@ -90,6 +105,7 @@
 std::optional<HttpAnswer> HttpClient::Call(const HttpCall& call,
                                            std::chrono::milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
+  last_call_sent_ = false;
   if (!connection_) {
     connection_ = std::make_unique<Connection>();
     if (!connection_->Open(host_, port_, timeout)) {
@@ -108,6 +124,7 @@
   request.prepare_payload();
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       deadline - std::chrono::steady_clock::now());
+  last_call_sent_ = true;
   auto answer = connection_->Call(request, left);
   if (!answer || !connection_->keep_alive())
     Close();
