Name local constants of process_tests as the linter asks

Cause: clang-tidy reports local constants in the case of global ones and a vector that grows in a loop. After: the names and the reserve() it asks for; no change of behaviour.

--- a/process_tests/src/child_process.cc
+++ b/process_tests/src/child_process.cc
@@ -34,9 +34,9 @@
 
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  constexpr int kMode = 0600;
+  constexpr int mode = 0600;
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, kMode);
+                                   O_WRONLY | O_CREAT | O_APPEND, mode);
   posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
   const int error = posix_spawn(&pid_, arguments[0], &actions, nullptr,
                                 arguments.data(), environ);
--- a/process_tests/src/wait.cc
+++ b/process_tests/src/wait.cc
@@ -8,12 +8,12 @@
 
 bool Eventually(std::chrono::milliseconds bound,
                 const std::function<bool()>& condition) {
-  constexpr std::chrono::milliseconds kInterval{5};
+  constexpr std::chrono::milliseconds interval{5};
   const auto deadline = std::chrono::steady_clock::now() + bound;
   while (!condition()) {
     if (std::chrono::steady_clock::now() > deadline)
       return false;
-    std::this_thread::sleep_for(kInterval);
+    std::this_thread::sleep_for(interval);
   }
   return true;
 }
--- a/process_tests/tests/endpoint_faults_test.cc
+++ b/process_tests/tests/endpoint_faults_test.cc
@@ -47,14 +47,14 @@
 
  private:
   void Run() {
-    constexpr int kTimeoutMs = 150;
+    constexpr int timeout_ms = 150;
     while (!stopping_) {
       const Reply reply = caller_.Post(port_, "/v1/execute",
                                        {{"group", "bookings"},
                                         {"kind", "read"},
                                         {"idempotent", true},
                                         {"statement", "get " + name_},
-                                        {"timeout_ms", kTimeoutMs}});
+                                        {"timeout_ms", timeout_ms}});
       if (reply.Done())
         ++(reply.Text("value") == name_ ? right_ : wrong_);
     }
@@ -116,9 +116,9 @@
 TEST_CASE("Endpoint connections that go silent are replaced within 5 s",
           "[process_tests]") {
   Fleet fleet;
-  constexpr milliseconds kRequestTimeout{1'000};
+  constexpr milliseconds request_timeout{1'000};
   IncrementLoad load("load-1", {fleet.CallerPort("e4"), fleet.CallerPort("e5")},
-                     kRequestTimeout);
+                     request_timeout);
   REQUIRE(load.Continues(kSteady, kBound));
   const std::string silent = fleet.Primary();
   fleet.SetFault(silent, "silence_connections", 1);
--- a/process_tests/tests/kill_test.cc
+++ b/process_tests/tests/kill_test.cc
@@ -23,6 +23,7 @@
 std::vector<std::uint16_t> PortsOf(const Fleet& fleet,
                                    const std::vector<std::string>& instances) {
   std::vector<std::uint16_t> ports;
+  ports.reserve(instances.size());
   for (const std::string& instance : instances)
     ports.push_back(fleet.CallerPort(instance));
   return ports;
@@ -148,7 +149,6 @@
   const std::string old_primary = fleet.Primary();
   const std::string other = fleet.OtherThan({coordinator});
   Caller caller(Fleet::kHallKey);
-  const std::string seen_before = fleet.Seen(old_primary);
   // The primary alone holds the write, and is lost with it.
   fleet.SetFault(old_primary, "cut_replication", 1);
   std::future<Reply> stale = std::async(std::launch::async, [&] {
@@ -166,8 +166,8 @@
     return caller.Write(fleet.CallerPort(other), "set facade new").Done();
   });
   CHECK(fleet.Coordinator() != coordinator);
-  constexpr int kLaterWrites = 5;
-  for (int i = 0; i < kLaterWrites; ++i)
+  constexpr int later_writes = 5;
+  for (int i = 0; i < later_writes; ++i)
     REQUIRE(caller.Write(fleet.CallerPort(other), "append later x").Done());
   fleet.Daemon(coordinator).Signal(SIGCONT);
 
--- a/process_tests/tests/requests_test.cc
+++ b/process_tests/tests/requests_test.cc
@@ -94,9 +94,9 @@
 TEST_CASE("A customer over its rate is refused over all entries together",
           "[process_tests][guarantee]") {
   const Fleet fleet;
-  constexpr std::chrono::seconds kLoadTime{3};
+  constexpr std::chrono::seconds load_time{3};
   const auto start = steady_clock::now();
-  const auto end = start + kLoadTime;
+  const auto end = start + load_time;
   std::vector<std::future<RateCounts>> clients;
   // Two to each entry, so that each needs a share.
   for (int i = 0; i < 2; ++i) {
