--- a/control/internal/pending_key.h
+++ b/control/internal/pending_key.h
@@ -11,6 +11,7 @@
 inline constexpr std::string_view kRemoveKey = "remove ";
 inline constexpr std::string_view kInstanceKey = "instance ";
 inline constexpr std::string_view kEndpointKey = "endpoint ";
+inline constexpr std::string_view kNoteKey = "note ";
 
 }  // namespace goldcrest::control
 
--- a/control/src/leader.cc
+++ b/control/src/leader.cc
@@ -45,8 +45,18 @@
   view.incarnation = report.instance.incarnation;
   view.applied_revision = report.applied_revision;
   view.applied_groups_revision = report.applied_groups_revision;
+  if (report.draining && !view.draining) {
+    messages::Command command;
+    messages::JournalEntry& note = command.note;
+    note.wall_ms = report.wall_ms;
+    note.kind = "instance_stopping";
+    note.subject = name;
+    note.cause = "planned stop";
+    command.__isset.note = true;
+    Propose(std::move(command), kNoteKey, name);
+  }
   view.draining = report.draining;
-  ProposeRegistrations(report, 0);
+  ProposeRegistrations(report, report.wall_ms);
   ProposeNotes(report);
 
   messages::ControlUpdate update = UpdateFor(view);
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -5339,6 +5339,10 @@
 void EntryReport::__set_stopped(const bool val) {
   this->stopped = val;
 }
+
+void EntryReport::__set_wall_ms(const int64_t val) {
+  this->wall_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EntryReport& obj)
 {
   obj.printTo(out);
@@ -5526,6 +5530,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wall_ms);
+          this->__isset.wall_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5632,6 +5644,10 @@
   xfer += oprot->writeBool(this->stopped);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("wall_ms", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->wall_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5651,6 +5667,7 @@
   swap(a.journal, b.journal);
   swap(a.counters, b.counters);
   swap(a.stopped, b.stopped);
+  swap(a.wall_ms, b.wall_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -5667,6 +5684,7 @@
   journal = other177.journal;
   counters = other177.counters;
   stopped = other177.stopped;
+  wall_ms = other177.wall_ms;
   __isset = other177.__isset;
 }
 EntryReport::EntryReport(EntryReport&& other178) noexcept {
@@ -5682,6 +5700,7 @@
   journal = std::move(other178.journal);
   counters = std::move(other178.counters);
   stopped = other178.stopped;
+  wall_ms = other178.wall_ms;
   __isset = other178.__isset;
 }
 EntryReport& EntryReport::operator=(const EntryReport& other179) {
@@ -5697,6 +5716,7 @@
   journal = other179.journal;
   counters = other179.counters;
   stopped = other179.stopped;
+  wall_ms = other179.wall_ms;
   __isset = other179.__isset;
   return *this;
 }
@@ -5713,6 +5733,7 @@
   journal = std::move(other180.journal);
   counters = std::move(other180.counters);
   stopped = other180.stopped;
+  wall_ms = other180.wall_ms;
   __isset = other180.__isset;
   return *this;
 }
@@ -5731,6 +5752,7 @@
   out << ", " << "journal=" << to_string(journal);
   out << ", " << "counters=" << to_string(counters);
   out << ", " << "stopped=" << to_string(stopped);
+  out << ", " << "wall_ms=" << to_string(wall_ms);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -2082,7 +2082,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorReport& obj);
 
 typedef struct _EntryReport__isset {
-  _EntryReport__isset() : instance(false), sequence(false), sent_micros(false), applied_revision(false), applied_groups_revision(false), shares(false), announcements(false), coordinators(false), draining(false), journal(false), counters(false), stopped(false) {}
+  _EntryReport__isset() : instance(false), sequence(false), sent_micros(false), applied_revision(false), applied_groups_revision(false), shares(false), announcements(false), coordinators(false), draining(false), journal(false), counters(false), stopped(false), wall_ms(false) {}
   bool instance :1;
   bool sequence :1;
   bool sent_micros :1;
@@ -2095,6 +2095,7 @@
   bool journal :1;
   bool counters :1;
   bool stopped :1;
+  bool wall_ms :1;
 } _EntryReport__isset;
 
 class EntryReport : public virtual ::apache::thrift::TBase {
@@ -2110,7 +2111,8 @@
                 applied_revision(0),
                 applied_groups_revision(0),
                 draining(0),
-                stopped(0) {
+                stopped(0),
+                wall_ms(0) {
   }
 
   virtual ~EntryReport() noexcept;
@@ -2126,6 +2128,7 @@
   std::vector<JournalEntry>  journal;
   std::map<std::string, int64_t>  counters;
   bool stopped;
+  int64_t wall_ms;
 
   _EntryReport__isset __isset;
 
@@ -2153,6 +2156,8 @@
 
   void __set_stopped(const bool val);
 
+  void __set_wall_ms(const int64_t val);
+
   bool operator == (const EntryReport & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -2179,6 +2184,8 @@
       return false;
     if (!(stopped == rhs.stopped))
       return false;
+    if (!(wall_ms == rhs.wall_ms))
+      return false;
     return true;
   }
   bool operator != (const EntryReport &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -264,6 +264,7 @@
   10: list<JournalEntry> journal,
   11: map<string, i64> counters,         // service-level counters, cumulative
   12: bool stopped,                      // last report: serves and holds nothing
+  13: i64 wall_ms,                       // Unix time, for the journal
 }
 
 struct CoordinatorLease {
