Say why the daemon can't start, and refuse to drain an unknown instance

Cause: an address in use ended goldcrestd with exit code 70 and no message; a drain of a name that does not exist was answered with code 0; a change without a control majority was answered after 10 s, when the tool had given up. Ruled out: a check of ports before they are bound, which another process can overtake. Before: as above. Conclusion: found while the operator's handbook was written.

--- a/programs/goldcrestd/daemon.cc
+++ b/programs/goldcrestd/daemon.cc
@@ -5,6 +5,7 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <iterator>
@@ -26,7 +27,7 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(10);
 constexpr Duration kVerifyTimeout = std::chrono::milliseconds(400);
-constexpr Duration kOperatorDeadline = std::chrono::seconds(10);
+constexpr Duration kOperatorDeadline = std::chrono::seconds(8);
 constexpr std::size_t kSecretBytes = 32;
 constexpr std::size_t kMaxNameBytes = 63;
 
@@ -541,9 +542,20 @@
     read(entry_->view().configuration(), endpoints);
   };
   hooks.drain = [this](const std::string& instance) {
+    bool known = false;
+    {
+      const std::lock_guard lock(entry_mutex_);
+      known = std::ranges::any_of(entry_->view().instances(),
+                                  [&](const messages::InstanceInfo& info) {
+                                    return info.instance == instance;
+                                  });
+    }
+    if (!known)
+      return false;
     messages::PeerMessage message;
     message.__set_drain(true);
     Send(instance, std::move(message));
+    return true;
   };
   hooks.refusals = &refusals_;
   return hooks;
--- a/programs/goldcrestd/main.cc
+++ b/programs/goldcrestd/main.cc
@@ -127,6 +127,10 @@
                    InfoOf(error.code).name, error.message);
         return EX_IOERR;
       },
+      [](leaf::catch_<std::exception> error) {
+        fmt::print(stderr, "error: {}\n", error.matched.what());
+        return EX_OSERR;
+      },
       [] { return EX_SOFTWARE; });
 }
 
--- a/programs/goldcrestd/operator_api.cc
+++ b/programs/goldcrestd/operator_api.cc
@@ -166,8 +166,11 @@
     respond(InvalidField(errors));
     return;
   }
-  hooks_.drain(instance);
-  respond(adapters::ResultResponse(ResultCode::kOk, "drain started"));
+  if (hooks_.drain(instance))
+    respond(adapters::ResultResponse(ResultCode::kOk, "drain started"));
+  else
+    respond(adapters::ResultResponse(ResultCode::kUnknownReference,
+                                     "there is no instance " + instance));
 }
 
 void OperatorApi::HandleMembers(const adapters::HttpRequest& request,
--- a/programs/goldcrestd/operator_api.h
+++ b/programs/goldcrestd/operator_api.h
@@ -28,7 +28,8 @@
       const std::function<void(const policy::Configuration&,
                                const std::vector<messages::EndpointInfo>&)>&)>
       read_configuration;
-  std::function<void(const std::string& instance)> drain;
+  //! False when there is no such instance.
+  std::function<bool(const std::string& instance)> drain;
   const RefusalLog* refusals = nullptr;
 };
 
