Find a new control leader without asking the lost one again

Cause: followers name the lost leader until they have elected another, and an entry followed the hint and waited its answer timeout again, 400 ms, longer than a coordinator's lease could bear. A planned stop of all control members never ended, because groups could be handed over to nobody. Ruled out: a longer coordinator lease, which adds to the gap when a coordinator dies. A stop ends once the control lease has lapsed. Conclusion: a member that did not answer is not asked again for a second.

--- a/entry/include/goldcrest/entry/control_client.h
+++ b/entry/include/goldcrest/entry/control_client.h
@@ -59,7 +59,8 @@
   //! The leader, or the control member that is asked next.
   const std::string& target() const { return target_; }
   //! `target` answered that it is not the leader, or its link is down.
-  void OnTargetFailed(const std::string& hint);
+  //! `hint` is the leader it names, if any.
+  void OnTargetFailed(const std::string& hint, Time now);
 
  private:
   void AskNextMember();
@@ -73,6 +74,8 @@
   std::int64_t sequence_ = 0;
   std::int64_t answered_sequence_ = 0;
   Time next_report_;
+  std::string silent_member_;  // did not answer; followers may still name it
+  Time silent_until_;
   std::optional<Time> unanswered_since_;
   bool report_soon_ = true;
   std::map<std::string, messages::Announcement> announcements_;
--- a/entry/src/control_client.cc
+++ b/entry/src/control_client.cc
@@ -10,6 +10,14 @@
 // Reports made at once (quota, assignments) are at least this far apart.
 constexpr Duration kMinReportGap = std::chrono::milliseconds(5);
 
+// Followers name a lost leader until they have elected another. Following them
+// would cost one more answer timeout, more than a coordinator's lease can bear.
+constexpr Duration kSilentMemberPause = std::chrono::seconds(1);
+
+// Wait before the next member is asked, so that an election is not met with a
+// report per round trip.
+constexpr Duration kHintPause = std::chrono::milliseconds(20);
+
 }  // namespace
 
 ControlClient::ControlClient(View* view,
@@ -26,6 +34,8 @@
     bool stopped,
     Time now) {
   if (unanswered_since_ && now - *unanswered_since_ > options_.answer_timeout) {
+    silent_member_ = target_;
+    silent_until_ = now + kSilentMemberPause;
     AskNextMember();
     unanswered_since_.reset();
     report_soon_ = true;
@@ -71,7 +81,7 @@
   // A member that is not the leader answers with the leader's name only.
   const bool is_hint = update.leader_term == 0;
   if (is_hint) {
-    OnTargetFailed(update.leader);
+    OnTargetFailed(update.leader, now);
     return result;
   }
   if (update.leader_term > newest_leader_term_)
@@ -122,13 +132,17 @@
     notes_.pop_front();
 }
 
-void ControlClient::OnTargetFailed(const std::string& hint) {
-  const std::string failed = target_;
-  if (!hint.empty() && hint != failed)
+void ControlClient::OnTargetFailed(const std::string& hint, Time now) {
+  const bool silent = hint == silent_member_ && now < silent_until_;
+  if (!hint.empty() && hint != target_ && !silent)
     target_ = hint;
   else
     AskNextMember();
+  if (target_ == silent_member_ && now < silent_until_)
+    AskNextMember();
   unanswered_since_.reset();
+  report_soon_ = true;
+  next_report_ = now + options_.report_interval + kHintPause;
 }
 
 void ControlClient::AskNextMember() {
--- a/entry/src/entry_node.cc
+++ b/entry/src/entry_node.cc
@@ -51,7 +51,7 @@
   if (message.__isset.forward)
     Take(ingress_.OnNotForwarded(message.forward.id, now));
   if (message.__isset.report && to == client_.target())
-    client_.OnTargetFailed("");
+    client_.OnTargetFailed("", now);
   return TakeEffects();
 }
 
@@ -214,7 +214,7 @@
   auto& [operator_id, proposal] = it->second;
   if (response.code == ToNumber(ResultCode::kNotLeader) &&
       now < proposal.deadline) {
-    client_.OnTargetFailed(response.message);
+    client_.OnTargetFailed(response.message, now);
     return;
   }
   effects_.operator_answers.push_back({operator_id, response});
@@ -305,12 +305,16 @@
     report.resign = true;
     reports.push_back(report);
   }
+  // Without control nobody can take the groups over, and nothing more is to be
+  // waited for: all control members may be stopping.
+  handed_over = handed_over || !ingress_.HasControlLease(now);
   const bool stopped = draining_ && coordinators_.empty() && handed_over &&
                        ingress_.InFlight() == 0 && callers_gone_;
   auto report =
       client_.MaybeReport(std::move(reports), draining_, stopped, now);
   if (!report)
     return;
+  report->second.wall_ms = hooks_.wall_ms();
   messages::PeerMessage message;
   message.__set_report(report->second);
   effects_.messages.emplace_back(report->first, std::move(message));
