Keep the probes of the tick that gives up a proposal

Cause: Tick() and CheckPrimary() called OnProposalRefused() and Stop() for their side effects and dropped the returned effects. Probes made earlier in the tick were never sent but counted as in flight, so that the members were silent for ever and the group was not served again; a stop lost its refusals. Ruled out: a timeout for probes in flight, which would hide lost effects. Conclusion: inner functions leave the effects in place.

--- a/coordinator/include/goldcrest/coordinator/group_coordinator.h
+++ b/coordinator/include/goldcrest/coordinator/group_coordinator.h
@@ -189,6 +189,10 @@
   // The group's primary: group_coordinator_primary.cc.
   void OnProbeResult(const Call& call, const CallResult& result, Time now);
   void OnPromoteResult(const CallResult& result, Time now);
+  // Unlike the public functions of this kind they leave the effects in place:
+  // a caller that dropped them would lose probes that count as sent.
+  void GiveUpProposal(Time now);
+  void StopServing(Time now, const std::string& cause);
   void SendProbes(Time now);
   void ProbeReplicasNow(Time now);
   void CheckPrimary(Time now);
--- a/coordinator/src/group_coordinator_primary.cc
+++ b/coordinator/src/group_coordinator_primary.cc
@@ -20,13 +20,17 @@
 }
 
 CoordinatorEffects GroupCoordinator::OnProposalRefused(Time now) {
-  if (phase_ == Phase::kProposing) {
-    phase_ = Phase::kCollecting;
-    collect_until_ = now;
-  }
+  GiveUpProposal(now);
   return TakeEffects();
 }
 
+void GroupCoordinator::GiveUpProposal(Time now) {
+  if (phase_ != Phase::kProposing)
+    return;
+  phase_ = Phase::kCollecting;
+  collect_until_ = now;
+}
+
 CoordinatorEffects GroupCoordinator::OnPolicyChange(Time now) {
   std::vector<std::uint64_t> withdrawn;
   for (const auto& [pin, transaction] : transactions_.transactions()) {
@@ -54,7 +58,7 @@
       break;
     case Phase::kProposing:
       if (now >= phase_deadline_)
-        OnProposalRefused(now);
+        GiveUpProposal(now);
       break;
     case Phase::kServing:
       CheckPrimary(now);
@@ -71,8 +75,13 @@
 }
 
 CoordinatorEffects GroupCoordinator::Stop(Time now, const std::string& cause) {
+  StopServing(now, cause);
+  return TakeEffects();
+}
+
+void GroupCoordinator::StopServing(Time now, const std::string& cause) {
   if (phase_ == Phase::kStopped)
-    return TakeEffects();
+    return;
   Note("coordinator_stopped", cause, {});
   phase_ = Phase::kStopped;
   lease_until_ = std::min(lease_until_, now);
@@ -90,7 +99,6 @@
   }
   while (!transactions_.transactions().empty())
     EndTransaction(transactions_.transactions().begin()->first, true);
-  return TakeEffects();
 }
 
 void GroupCoordinator::OnProbeResult(const Call& call,
@@ -164,7 +172,7 @@
     return;
   }
   if (leader->term > term()) {
-    Stop(now, "the primary has a newer term");
+    StopServing(now, "the primary has a newer term");
     return;
   }
   if (now >= isolation_timeout_reset_)
--- /dev/null
+++ b/coordinator/tests/lost_proposal_test.cc
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "goldcrest/coordinator/group_coordinator.h"
+
+namespace goldcrest::coordinator {
+
+TEST_CASE("Members are probed after a proposal was given up", "[coordinator]") {
+  // Guards against effects that are dropped in the tick that gives a proposal
+  // up: probes that were never sent count as in flight for ever.
+  // The first answers come so late that the proposal ends at a probe's time.
+  constexpr int kFirstAnswers = 9;
+  Time now = TimeFromMicros(1'000'000);
+  std::uint64_t last_call = 0;
+  CoordinatorHooks hooks;
+  hooks.next_call_id = [&] { return ++last_call; };
+  messages::GroupState state;
+  state.group = "bookings";
+  state.coordinator = "e1";
+  state.coordinator_epoch = 1;
+  GroupCoordinator coordinator(CoordinatorOptions(), hooks, state, kNever, now);
+  std::vector<messages::EndpointInfo> endpoints(3);
+  for (std::size_t i = 0; i < endpoints.size(); ++i)
+    endpoints[i].endpoint = "bookings-" + std::to_string(i + 1);
+  coordinator.SetEndpoints(endpoints, now);
+
+  std::map<std::string, Time> probed;
+  std::size_t proposals = 0;
+  std::vector<EndpointCall> calls;
+  for (int tick = 0; tick < 200; ++tick) {
+    const CoordinatorEffects effects = coordinator.Tick(now);
+    proposals += effects.proposals.size();  // control answers none of them
+    calls.insert(calls.end(), effects.calls.begin(), effects.calls.end());
+    for (const EndpointCall& call : effects.calls)
+      probed[call.endpoint] = now;
+    for (const EndpointCall& call : calls) {
+      if (tick < kFirstAnswers)
+        break;
+      CallResult result;
+      result.delivery = Delivery::kAnswered;
+      result.answer.call_id = call.id;
+      result.answer.endpoint = call.endpoint;
+      coordinator.OnCallResult(call.id, result, now);
+    }
+    if (tick >= kFirstAnswers)
+      calls.clear();
+    now += std::chrono::milliseconds(10);
+  }
+  CHECK(proposals >= 3);
+  for (const auto& [endpoint, last] : probed) {
+    CAPTURE(endpoint);
+    CHECK(now - last <= std::chrono::milliseconds(200));
+  }
+}
+
+}  // namespace goldcrest::coordinator
