--- a/bench/bench.h
+++ b/bench/bench.h
@@ -15,6 +15,10 @@
 //! customers, keys, instances and changes.
 int RunCost();
 
+//! Gap in acknowledged writes when a primary, the control leader or the group's
+//! coordinator is lost. Virtual time.
+int RunFailover();
+
 //! The part of RunCost() that concerns control.
 void RunControlCost();
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -14,6 +14,9 @@
   if (command == "cost") {
     return goldcrest::bench::RunCost();
   }
-  std::fputs("usage: goldcrest_bench quota|fairness|cost\n", stderr);
+  if (command == "failover") {
+    return goldcrest::bench::RunFailover();
+  }
+  std::fputs("usage: goldcrest_bench quota|fairness|cost|failover\n", stderr);
   return 2;
 }
