--- a/bench/bench.h
+++ b/bench/bench.h
@@ -19,6 +19,10 @@
 //! coordinator is lost. Virtual time.
 int RunFailover();
 
+//! Share of reads served by replicas, against the best that any rule could
+//! reach and always-primary reads. Virtual time.
+int RunReads();
+
 //! The part of RunCost() that concerns control.
 void RunControlCost();
 
--- a/bench/fleet_setup.cc
+++ b/bench/fleet_setup.cc
@@ -47,6 +47,7 @@
   objects.push_back(Quota(load.rate, load.burst));
   messages::Object rule = Rule(0);
   rule.__set_callers("plan=gold");
+  rule.__set_durability(load.durability);
   rule.__set_max_age_ms(load.max_age.count());
   objects.push_back(rule);
   if (!Apply(fleet, std::move(objects)))
--- a/bench/fleet_setup.h
+++ b/bench/fleet_setup.h
@@ -14,6 +14,7 @@
   int rate = 1'000;
   int burst = 1'000;
   std::chrono::milliseconds max_age = std::chrono::seconds(10);
+  messages::Durability::type durability = messages::Durability::MAJORITY;
 };
 
 //! Adds the group "bookings" with three members, registers customers 0 to
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -17,6 +17,10 @@
   if (command == "failover") {
     return goldcrest::bench::RunFailover();
   }
-  std::fputs("usage: goldcrest_bench quota|fairness|cost|failover\n", stderr);
+  if (command == "reads") {
+    return goldcrest::bench::RunReads();
+  }
+  std::fputs("usage: goldcrest_bench quota|fairness|cost|failover|reads\n",
+             stderr);
   return 2;
 }
