Keep constants of the bench and the lost-proposal test out of functions

Cause: scripts/lint refuses a local constant with the name of a global one. Ruled out: local names without the prefix. Before: refused in the test file. After: builds, coordinator tests pass. Conclusion: style only.

--- a/bench/control_cost.cc
+++ b/bench/control_cost.cc
@@ -28,6 +28,8 @@
 using std::chrono::seconds;
 
 constexpr int kBusyCustomers = 10;
+constexpr std::size_t kPerChange = 10'000;
+constexpr Duration kLength = seconds(10);  // over which bytes are counted
 
 messages::Command RegisterInstance(std::size_t number) {
   messages::Command command;
@@ -70,7 +72,6 @@
           std::size_t instances,
           std::size_t groups,
           std::size_t customers) {
-  constexpr std::size_t kPerChange = 10'000;
   for (std::size_t first = 0; first < 2 * customers; first += kPerChange) {
     messages::Command command;
     command.change.change_id = fmt::format("customers-{}", first);
@@ -214,7 +215,6 @@
 
 Traffic CountTraffic(sessions::Fleet& fleet,
                      const std::function<void(Duration)>& run) {
-  constexpr Duration kLength = seconds(10);
   const auto before = fleet.control_bytes();
   fleet.CountControlBytes(true);
   run(kLength);
--- a/coordinator/tests/lost_proposal_test.cc
+++ b/coordinator/tests/lost_proposal_test.cc
@@ -5,12 +5,17 @@
 #include "goldcrest/coordinator/group_coordinator.h"
 
 namespace goldcrest::coordinator {
+namespace {
+
+// In ticks. The first answers come so late that the proposal ends at a probe's
+// time.
+constexpr int kFirstAnswers = 9;
+
+}  // namespace
 
 TEST_CASE("Members are probed after a proposal was given up", "[coordinator]") {
   // Guards against effects that are dropped in the tick that gives a proposal
   // up: probes that were never sent count as in flight for ever.
-  // The first answers come so late that the proposal ends at a probe's time.
-  constexpr int kFirstAnswers = 9;
   Time now = TimeFromMicros(1'000'000);
   std::uint64_t last_call = 0;
   CoordinatorHooks hooks;
