--- a/bench/bench.h
+++ b/bench/bench.h
@@ -15,6 +15,14 @@
 //! customers, keys, instances and changes.
 int RunCost();
 
+//! Gap in acknowledged writes when a primary, the control leader or the group's
+//! coordinator is lost. Virtual time.
+int RunFailover();
+
+//! Share of reads served by replicas, against the best that any rule could
+//! reach and always-primary reads. Virtual time.
+int RunReads();
+
 //! The part of RunCost() that concerns control.
 void RunControlCost();
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -14,6 +14,13 @@
   if (command == "cost") {
     return goldcrest::bench::RunCost();
   }
-  std::fputs("usage: goldcrest_bench quota|fairness|cost\n", stderr);
+  if (command == "failover") {
+    return goldcrest::bench::RunFailover();
+  }
+  if (command == "reads") {
+    return goldcrest::bench::RunReads();
+  }
+  std::fputs("usage: goldcrest_bench quota|fairness|cost|failover|reads\n",
+             stderr);
   return 2;
 }
--- a/control/src/leader_assignments.cc
+++ b/control/src/leader_assignments.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <tuple>
 
 #include "goldcrest/control/leader.h"
 #include "internal/pending_key.h"
@@ -113,14 +114,16 @@
   const std::string zone =
       primary == state_->endpoints().end() ? "" : primary->second.zone;
   std::optional<std::string> best;
-  std::pair<int, bool> best_rank;
+  // The leader comes last: the loss of one instance should not cost a group
+  // both its coordinator and the leader that names the next.
+  std::tuple<bool, int, bool> best_rank;
   for (const auto& [name, info] : state_->instances()) {
     const auto view = views_.find(name);
     if (view == views_.end() || !view->second.last_report ||
         view->second.draining ||
         now - *view->second.last_report > options_.report_timeout)
       continue;
-    const std::pair<int, bool> rank{load[name], info.zone != zone};
+    const std::tuple rank(name == self_, load[name], info.zone != zone);
     if (best && rank >= best_rank)
       continue;
     best = name;
