Assign groups to the control leader last

Cause: when one instance is both control leader and a group's coordinator, its loss costs an election and then a lease, 2.5 s of writes at the worst. Conclusion: assignment alone does not keep the roles apart; a leader that coordinates has to hand its groups over, which is not done yet.

--- a/control/src/leader_assignments.cc
+++ b/control/src/leader_assignments.cc
@@ -123,6 +123,9 @@
         view->second.draining ||
         now - *view->second.last_report > options_.report_timeout)
       continue;
+    // Right after the election its own report is often the only one.
+    if (name == self_ && now - takeover_ < options_.report_timeout)
+      continue;
     const std::tuple rank(name == self_, load[name], info.zone != zone);
     if (best && rank >= best_rank)
       continue;
