--- a/control/include/goldcrest/control/leader.h
+++ b/control/include/goldcrest/control/leader.h
@@ -114,6 +114,7 @@
                    messages::ControlUpdate* update,
                    Time now);
   void AssignCoordinators(std::int64_t wall_ms, Time now);
+  bool IsCandidate(const std::string& instance, Time now) const;
   std::optional<std::string> ChooseCoordinator(
       const messages::GroupState& group,
       Time now) const;
--- a/control/src/leader_assignments.cc
+++ b/control/src/leader_assignments.cc
@@ -54,6 +54,13 @@
                          messages::ControlUpdate* update,
                          Time now) {
   const std::string& name = report.instance.instance;
+  // The loss of one instance should not cost a group both its coordinator and
+  // the leader that names the next, so a leader hands its groups over.
+  const bool other_candidate =
+      now - takeover_ >= options_.report_timeout &&
+      std::ranges::any_of(state_->instances(), [&](const auto& entry) {
+        return entry.first != self_ && IsCandidate(entry.first, now);
+      });
   std::set<std::string> resigned;
   for (const messages::CoordinatorReport& coordinator : report.coordinators) {
     if (coordinator.resign)
@@ -74,6 +81,8 @@
     update->leases.push_back(lease);
     coordinator_lease_until_[group_name] =
         now + WithDrift(options_.coordinator_lease);
+    if (name == self_ && other_candidate)
+      update->hand_over.push_back(group_name);
   }
 }
 
@@ -98,6 +107,13 @@
   }
 }
 
+bool Leader::IsCandidate(const std::string& instance, Time now) const {
+  const auto view = views_.find(instance);
+  return view != views_.end() && view->second.last_report &&
+         !view->second.draining &&
+         now - *view->second.last_report <= options_.report_timeout;
+}
+
 std::optional<std::string> Leader::ChooseCoordinator(
     const messages::GroupState& group,
     Time now) const {
@@ -114,14 +130,10 @@
   const std::string zone =
       primary == state_->endpoints().end() ? "" : primary->second.zone;
   std::optional<std::string> best;
-  // The leader comes last: the loss of one instance should not cost a group
-  // both its coordinator and the leader that names the next.
+  // The leader comes last; see GrantLeases().
   std::tuple<bool, int, bool> best_rank;
   for (const auto& [name, info] : state_->instances()) {
-    const auto view = views_.find(name);
-    if (view == views_.end() || !view->second.last_report ||
-        view->second.draining ||
-        now - *view->second.last_report > options_.report_timeout)
+    if (!IsCandidate(name, now))
       continue;
     // Right after the election its own report is often the only one.
     if (name == self_ && now - takeover_ < options_.report_timeout)
--- a/coordinator/include/goldcrest/coordinator/group_coordinator.h
+++ b/coordinator/include/goldcrest/coordinator/group_coordinator.h
@@ -121,6 +121,7 @@
   //! For a planned stop: takes no new transaction, and once none is open no new
   //! request; what runs may end.
   void BeginDrain() { draining_ = true; }
+  bool draining() const { return draining_; }
   //! True when nothing runs and the lease may be handed back.
   bool IsIdle() const;
   CoordinatorEffects Stop(Time now, const std::string& cause);
--- a/entry/src/entry_node.cc
+++ b/entry/src/entry_node.cc
@@ -98,8 +98,7 @@
   });
   Take(ingress_.Tick(now));
   ResendProposals(now);
-  if (draining_)
-    DrainStep(now);
+  DrainStep(now);
   SendReport(now);
   return TakeEffects();
 }
@@ -114,11 +113,11 @@
 void EntryNode::DrainStep(Time now) {
   for (auto it = coordinators_.begin(); it != coordinators_.end();) {
     coordinator::GroupCoordinator& coordinator = *it->second;
-    if (!coordinator.IsIdle()) {
+    if (!coordinator.draining() || !coordinator.IsIdle()) {
       ++it;
       continue;
     }
-    Take(coordinator.Stop(now, "planned stop"), it->first);
+    Take(coordinator.Stop(now, "handed over"), it->first);
     resigned_[it->first] = coordinator.epoch();
     it = coordinators_.erase(it);
     client_.ReportSoon();
@@ -136,6 +135,10 @@
     effects_.view_changed = true;
     RefreshLimits();
   }
+  for (const std::string& group : update.hand_over) {
+    if (const auto it = coordinators_.find(group); it != coordinators_.end())
+      it->second->BeginDrain();
+  }
   UpdateCoordinators(result.leases, now);
   // Shares may have come even if the view is the same.
   Take(ingress_.OnViewChange(now));
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -5969,6 +5969,10 @@
 void ControlUpdate::__set_base_groups_revision(const int64_t val) {
   this->base_groups_revision = val;
 }
+
+void ControlUpdate::__set_hand_over(const std::vector<std::string> & val) {
+  this->hand_over = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlUpdate& obj)
 {
   obj.printTo(out);
@@ -6197,6 +6201,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->hand_over.clear();
+            uint32_t _size215;
+            ::apache::thrift::protocol::TType _etype218;
+            xfer += iprot->readListBegin(_etype218, _size215);
+            this->hand_over.resize(_size215);
+            uint32_t _i219;
+            for (_i219 = 0; _i219 < _size215; ++_i219)
+            {
+              xfer += iprot->readString(this->hand_over[_i219]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.hand_over = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6237,10 +6261,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter215;
-    for (_iter215 = this->objects.begin(); _iter215 != this->objects.end(); ++_iter215)
+    std::vector<Object> ::const_iterator _iter220;
+    for (_iter220 = this->objects.begin(); _iter220 != this->objects.end(); ++_iter220)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter220).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6253,10 +6277,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter216;
-    for (_iter216 = this->groups.begin(); _iter216 != this->groups.end(); ++_iter216)
+    std::vector<GroupState> ::const_iterator _iter221;
+    for (_iter221 = this->groups.begin(); _iter221 != this->groups.end(); ++_iter221)
     {
-      xfer += (*_iter216).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6265,10 +6289,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter217;
-    for (_iter217 = this->endpoints.begin(); _iter217 != this->endpoints.end(); ++_iter217)
+    std::vector<EndpointInfo> ::const_iterator _iter222;
+    for (_iter222 = this->endpoints.begin(); _iter222 != this->endpoints.end(); ++_iter222)
     {
-      xfer += (*_iter217).write(oprot);
+      xfer += (*_iter222).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6277,10 +6301,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter218;
-    for (_iter218 = this->instances.begin(); _iter218 != this->instances.end(); ++_iter218)
+    std::vector<InstanceInfo> ::const_iterator _iter223;
+    for (_iter223 = this->instances.begin(); _iter223 != this->instances.end(); ++_iter223)
     {
-      xfer += (*_iter218).write(oprot);
+      xfer += (*_iter223).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6289,10 +6313,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareUpdate> ::const_iterator _iter219;
-    for (_iter219 = this->shares.begin(); _iter219 != this->shares.end(); ++_iter219)
+    std::vector<ShareUpdate> ::const_iterator _iter224;
+    for (_iter224 = this->shares.begin(); _iter224 != this->shares.end(); ++_iter224)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter224).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6301,10 +6325,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<CoordinatorLease> ::const_iterator _iter220;
-    for (_iter220 = this->leases.begin(); _iter220 != this->leases.end(); ++_iter220)
+    std::vector<CoordinatorLease> ::const_iterator _iter225;
+    for (_iter225 = this->leases.begin(); _iter225 != this->leases.end(); ++_iter225)
     {
-      xfer += (*_iter220).write(oprot);
+      xfer += (*_iter225).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6326,6 +6350,18 @@
   xfer += oprot->writeI64(this->base_groups_revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("hand_over", ::apache::thrift::protocol::T_LIST, 17);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->hand_over.size()));
+    std::vector<std::string> ::const_iterator _iter226;
+    for (_iter226 = this->hand_over.begin(); _iter226 != this->hand_over.end(); ++_iter226)
+    {
+      xfer += oprot->writeString((*_iter226));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6349,85 +6385,90 @@
   swap(a.session_secret, b.session_secret);
   swap(a.base_revision, b.base_revision);
   swap(a.base_groups_revision, b.base_groups_revision);
+  swap(a.hand_over, b.hand_over);
   swap(a.__isset, b.__isset);
 }
 
-ControlUpdate::ControlUpdate(const ControlUpdate& other221) {
-  leader_term = other221.leader_term;
-  leader = other221.leader;
-  report_sequence = other221.report_sequence;
-  report_sent_micros = other221.report_sent_micros;
-  revision = other221.revision;
-  objects = other221.objects;
-  groups_revision = other221.groups_revision;
-  groups = other221.groups;
-  endpoints = other221.endpoints;
-  instances = other221.instances;
-  shares = other221.shares;
-  leases = other221.leases;
-  control_lease_ms = other221.control_lease_ms;
-  session_secret = other221.session_secret;
-  base_revision = other221.base_revision;
-  base_groups_revision = other221.base_groups_revision;
-  __isset = other221.__isset;
-}
-ControlUpdate::ControlUpdate(ControlUpdate&& other222) noexcept {
-  leader_term = other222.leader_term;
-  leader = std::move(other222.leader);
-  report_sequence = other222.report_sequence;
-  report_sent_micros = other222.report_sent_micros;
-  revision = other222.revision;
-  objects = std::move(other222.objects);
-  groups_revision = other222.groups_revision;
-  groups = std::move(other222.groups);
-  endpoints = std::move(other222.endpoints);
-  instances = std::move(other222.instances);
-  shares = std::move(other222.shares);
-  leases = std::move(other222.leases);
-  control_lease_ms = other222.control_lease_ms;
-  session_secret = std::move(other222.session_secret);
-  base_revision = other222.base_revision;
-  base_groups_revision = other222.base_groups_revision;
-  __isset = other222.__isset;
-}
-ControlUpdate& ControlUpdate::operator=(const ControlUpdate& other223) {
-  leader_term = other223.leader_term;
-  leader = other223.leader;
-  report_sequence = other223.report_sequence;
-  report_sent_micros = other223.report_sent_micros;
-  revision = other223.revision;
-  objects = other223.objects;
-  groups_revision = other223.groups_revision;
-  groups = other223.groups;
-  endpoints = other223.endpoints;
-  instances = other223.instances;
-  shares = other223.shares;
-  leases = other223.leases;
-  control_lease_ms = other223.control_lease_ms;
-  session_secret = other223.session_secret;
-  base_revision = other223.base_revision;
-  base_groups_revision = other223.base_groups_revision;
-  __isset = other223.__isset;
+ControlUpdate::ControlUpdate(const ControlUpdate& other227) {
+  leader_term = other227.leader_term;
+  leader = other227.leader;
+  report_sequence = other227.report_sequence;
+  report_sent_micros = other227.report_sent_micros;
+  revision = other227.revision;
+  objects = other227.objects;
+  groups_revision = other227.groups_revision;
+  groups = other227.groups;
+  endpoints = other227.endpoints;
+  instances = other227.instances;
+  shares = other227.shares;
+  leases = other227.leases;
+  control_lease_ms = other227.control_lease_ms;
+  session_secret = other227.session_secret;
+  base_revision = other227.base_revision;
+  base_groups_revision = other227.base_groups_revision;
+  hand_over = other227.hand_over;
+  __isset = other227.__isset;
+}
+ControlUpdate::ControlUpdate(ControlUpdate&& other228) noexcept {
+  leader_term = other228.leader_term;
+  leader = std::move(other228.leader);
+  report_sequence = other228.report_sequence;
+  report_sent_micros = other228.report_sent_micros;
+  revision = other228.revision;
+  objects = std::move(other228.objects);
+  groups_revision = other228.groups_revision;
+  groups = std::move(other228.groups);
+  endpoints = std::move(other228.endpoints);
+  instances = std::move(other228.instances);
+  shares = std::move(other228.shares);
+  leases = std::move(other228.leases);
+  control_lease_ms = other228.control_lease_ms;
+  session_secret = std::move(other228.session_secret);
+  base_revision = other228.base_revision;
+  base_groups_revision = other228.base_groups_revision;
+  hand_over = std::move(other228.hand_over);
+  __isset = other228.__isset;
+}
+ControlUpdate& ControlUpdate::operator=(const ControlUpdate& other229) {
+  leader_term = other229.leader_term;
+  leader = other229.leader;
+  report_sequence = other229.report_sequence;
+  report_sent_micros = other229.report_sent_micros;
+  revision = other229.revision;
+  objects = other229.objects;
+  groups_revision = other229.groups_revision;
+  groups = other229.groups;
+  endpoints = other229.endpoints;
+  instances = other229.instances;
+  shares = other229.shares;
+  leases = other229.leases;
+  control_lease_ms = other229.control_lease_ms;
+  session_secret = other229.session_secret;
+  base_revision = other229.base_revision;
+  base_groups_revision = other229.base_groups_revision;
+  hand_over = other229.hand_over;
+  __isset = other229.__isset;
   return *this;
 }
-ControlUpdate& ControlUpdate::operator=(ControlUpdate&& other224) noexcept {
-  leader_term = other224.leader_term;
-  leader = std::move(other224.leader);
-  report_sequence = other224.report_sequence;
-  report_sent_micros = other224.report_sent_micros;
-  revision = other224.revision;
-  objects = std::move(other224.objects);
-  groups_revision = other224.groups_revision;
-  groups = std::move(other224.groups);
-  endpoints = std::move(other224.endpoints);
-  instances = std::move(other224.instances);
-  shares = std::move(other224.shares);
-  leases = std::move(other224.leases);
-  control_lease_ms = other224.control_lease_ms;
-  session_secret = std::move(other224.session_secret);
-  base_revision = other224.base_revision;
-  base_groups_revision = other224.base_groups_revision;
-  __isset = other224.__isset;
+ControlUpdate& ControlUpdate::operator=(ControlUpdate&& other230) noexcept {
+  leader_term = other230.leader_term;
+  leader = std::move(other230.leader);
+  report_sequence = other230.report_sequence;
+  report_sent_micros = other230.report_sent_micros;
+  revision = other230.revision;
+  objects = std::move(other230.objects);
+  groups_revision = other230.groups_revision;
+  groups = std::move(other230.groups);
+  endpoints = std::move(other230.endpoints);
+  instances = std::move(other230.instances);
+  shares = std::move(other230.shares);
+  leases = std::move(other230.leases);
+  control_lease_ms = other230.control_lease_ms;
+  session_secret = std::move(other230.session_secret);
+  base_revision = other230.base_revision;
+  base_groups_revision = other230.base_groups_revision;
+  hand_over = std::move(other230.hand_over);
+  __isset = other230.__isset;
   return *this;
 }
 void ControlUpdate::printTo(std::ostream& out) const {
@@ -6449,6 +6490,7 @@
   out << ", " << "session_secret=" << to_string(session_secret);
   out << ", " << "base_revision=" << to_string(base_revision);
   out << ", " << "base_groups_revision=" << to_string(base_groups_revision);
+  out << ", " << "hand_over=" << to_string(hand_over);
   out << ")";
 }
 
@@ -6578,9 +6620,9 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast225;
-          xfer += iprot->readI32(ecast225);
-          this->operation = static_cast<Operation::type>(ecast225);
+          int32_t ecast231;
+          xfer += iprot->readI32(ecast231);
+          this->operation = static_cast<Operation::type>(ecast231);
           this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6660,9 +6702,9 @@
         break;
       case 14:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast226;
-          xfer += iprot->readI32(ecast226);
-          this->durability = static_cast<Durability::type>(ecast226);
+          int32_t ecast232;
+          xfer += iprot->readI32(ecast232);
+          this->durability = static_cast<Durability::type>(ecast232);
           this->__isset.durability = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -6804,86 +6846,86 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardRequest::ForwardRequest(const ForwardRequest& other227) {
-  id = other227.id;
-  group = other227.group;
-  epoch = other227.epoch;
-  operation = other227.operation;
-  customer = other227.customer;
-  key_name = other227.key_name;
-  rule = other227.rule;
-  statement = other227.statement;
-  request_id = other227.request_id;
-  idempotent = other227.idempotent;
-  transaction = other227.transaction;
-  timeout_ms = other227.timeout_ms;
-  max_age_ms = other227.max_age_ms;
-  durability = other227.durability;
-  mark_term = other227.mark_term;
-  mark_position = other227.mark_position;
-  weight = other227.weight;
-  __isset = other227.__isset;
+ForwardRequest::ForwardRequest(const ForwardRequest& other233) {
+  id = other233.id;
+  group = other233.group;
+  epoch = other233.epoch;
+  operation = other233.operation;
+  customer = other233.customer;
+  key_name = other233.key_name;
+  rule = other233.rule;
+  statement = other233.statement;
+  request_id = other233.request_id;
+  idempotent = other233.idempotent;
+  transaction = other233.transaction;
+  timeout_ms = other233.timeout_ms;
+  max_age_ms = other233.max_age_ms;
+  durability = other233.durability;
+  mark_term = other233.mark_term;
+  mark_position = other233.mark_position;
+  weight = other233.weight;
+  __isset = other233.__isset;
 }
-ForwardRequest::ForwardRequest(ForwardRequest&& other228) noexcept {
-  id = other228.id;
-  group = std::move(other228.group);
-  epoch = other228.epoch;
-  operation = other228.operation;
-  customer = std::move(other228.customer);
-  key_name = std::move(other228.key_name);
-  rule = std::move(other228.rule);
-  statement = std::move(other228.statement);
-  request_id = std::move(other228.request_id);
-  idempotent = other228.idempotent;
-  transaction = std::move(other228.transaction);
-  timeout_ms = other228.timeout_ms;
-  max_age_ms = other228.max_age_ms;
-  durability = other228.durability;
-  mark_term = other228.mark_term;
-  mark_position = other228.mark_position;
-  weight = other228.weight;
-  __isset = other228.__isset;
+ForwardRequest::ForwardRequest(ForwardRequest&& other234) noexcept {
+  id = other234.id;
+  group = std::move(other234.group);
+  epoch = other234.epoch;
+  operation = other234.operation;
+  customer = std::move(other234.customer);
+  key_name = std::move(other234.key_name);
+  rule = std::move(other234.rule);
+  statement = std::move(other234.statement);
+  request_id = std::move(other234.request_id);
+  idempotent = other234.idempotent;
+  transaction = std::move(other234.transaction);
+  timeout_ms = other234.timeout_ms;
+  max_age_ms = other234.max_age_ms;
+  durability = other234.durability;
+  mark_term = other234.mark_term;
+  mark_position = other234.mark_position;
+  weight = other234.weight;
+  __isset = other234.__isset;
 }
-ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other229) {
-  id = other229.id;
-  group = other229.group;
-  epoch = other229.epoch;
-  operation = other229.operation;
-  customer = other229.customer;
-  key_name = other229.key_name;
-  rule = other229.rule;
-  statement = other229.statement;
-  request_id = other229.request_id;
-  idempotent = other229.idempotent;
-  transaction = other229.transaction;
-  timeout_ms = other229.timeout_ms;
-  max_age_ms = other229.max_age_ms;
-  durability = other229.durability;
-  mark_term = other229.mark_term;
-  mark_position = other229.mark_position;
-  weight = other229.weight;
-  __isset = other229.__isset;
+ForwardRequest& ForwardRequest::operator=(const ForwardRequest& other235) {
+  id = other235.id;
+  group = other235.group;
+  epoch = other235.epoch;
+  operation = other235.operation;
+  customer = other235.customer;
+  key_name = other235.key_name;
+  rule = other235.rule;
+  statement = other235.statement;
+  request_id = other235.request_id;
+  idempotent = other235.idempotent;
+  transaction = other235.transaction;
+  timeout_ms = other235.timeout_ms;
+  max_age_ms = other235.max_age_ms;
+  durability = other235.durability;
+  mark_term = other235.mark_term;
+  mark_position = other235.mark_position;
+  weight = other235.weight;
+  __isset = other235.__isset;
   return *this;
 }
-ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other230) noexcept {
-  id = other230.id;
-  group = std::move(other230.group);
-  epoch = other230.epoch;
-  operation = other230.operation;
-  customer = std::move(other230.customer);
-  key_name = std::move(other230.key_name);
-  rule = std::move(other230.rule);
-  statement = std::move(other230.statement);
-  request_id = std::move(other230.request_id);
-  idempotent = other230.idempotent;
-  transaction = std::move(other230.transaction);
-  timeout_ms = other230.timeout_ms;
-  max_age_ms = other230.max_age_ms;
-  durability = other230.durability;
-  mark_term = other230.mark_term;
-  mark_position = other230.mark_position;
-  weight = other230.weight;
-  __isset = other230.__isset;
+ForwardRequest& ForwardRequest::operator=(ForwardRequest&& other236) noexcept {
+  id = other236.id;
+  group = std::move(other236.group);
+  epoch = other236.epoch;
+  operation = other236.operation;
+  customer = std::move(other236.customer);
+  key_name = std::move(other236.key_name);
+  rule = std::move(other236.rule);
+  statement = std::move(other236.statement);
+  request_id = std::move(other236.request_id);
+  idempotent = other236.idempotent;
+  transaction = std::move(other236.transaction);
+  timeout_ms = other236.timeout_ms;
+  max_age_ms = other236.max_age_ms;
+  durability = other236.durability;
+  mark_term = other236.mark_term;
+  mark_position = other236.mark_position;
+  weight = other236.weight;
+  __isset = other236.__isset;
   return *this;
 }
 void ForwardRequest::printTo(std::ostream& out) const {
@@ -7121,54 +7163,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ForwardResponse::ForwardResponse(const ForwardResponse& other231) {
-  id = other231.id;
-  code = other231.code;
-  value = other231.value;
-  term = other231.term;
-  position = other231.position;
-  transaction = other231.transaction;
-  served_by = other231.served_by;
-  retry_after_ms = other231.retry_after_ms;
-  message = other231.message;
-  __isset = other231.__isset;
-}
-ForwardResponse::ForwardResponse(ForwardResponse&& other232) noexcept {
-  id = other232.id;
-  code = other232.code;
-  value = std::move(other232.value);
-  term = other232.term;
-  position = other232.position;
-  transaction = std::move(other232.transaction);
-  served_by = std::move(other232.served_by);
-  retry_after_ms = other232.retry_after_ms;
-  message = std::move(other232.message);
-  __isset = other232.__isset;
-}
-ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other233) {
-  id = other233.id;
-  code = other233.code;
-  value = other233.value;
-  term = other233.term;
-  position = other233.position;
-  transaction = other233.transaction;
-  served_by = other233.served_by;
-  retry_after_ms = other233.retry_after_ms;
-  message = other233.message;
-  __isset = other233.__isset;
+ForwardResponse::ForwardResponse(const ForwardResponse& other237) {
+  id = other237.id;
+  code = other237.code;
+  value = other237.value;
+  term = other237.term;
+  position = other237.position;
+  transaction = other237.transaction;
+  served_by = other237.served_by;
+  retry_after_ms = other237.retry_after_ms;
+  message = other237.message;
+  __isset = other237.__isset;
+}
+ForwardResponse::ForwardResponse(ForwardResponse&& other238) noexcept {
+  id = other238.id;
+  code = other238.code;
+  value = std::move(other238.value);
+  term = other238.term;
+  position = other238.position;
+  transaction = std::move(other238.transaction);
+  served_by = std::move(other238.served_by);
+  retry_after_ms = other238.retry_after_ms;
+  message = std::move(other238.message);
+  __isset = other238.__isset;
+}
+ForwardResponse& ForwardResponse::operator=(const ForwardResponse& other239) {
+  id = other239.id;
+  code = other239.code;
+  value = other239.value;
+  term = other239.term;
+  position = other239.position;
+  transaction = other239.transaction;
+  served_by = other239.served_by;
+  retry_after_ms = other239.retry_after_ms;
+  message = other239.message;
+  __isset = other239.__isset;
   return *this;
 }
-ForwardResponse& ForwardResponse::operator=(ForwardResponse&& other234) noexcept {
-  id = other234.id;
-  code = other234.code;
-  value = std::move(other234.value);
-  term = other234.term;
-  position = other234.position;
-  transaction = std::move(other234.transaction);
-  served_by = std::move(other234.served_by);
-  retry_after_ms = other234.retry_after_ms;
-  message = std::move(other234.message);
-  __isset = other234.__isset;
+ForwardResponse& ForwardResponse::operator=(ForwardResponse&& other240) noexcept {
+  id = other240.id;
+  code = other240.code;
+  value = std::move(other240.value);
+  term = other240.term;
+  position = other240.position;
+  transaction = std::move(other240.transaction);
+  served_by = std::move(other240.served_by);
+  retry_after_ms = other240.retry_after_ms;
+  message = std::move(other240.message);
+  __isset = other240.__isset;
   return *this;
 }
 void ForwardResponse::printTo(std::ostream& out) const {
@@ -7263,14 +7305,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size235;
-            ::apache::thrift::protocol::TType _etype238;
-            xfer += iprot->readListBegin(_etype238, _size235);
-            this->members.resize(_size235);
-            uint32_t _i239;
-            for (_i239 = 0; _i239 < _size235; ++_i239)
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->members.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
             {
-              xfer += iprot->readString(this->members[_i239]);
+              xfer += iprot->readString(this->members[_i245]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7312,10 +7354,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-      std::vector<std::string> ::const_iterator _iter240;
-      for (_iter240 = this->members.begin(); _iter240 != this->members.end(); ++_iter240)
+      std::vector<std::string> ::const_iterator _iter246;
+      for (_iter246 = this->members.begin(); _iter246 != this->members.end(); ++_iter246)
       {
-        xfer += oprot->writeString((*_iter240));
+        xfer += oprot->writeString((*_iter246));
       }
       xfer += oprot->writeListEnd();
     }
@@ -7335,34 +7377,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other241) {
-  id = other241.id;
-  command = other241.command;
-  wait_in_force = other241.wait_in_force;
-  members = other241.members;
-  __isset = other241.__isset;
-}
-ProposeRequest::ProposeRequest(ProposeRequest&& other242) noexcept {
-  id = other242.id;
-  command = std::move(other242.command);
-  wait_in_force = other242.wait_in_force;
-  members = std::move(other242.members);
-  __isset = other242.__isset;
-}
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other243) {
-  id = other243.id;
-  command = other243.command;
-  wait_in_force = other243.wait_in_force;
-  members = other243.members;
-  __isset = other243.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other247) {
+  id = other247.id;
+  command = other247.command;
+  wait_in_force = other247.wait_in_force;
+  members = other247.members;
+  __isset = other247.__isset;
+}
+ProposeRequest::ProposeRequest(ProposeRequest&& other248) noexcept {
+  id = other248.id;
+  command = std::move(other248.command);
+  wait_in_force = other248.wait_in_force;
+  members = std::move(other248.members);
+  __isset = other248.__isset;
+}
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other249) {
+  id = other249.id;
+  command = other249.command;
+  wait_in_force = other249.wait_in_force;
+  members = other249.members;
+  __isset = other249.__isset;
   return *this;
 }
-ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other244) noexcept {
-  id = other244.id;
-  command = std::move(other244.command);
-  wait_in_force = other244.wait_in_force;
-  members = std::move(other244.members);
-  __isset = other244.__isset;
+ProposeRequest& ProposeRequest::operator=(ProposeRequest&& other250) noexcept {
+  id = other250.id;
+  command = std::move(other250.command);
+  wait_in_force = other250.wait_in_force;
+  members = std::move(other250.members);
+  __isset = other250.__isset;
   return *this;
 }
 void ProposeRequest::printTo(std::ostream& out) const {
@@ -7463,14 +7505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->missing.clear();
-            uint32_t _size245;
-            ::apache::thrift::protocol::TType _etype248;
-            xfer += iprot->readListBegin(_etype248, _size245);
-            this->missing.resize(_size245);
-            uint32_t _i249;
-            for (_i249 = 0; _i249 < _size245; ++_i249)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->missing.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += iprot->readString(this->missing[_i249]);
+              xfer += iprot->readString(this->missing[_i255]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7515,10 +7557,10 @@
   xfer += oprot->writeFieldBegin("missing", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->missing.size()));
-    std::vector<std::string> ::const_iterator _iter250;
-    for (_iter250 = this->missing.begin(); _iter250 != this->missing.end(); ++_iter250)
+    std::vector<std::string> ::const_iterator _iter256;
+    for (_iter256 = this->missing.begin(); _iter256 != this->missing.end(); ++_iter256)
     {
-      xfer += oprot->writeString((*_iter250));
+      xfer += oprot->writeString((*_iter256));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7539,38 +7581,38 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeResponse::ProposeResponse(const ProposeResponse& other251) {
-  id = other251.id;
-  code = other251.code;
-  revision = other251.revision;
-  message = other251.message;
-  missing = other251.missing;
-  __isset = other251.__isset;
-}
-ProposeResponse::ProposeResponse(ProposeResponse&& other252) noexcept {
-  id = other252.id;
-  code = other252.code;
-  revision = other252.revision;
-  message = std::move(other252.message);
-  missing = std::move(other252.missing);
-  __isset = other252.__isset;
-}
-ProposeResponse& ProposeResponse::operator=(const ProposeResponse& other253) {
-  id = other253.id;
-  code = other253.code;
-  revision = other253.revision;
-  message = other253.message;
-  missing = other253.missing;
-  __isset = other253.__isset;
+ProposeResponse::ProposeResponse(const ProposeResponse& other257) {
+  id = other257.id;
+  code = other257.code;
+  revision = other257.revision;
+  message = other257.message;
+  missing = other257.missing;
+  __isset = other257.__isset;
+}
+ProposeResponse::ProposeResponse(ProposeResponse&& other258) noexcept {
+  id = other258.id;
+  code = other258.code;
+  revision = other258.revision;
+  message = std::move(other258.message);
+  missing = std::move(other258.missing);
+  __isset = other258.__isset;
+}
+ProposeResponse& ProposeResponse::operator=(const ProposeResponse& other259) {
+  id = other259.id;
+  code = other259.code;
+  revision = other259.revision;
+  message = other259.message;
+  missing = other259.missing;
+  __isset = other259.__isset;
   return *this;
 }
-ProposeResponse& ProposeResponse::operator=(ProposeResponse&& other254) noexcept {
-  id = other254.id;
-  code = other254.code;
-  revision = other254.revision;
-  message = std::move(other254.message);
-  missing = std::move(other254.missing);
-  __isset = other254.__isset;
+ProposeResponse& ProposeResponse::operator=(ProposeResponse&& other260) noexcept {
+  id = other260.id;
+  code = other260.code;
+  revision = other260.revision;
+  message = std::move(other260.message);
+  missing = std::move(other260.missing);
+  __isset = other260.__isset;
   return *this;
 }
 void ProposeResponse::printTo(std::ostream& out) const {
@@ -7677,26 +7719,26 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryRequest::QueryRequest(const QueryRequest& other255) {
-  id = other255.id;
-  path = other255.path;
-  __isset = other255.__isset;
+QueryRequest::QueryRequest(const QueryRequest& other261) {
+  id = other261.id;
+  path = other261.path;
+  __isset = other261.__isset;
 }
-QueryRequest::QueryRequest(QueryRequest&& other256) noexcept {
-  id = other256.id;
-  path = std::move(other256.path);
-  __isset = other256.__isset;
+QueryRequest::QueryRequest(QueryRequest&& other262) noexcept {
+  id = other262.id;
+  path = std::move(other262.path);
+  __isset = other262.__isset;
 }
-QueryRequest& QueryRequest::operator=(const QueryRequest& other257) {
-  id = other257.id;
-  path = other257.path;
-  __isset = other257.__isset;
+QueryRequest& QueryRequest::operator=(const QueryRequest& other263) {
+  id = other263.id;
+  path = other263.path;
+  __isset = other263.__isset;
   return *this;
 }
-QueryRequest& QueryRequest::operator=(QueryRequest&& other258) noexcept {
-  id = other258.id;
-  path = std::move(other258.path);
-  __isset = other258.__isset;
+QueryRequest& QueryRequest::operator=(QueryRequest&& other264) noexcept {
+  id = other264.id;
+  path = std::move(other264.path);
+  __isset = other264.__isset;
   return *this;
 }
 void QueryRequest::printTo(std::ostream& out) const {
@@ -7817,30 +7859,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QueryResponse::QueryResponse(const QueryResponse& other259) {
-  id = other259.id;
-  code = other259.code;
-  body = other259.body;
-  __isset = other259.__isset;
+QueryResponse::QueryResponse(const QueryResponse& other265) {
+  id = other265.id;
+  code = other265.code;
+  body = other265.body;
+  __isset = other265.__isset;
 }
-QueryResponse::QueryResponse(QueryResponse&& other260) noexcept {
-  id = other260.id;
-  code = other260.code;
-  body = std::move(other260.body);
-  __isset = other260.__isset;
+QueryResponse::QueryResponse(QueryResponse&& other266) noexcept {
+  id = other266.id;
+  code = other266.code;
+  body = std::move(other266.body);
+  __isset = other266.__isset;
 }
-QueryResponse& QueryResponse::operator=(const QueryResponse& other261) {
-  id = other261.id;
-  code = other261.code;
-  body = other261.body;
-  __isset = other261.__isset;
+QueryResponse& QueryResponse::operator=(const QueryResponse& other267) {
+  id = other267.id;
+  code = other267.code;
+  body = other267.body;
+  __isset = other267.__isset;
   return *this;
 }
-QueryResponse& QueryResponse::operator=(QueryResponse&& other262) noexcept {
-  id = other262.id;
-  code = other262.code;
-  body = std::move(other262.body);
-  __isset = other262.__isset;
+QueryResponse& QueryResponse::operator=(QueryResponse&& other268) noexcept {
+  id = other268.id;
+  code = other268.code;
+  body = std::move(other268.body);
+  __isset = other268.__isset;
   return *this;
 }
 void QueryResponse::printTo(std::ostream& out) const {
@@ -7962,30 +8004,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other263) {
-  cluster = other263.cluster;
-  instance = other263.instance;
-  version = other263.version;
-  __isset = other263.__isset;
+Hello::Hello(const Hello& other269) {
+  cluster = other269.cluster;
+  instance = other269.instance;
+  version = other269.version;
+  __isset = other269.__isset;
 }
-Hello::Hello(Hello&& other264) noexcept {
-  cluster = std::move(other264.cluster);
-  instance = std::move(other264.instance);
-  version = other264.version;
-  __isset = other264.__isset;
+Hello::Hello(Hello&& other270) noexcept {
+  cluster = std::move(other270.cluster);
+  instance = std::move(other270.instance);
+  version = other270.version;
+  __isset = other270.__isset;
 }
-Hello& Hello::operator=(const Hello& other265) {
-  cluster = other265.cluster;
-  instance = other265.instance;
-  version = other265.version;
-  __isset = other265.__isset;
+Hello& Hello::operator=(const Hello& other271) {
+  cluster = other271.cluster;
+  instance = other271.instance;
+  version = other271.version;
+  __isset = other271.__isset;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other266) noexcept {
-  cluster = std::move(other266.cluster);
-  instance = std::move(other266.instance);
-  version = other266.version;
-  __isset = other266.__isset;
+Hello& Hello::operator=(Hello&& other272) noexcept {
+  cluster = std::move(other272.cluster);
+  instance = std::move(other272.instance);
+  version = other272.version;
+  __isset = other272.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -8303,70 +8345,70 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other267) {
-  hello = other267.hello;
-  ping = other267.ping;
-  pong = other267.pong;
-  consensus = other267.consensus;
-  report = other267.report;
-  update = other267.update;
-  forward = other267.forward;
-  forward_response = other267.forward_response;
-  propose = other267.propose;
-  propose_response = other267.propose_response;
-  query = other267.query;
-  query_response = other267.query_response;
-  drain = other267.drain;
-  __isset = other267.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other273) {
+  hello = other273.hello;
+  ping = other273.ping;
+  pong = other273.pong;
+  consensus = other273.consensus;
+  report = other273.report;
+  update = other273.update;
+  forward = other273.forward;
+  forward_response = other273.forward_response;
+  propose = other273.propose;
+  propose_response = other273.propose_response;
+  query = other273.query;
+  query_response = other273.query_response;
+  drain = other273.drain;
+  __isset = other273.__isset;
 }
-PeerMessage::PeerMessage(PeerMessage&& other268) noexcept {
-  hello = std::move(other268.hello);
-  ping = other268.ping;
-  pong = other268.pong;
-  consensus = std::move(other268.consensus);
-  report = std::move(other268.report);
-  update = std::move(other268.update);
-  forward = std::move(other268.forward);
-  forward_response = std::move(other268.forward_response);
-  propose = std::move(other268.propose);
-  propose_response = std::move(other268.propose_response);
-  query = std::move(other268.query);
-  query_response = std::move(other268.query_response);
-  drain = other268.drain;
-  __isset = other268.__isset;
+PeerMessage::PeerMessage(PeerMessage&& other274) noexcept {
+  hello = std::move(other274.hello);
+  ping = other274.ping;
+  pong = other274.pong;
+  consensus = std::move(other274.consensus);
+  report = std::move(other274.report);
+  update = std::move(other274.update);
+  forward = std::move(other274.forward);
+  forward_response = std::move(other274.forward_response);
+  propose = std::move(other274.propose);
+  propose_response = std::move(other274.propose_response);
+  query = std::move(other274.query);
+  query_response = std::move(other274.query_response);
+  drain = other274.drain;
+  __isset = other274.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other269) {
-  hello = other269.hello;
-  ping = other269.ping;
-  pong = other269.pong;
-  consensus = other269.consensus;
-  report = other269.report;
-  update = other269.update;
-  forward = other269.forward;
-  forward_response = other269.forward_response;
-  propose = other269.propose;
-  propose_response = other269.propose_response;
-  query = other269.query;
-  query_response = other269.query_response;
-  drain = other269.drain;
-  __isset = other269.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other275) {
+  hello = other275.hello;
+  ping = other275.ping;
+  pong = other275.pong;
+  consensus = other275.consensus;
+  report = other275.report;
+  update = other275.update;
+  forward = other275.forward;
+  forward_response = other275.forward_response;
+  propose = other275.propose;
+  propose_response = other275.propose_response;
+  query = other275.query;
+  query_response = other275.query_response;
+  drain = other275.drain;
+  __isset = other275.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other270) noexcept {
-  hello = std::move(other270.hello);
-  ping = other270.ping;
-  pong = other270.pong;
-  consensus = std::move(other270.consensus);
-  report = std::move(other270.report);
-  update = std::move(other270.update);
-  forward = std::move(other270.forward);
-  forward_response = std::move(other270.forward_response);
-  propose = std::move(other270.propose);
-  propose_response = std::move(other270.propose_response);
-  query = std::move(other270.query);
-  query_response = std::move(other270.query_response);
-  drain = other270.drain;
-  __isset = other270.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other276) noexcept {
+  hello = std::move(other276.hello);
+  ping = other276.ping;
+  pong = other276.pong;
+  consensus = std::move(other276.consensus);
+  report = std::move(other276.report);
+  update = std::move(other276.update);
+  forward = std::move(other276.forward);
+  forward_response = std::move(other276.forward_response);
+  propose = std::move(other276.propose);
+  propose_response = std::move(other276.propose_response);
+  query = std::move(other276.query);
+  query_response = std::move(other276.query_response);
+  drain = other276.drain;
+  __isset = other276.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -8498,30 +8540,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other271) {
-  change_id = other271.change_id;
-  fingerprint = other271.fingerprint;
-  result = other271.result;
-  __isset = other271.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other277) {
+  change_id = other277.change_id;
+  fingerprint = other277.fingerprint;
+  result = other277.result;
+  __isset = other277.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other272) noexcept {
-  change_id = std::move(other272.change_id);
-  fingerprint = std::move(other272.fingerprint);
-  result = std::move(other272.result);
-  __isset = other272.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other278) noexcept {
+  change_id = std::move(other278.change_id);
+  fingerprint = std::move(other278.fingerprint);
+  result = std::move(other278.result);
+  __isset = other278.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other273) {
-  change_id = other273.change_id;
-  fingerprint = other273.fingerprint;
-  result = other273.result;
-  __isset = other273.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other279) {
+  change_id = other279.change_id;
+  fingerprint = other279.fingerprint;
+  result = other279.result;
+  __isset = other279.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other274) noexcept {
-  change_id = std::move(other274.change_id);
-  fingerprint = std::move(other274.fingerprint);
-  result = std::move(other274.result);
-  __isset = other274.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other280) noexcept {
+  change_id = std::move(other280.change_id);
+  fingerprint = std::move(other280.fingerprint);
+  result = std::move(other280.result);
+  __isset = other280.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -8613,14 +8655,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size275;
-            ::apache::thrift::protocol::TType _etype278;
-            xfer += iprot->readListBegin(_etype278, _size275);
-            this->objects.resize(_size275);
-            uint32_t _i279;
-            for (_i279 = 0; _i279 < _size275; ++_i279)
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->objects.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
             {
-              xfer += this->objects[_i279].read(iprot);
+              xfer += this->objects[_i285].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8633,14 +8675,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size280;
-            ::apache::thrift::protocol::TType _etype283;
-            xfer += iprot->readListBegin(_etype283, _size280);
-            this->changes.resize(_size280);
-            uint32_t _i284;
-            for (_i284 = 0; _i284 < _size280; ++_i284)
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->changes.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
             {
-              xfer += this->changes[_i284].read(iprot);
+              xfer += this->changes[_i290].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8661,14 +8703,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->groups.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size291;
+            ::apache::thrift::protocol::TType _etype294;
+            xfer += iprot->readListBegin(_etype294, _size291);
+            this->groups.resize(_size291);
+            uint32_t _i295;
+            for (_i295 = 0; _i295 < _size291; ++_i295)
             {
-              xfer += this->groups[_i289].read(iprot);
+              xfer += this->groups[_i295].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8681,14 +8723,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->endpoints.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->endpoints.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->endpoints[_i294].read(iprot);
+              xfer += this->endpoints[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8701,14 +8743,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size295;
-            ::apache::thrift::protocol::TType _etype298;
-            xfer += iprot->readListBegin(_etype298, _size295);
-            this->instances.resize(_size295);
-            uint32_t _i299;
-            for (_i299 = 0; _i299 < _size295; ++_i299)
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->instances.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
             {
-              xfer += this->instances[_i299].read(iprot);
+              xfer += this->instances[_i305].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8721,14 +8763,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size300;
-            ::apache::thrift::protocol::TType _etype303;
-            xfer += iprot->readListBegin(_etype303, _size300);
-            this->journal.resize(_size300);
-            uint32_t _i304;
-            for (_i304 = 0; _i304 < _size300; ++_i304)
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->journal.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += this->journal[_i304].read(iprot);
+              xfer += this->journal[_i310].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8769,10 +8811,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter305;
-    for (_iter305 = this->objects.begin(); _iter305 != this->objects.end(); ++_iter305)
+    std::vector<Object> ::const_iterator _iter311;
+    for (_iter311 = this->objects.begin(); _iter311 != this->objects.end(); ++_iter311)
     {
-      xfer += (*_iter305).write(oprot);
+      xfer += (*_iter311).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8781,10 +8823,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter306;
-    for (_iter306 = this->changes.begin(); _iter306 != this->changes.end(); ++_iter306)
+    std::vector<AppliedChange> ::const_iterator _iter312;
+    for (_iter312 = this->changes.begin(); _iter312 != this->changes.end(); ++_iter312)
     {
-      xfer += (*_iter306).write(oprot);
+      xfer += (*_iter312).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8797,10 +8839,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter307;
-    for (_iter307 = this->groups.begin(); _iter307 != this->groups.end(); ++_iter307)
+    std::vector<GroupState> ::const_iterator _iter313;
+    for (_iter313 = this->groups.begin(); _iter313 != this->groups.end(); ++_iter313)
     {
-      xfer += (*_iter307).write(oprot);
+      xfer += (*_iter313).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8809,10 +8851,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter308;
-    for (_iter308 = this->endpoints.begin(); _iter308 != this->endpoints.end(); ++_iter308)
+    std::vector<EndpointInfo> ::const_iterator _iter314;
+    for (_iter314 = this->endpoints.begin(); _iter314 != this->endpoints.end(); ++_iter314)
     {
-      xfer += (*_iter308).write(oprot);
+      xfer += (*_iter314).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8821,10 +8863,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter309;
-    for (_iter309 = this->instances.begin(); _iter309 != this->instances.end(); ++_iter309)
+    std::vector<InstanceInfo> ::const_iterator _iter315;
+    for (_iter315 = this->instances.begin(); _iter315 != this->instances.end(); ++_iter315)
     {
-      xfer += (*_iter309).write(oprot);
+      xfer += (*_iter315).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8833,10 +8875,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter310;
-    for (_iter310 = this->journal.begin(); _iter310 != this->journal.end(); ++_iter310)
+    std::vector<JournalEntry> ::const_iterator _iter316;
+    for (_iter316 = this->journal.begin(); _iter316 != this->journal.end(); ++_iter316)
     {
-      xfer += (*_iter310).write(oprot);
+      xfer += (*_iter316).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8865,54 +8907,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other311) {
-  revision = other311.revision;
-  objects = other311.objects;
-  changes = other311.changes;
-  groups_revision = other311.groups_revision;
-  groups = other311.groups;
-  endpoints = other311.endpoints;
-  instances = other311.instances;
-  journal = other311.journal;
-  session_secret = other311.session_secret;
-  __isset = other311.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other312) noexcept {
-  revision = other312.revision;
-  objects = std::move(other312.objects);
-  changes = std::move(other312.changes);
-  groups_revision = other312.groups_revision;
-  groups = std::move(other312.groups);
-  endpoints = std::move(other312.endpoints);
-  instances = std::move(other312.instances);
-  journal = std::move(other312.journal);
-  session_secret = std::move(other312.session_secret);
-  __isset = other312.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other313) {
-  revision = other313.revision;
-  objects = other313.objects;
-  changes = other313.changes;
-  groups_revision = other313.groups_revision;
-  groups = other313.groups;
-  endpoints = other313.endpoints;
-  instances = other313.instances;
-  journal = other313.journal;
-  session_secret = other313.session_secret;
-  __isset = other313.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other317) {
+  revision = other317.revision;
+  objects = other317.objects;
+  changes = other317.changes;
+  groups_revision = other317.groups_revision;
+  groups = other317.groups;
+  endpoints = other317.endpoints;
+  instances = other317.instances;
+  journal = other317.journal;
+  session_secret = other317.session_secret;
+  __isset = other317.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other318) noexcept {
+  revision = other318.revision;
+  objects = std::move(other318.objects);
+  changes = std::move(other318.changes);
+  groups_revision = other318.groups_revision;
+  groups = std::move(other318.groups);
+  endpoints = std::move(other318.endpoints);
+  instances = std::move(other318.instances);
+  journal = std::move(other318.journal);
+  session_secret = std::move(other318.session_secret);
+  __isset = other318.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other319) {
+  revision = other319.revision;
+  objects = other319.objects;
+  changes = other319.changes;
+  groups_revision = other319.groups_revision;
+  groups = other319.groups;
+  endpoints = other319.endpoints;
+  instances = other319.instances;
+  journal = other319.journal;
+  session_secret = other319.session_secret;
+  __isset = other319.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other314) noexcept {
-  revision = other314.revision;
-  objects = std::move(other314.objects);
-  changes = std::move(other314.changes);
-  groups_revision = other314.groups_revision;
-  groups = std::move(other314.groups);
-  endpoints = std::move(other314.endpoints);
-  instances = std::move(other314.instances);
-  journal = std::move(other314.journal);
-  session_secret = std::move(other314.session_secret);
-  __isset = other314.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other320) noexcept {
+  revision = other320.revision;
+  objects = std::move(other320.objects);
+  changes = std::move(other320.changes);
+  groups_revision = other320.groups_revision;
+  groups = std::move(other320.groups);
+  endpoints = std::move(other320.endpoints);
+  instances = std::move(other320.instances);
+  journal = std::move(other320.journal);
+  session_secret = std::move(other320.session_secret);
+  __isset = other320.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -2264,7 +2264,7 @@
 std::ostream& operator<<(std::ostream& out, const CoordinatorLease& obj);
 
 typedef struct _ControlUpdate__isset {
-  _ControlUpdate__isset() : leader_term(false), leader(false), report_sequence(false), report_sent_micros(false), revision(false), objects(false), groups_revision(false), groups(false), endpoints(false), instances(false), shares(false), leases(false), control_lease_ms(false), session_secret(false), base_revision(false), base_groups_revision(false) {}
+  _ControlUpdate__isset() : leader_term(false), leader(false), report_sequence(false), report_sent_micros(false), revision(false), objects(false), groups_revision(false), groups(false), endpoints(false), instances(false), shares(false), leases(false), control_lease_ms(false), session_secret(false), base_revision(false), base_groups_revision(false), hand_over(false) {}
   bool leader_term :1;
   bool leader :1;
   bool report_sequence :1;
@@ -2281,6 +2281,7 @@
   bool session_secret :1;
   bool base_revision :1;
   bool base_groups_revision :1;
+  bool hand_over :1;
 } _ControlUpdate__isset;
 
 class ControlUpdate : public virtual ::apache::thrift::TBase {
@@ -2320,6 +2321,7 @@
   std::string session_secret;
   int64_t base_revision;
   int64_t base_groups_revision;
+  std::vector<std::string>  hand_over;
 
   _ControlUpdate__isset __isset;
 
@@ -2355,6 +2357,8 @@
 
   void __set_base_groups_revision(const int64_t val);
 
+  void __set_hand_over(const std::vector<std::string> & val);
+
   bool operator == (const ControlUpdate & rhs) const
   {
     if (!(leader_term == rhs.leader_term))
@@ -2389,6 +2393,8 @@
       return false;
     if (!(base_groups_revision == rhs.base_groups_revision))
       return false;
+    if (!(hand_over == rhs.hand_over))
+      return false;
     return true;
   }
   bool operator != (const ControlUpdate &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -290,6 +290,7 @@
   14: binary session_secret,
   15: i64 base_revision,                 // the objects are those changed since
   16: i64 base_groups_revision,          // the same for groups
+  17: list<string> hand_over,            // groups to stop coordinating once idle
 }
 
 // ---- requests between entries --------------------------------------------
