Split the coordinator, the daemon and the session driver by topic

Ruled out: no behaviour changes; the moved functions are the same text, apart from the check of announcements, which has a file of its own. Conclusion: sending, callers' requests and faults can be read on their own.

--- a/coordinator/include/goldcrest/coordinator/group_coordinator.h
+++ b/coordinator/include/goldcrest/coordinator/group_coordinator.h
@@ -152,9 +152,19 @@
     bool holds_slot = false;
   };
 
-  // Requests: group_coordinator.cc.
+  // Requests and transactions: group_coordinator.cc.
   void Enqueue(Request& request, Time now);
   void Push(admission::FairQueue& queue, const Request& request, Time now);
+  void BeginTransaction(Request& request, Time now);
+  void ContinueTransaction(Request& request, Time now);
+  void EndTransaction(std::uint64_t pin, bool close);
+  void Answer(std::uint64_t request_id, messages::ForwardResponse response);
+  void Refuse(std::uint64_t request_id, ResultCode code);
+  void Expire(Time now);
+  void CheckReplication(Time now);
+  void CheckTransactions(Time now);
+
+  // What is sent next: group_coordinator_dispatch.cc.
   void Dispatch(Time now);
   void DispatchReads(Time now);
   void DispatchPrimary(Time now);
@@ -162,18 +172,10 @@
   Request* PopSendable(admission::FairQueue& queue, Time now);
   bool CheckBeforeSend(Request& request, Time now);
   bool SendToReplica(Request& request, Time now, bool* may_wait);
-  void BeginTransaction(Request& request, Time now);
-  void ContinueTransaction(Request& request, Time now);
-  void EndTransaction(std::uint64_t pin, bool close);
   void Send(Request& request,
             const std::string& endpoint,
             bool holds_slot,
             Time now);
-  void Answer(std::uint64_t request_id, messages::ForwardResponse response);
-  void Refuse(std::uint64_t request_id, ResultCode code);
-  void Expire(Time now);
-  void CheckReplication(Time now);
-  void CheckTransactions(Time now);
 
   // Results of calls: group_coordinator_calls.cc.
   void OnRequestResult(const Call& call, const CallResult& result, Time now);
--- a/programs/goldcrestctl/src/commands.cc
+++ b/programs/goldcrestctl/src/commands.cc
@@ -53,7 +53,6 @@
   goldcrestctl [options] journal [--server=ADDRESS]...
   goldcrestctl [options] drain INSTANCE [--server=ADDRESS]...
   goldcrestctl [options] members MEMBER... [--server=ADDRESS]...
-  goldcrestctl [options] report [--server=ADDRESS]...
   goldcrestctl check FILE
   goldcrestctl (-h | --help | --version)
 
@@ -159,7 +158,7 @@
     if (Given("explain"))
       return Print(
           {"GET", Target({"v1", "explain"}, {{"subject", Text("SUBJECT")}})});
-    for (const char* name : {"status", "journal", "report"}) {
+    for (const char* name : {"status", "journal"}) {
       if (Given(name))
         return Print({"GET", Target({"v1", name})});
     }
--- a/programs/goldcrestd/daemon.cc
+++ b/programs/goldcrestd/daemon.cc
@@ -1,20 +1,13 @@
 #include "programs/goldcrestd/daemon.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 #include <openssl/rand.h>
 
 #include <algorithm>
-#include <array>
 #include <fstream>
 #include <iterator>
 #include <random>
 
-#include "goldcrest/adapters/json.h"
 #include "goldcrest/adapters/system_clock.h"
-#include "goldcrest/types/digest.h"
-#include "programs/goldcrestd/caller_api.h"
 #include "programs/goldcrestd/control_json.h"
 
 namespace goldcrest {
@@ -22,14 +15,11 @@
 
 using adapters::HttpRequest;
 using adapters::HttpServer;
-using adapters::JsonObject;
 using adapters::SystemClock;
 
 constexpr Duration kTick = std::chrono::milliseconds(10);
-constexpr Duration kVerifyTimeout = std::chrono::milliseconds(400);
 constexpr Duration kOperatorDeadline = std::chrono::seconds(8);
 constexpr std::size_t kSecretBytes = 32;
-constexpr std::size_t kMaxNameBytes = 63;
 
 std::string RandomBytes(std::size_t count) {
   std::string bytes(count, '\0');
@@ -52,44 +42,6 @@
   return secret;
 }
 
-std::string Hmac(const std::string& secret, const std::string& body) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
-       reinterpret_cast<const unsigned char*>(body.data()), body.size(),
-       digest.data(), &size);
-  return ToHex({reinterpret_cast<const char*>(digest.data()), size});
-}
-
-std::optional<messages::Announcement> ParseAnnouncement(
-    const std::string& body) {
-  JsonObject json = JsonObject::Parse(body);
-  messages::Announcement announcement;
-  announcement.sequence = json.RequiredInteger("sequence", 0, INT64_MAX);
-  announcement.term = json.OptionalInteger("term", 0, INT64_MAX).value_or(0);
-  announcement.position =
-      json.OptionalInteger("position", 0, INT64_MAX).value_or(0);
-  auto info = json.OptionalObject("info");
-  if (!info)
-    return std::nullopt;
-  messages::EndpointInfo& endpoint = announcement.info;
-  endpoint.endpoint = info->RequiredString("endpoint", kMaxNameBytes);
-  endpoint.group = info->RequiredString("group", kMaxNameBytes);
-  endpoint.zone = info->RequiredString("zone", kMaxNameBytes);
-  endpoint.host = info->RequiredString("host", kMaxNameBytes);
-  endpoint.port =
-      static_cast<std::int32_t>(info->RequiredInteger("port", 1, 65'535));
-  endpoint.slots =
-      static_cast<std::int32_t>(info->RequiredInteger("slots", 1, 10'000));
-  endpoint.connections = static_cast<std::int32_t>(
-      info->RequiredInteger("connections", 1, 100'000));
-  endpoint.incarnation = info->RequiredInteger("incarnation", 0, INT64_MAX);
-  endpoint.leaving = info->OptionalBool("leaving").value_or(false);
-  if (!json.Finish(adapters::UnknownFields::kIgnore).empty())
-    return std::nullopt;
-  return announcement;
-}
-
 std::vector<std::string> MemberNames(const settings::DaemonSettings& settings) {
   std::vector<std::string> names;
   for (const settings::ControlMember& member : settings.control.members)
@@ -407,113 +359,6 @@
   std::exchange(on_drained_, nullptr)();
 }
 
-void Daemon::HandleCaller(HttpRequest request, HttpServer::Respond respond) {
-  if (request.method == "GET" && request.path == "/healthz") {
-    respond(Health());
-    return;
-  }
-  if (request.method == "GET" && request.path == "/metrics") {
-    respond({.body = counters_.Render(),
-             .content_type = std::string(adapters::Counters::kContentType)});
-    return;
-  }
-  if (request.method == "POST" && request.path == "/v1/announce") {
-    HandleAnnouncement(request, std::move(respond));
-    return;
-  }
-  auto parsed = ParseCallerRequest(request);
-  if (auto* refusal = std::get_if<adapters::HttpResponse>(&parsed)) {
-    counters_.GetCounter("goldcrest_bad_requests_total").Add();
-    respond(std::move(*refusal));
-    return;
-  }
-  entry::CallerRequest& caller = std::get<entry::CallerRequest>(parsed);
-  caller.id = next_caller_id_++;
-  // The header is not needed any more; nothing else may see the key.
-  request.headers.clear();
-  {
-    const std::lock_guard lock(callers_mutex_);
-    callers_[caller.id] = {std::move(respond), SystemClock::Now()};
-  }
-  WithEntry([&](entry::EntryNode& node, Time now) {
-    return node.OnCallerRequest(caller, now);
-  });
-}
-
-adapters::HttpResponse Daemon::Health() {
-  if (draining_)
-    return adapters::ResultResponse(ResultCode::kDraining);
-  if (!serving_)
-    return adapters::ResultResponse(ResultCode::kNoControlContact);
-  return adapters::ResultResponse(ResultCode::kOk, "serving");
-}
-
-void Daemon::HandleAnnouncement(const HttpRequest& request,
-                                HttpServer::Respond respond) {
-  const std::string expected = Hmac(announce_secret_, request.body);
-  const std::string_view signature = request.Header("Goldcrest-Signature");
-  if (announce_secret_.empty() || signature.size() != expected.size() ||
-      CRYPTO_memcmp(signature.data(), expected.data(), expected.size()) != 0) {
-    respond(adapters::ResultResponse(ResultCode::kAnnouncementRejected));
-    return;
-  }
-  auto announcement = ParseAnnouncement(request.body);
-  if (!announcement) {
-    respond(adapters::ResultResponse(ResultCode::kInvalidField));
-    return;
-  }
-  bool known = false;
-  {
-    const std::lock_guard lock(entry_mutex_);
-    const messages::EndpointInfo* info =
-        entry_->view().FindEndpoint(announcement->info.endpoint);
-    known = info != nullptr && *info == announcement->info;
-  }
-  if (known) {
-    respond(adapters::ResultResponse(ResultCode::kOk));
-    return;
-  }
-  // The signature shows who sent it; the call back shows that the address is
-  // that endpoint's, in this very incarnation.
-  gateway_.Verify(
-      announcement->info, SystemClock::Now() + kVerifyTimeout,
-      [this, announcement = *announcement,
-       respond = std::move(respond)](bool verified) {
-        if (!verified) {
-          respond(adapters::ResultResponse(ResultCode::kAnnouncementRejected));
-          return;
-        }
-        pool_.Post([this, announcement, respond] {
-          WithEntry([&](entry::EntryNode& node, Time now) {
-            return node.OnAnnouncement(announcement, now);
-          });
-          respond(adapters::ResultResponse(ResultCode::kOk));
-        });
-      });
-}
-
-void Daemon::AnswerCaller(const entry::CallerAnswer& answer) {
-  DueAnswer due;
-  {
-    const std::lock_guard lock(callers_mutex_);
-    const auto node = callers_.extract(answer.id);
-    if (node.empty())
-      return;
-    due = std::move(node.mapped());
-  }
-  counters_
-      .GetCounter("goldcrest_requests_total",
-                  {{"code", std::to_string(ToNumber(answer.code))}})
-      .Add();
-  counters_.GetHistogram("goldcrest_request_seconds")
-      .Observe(SystemClock::Now() - due.arrival);
-  if (InfoOf(answer.code).outcome != Outcome::kDone) {
-    refusals_.Add(answer.code, answer.customer, answer.group,
-                  WallMilliseconds());
-  }
-  due.respond(ToHttp(answer));
-}
-
 OperatorApiHooks Daemon::MakeOperatorHooks() {
   OperatorApiHooks hooks;
   hooks.propose = [this](std::uint64_t id,
--- a/sessions/src/fleet.cc
+++ b/sessions/src/fleet.cc
@@ -203,64 +203,6 @@
   return true;
 }
 
-void Fleet::Kill(const std::string& instance) {
-  Note("kill " + instance);
-  Node& node = nodes_.at(instance);
-  node.up = false;
-  ++node.life;
-}
-
-void Fleet::Restart(const std::string& instance, bool lose_disk) {
-  Note((lose_disk ? "restart without its disk " : "restart ") + instance);
-  Node& node = nodes_.at(instance);
-  if (lose_disk)
-    node.disk = consensus::RestoredState();
-  Start(node, false);
-}
-
-void Fleet::Freeze(const std::string& instance) {
-  Note("freeze " + instance);
-  nodes_.at(instance).frozen = true;
-}
-
-void Fleet::Thaw(const std::string& instance) {
-  Note("thaw " + instance);
-  Node& node = nodes_.at(instance);
-  node.frozen = false;
-  const auto held = std::exchange(node.held, {});
-  for (const auto& run : held)
-    At(now_, run);
-}
-
-void Fleet::Cut(const std::string& a, const std::string& b) {
-  cuts_.insert(std::minmax(a, b));
-}
-
-void Fleet::Heal(const std::string& a, const std::string& b) {
-  cuts_.erase(std::minmax(a, b));
-}
-
-void Fleet::Isolate(const std::string& name) {
-  Note("isolate " + name);
-  for (const auto& [other, node] : nodes_)
-    Cut(name, other);
-  for (const auto& [endpoint, group] : group_by_endpoint_)
-    Cut(name, endpoint);
-}
-
-void Fleet::DelayAnswers(const std::string& endpoint, Duration by) {
-  answer_delays_[endpoint] = by;
-}
-
-void Fleet::CrossAnswers(const std::string& endpoint, int count) {
-  crossed_answers_[endpoint] = count;
-}
-
-void Fleet::KillEndpoint(const std::string& endpoint) {
-  Note("kill " + endpoint);
-  GroupOf(endpoint).member(endpoint).up = false;
-}
-
 void Fleet::KillZone(const std::string& zone) {
   for (const auto& [name, node] : nodes_) {
     if (node.info.zone == zone)
@@ -272,15 +214,6 @@
   }
 }
 
-void Fleet::Drain(const std::string& instance) {
-  Note("drain " + instance);
-  Node& node = nodes_.at(instance);
-  node.entry->BeginDrain();
-  node.entry->OnCallersGone();
-  if (node.control != nullptr)
-    CarryOut(instance, node.control->TransferLeadership(now_));
-}
-
 void Fleet::Announce(const std::string& entry_name,
                      const messages::Announcement& announcement) {
   CarryOut(entry_name, entry(entry_name).OnAnnouncement(announcement, now_));
