--- a/coordinator/tests/lost_proposal_test.cc
+++ b/coordinator/tests/lost_proposal_test.cc
@@ -20,6 +20,7 @@
   std::uint64_t last_call = 0;
   CoordinatorHooks hooks;
   hooks.next_call_id = [&] { return ++last_call; };
+  hooks.endpoint_leaving = [](const messages::EndpointInfo&) { return false; };
   messages::GroupState state;
   state.group = "bookings";
   state.coordinator = "e1";
