Place the linter's exception on its own line

Cause: the formatter broke the line and moved the exception away from the name. Before: lint failed on is_steady in every file.

--- a/types/include/goldcrest/types/time.h
+++ b/types/include/goldcrest/types/time.h
@@ -16,8 +16,8 @@
   using duration = Duration;
   using time_point = std::chrono::time_point<MonotonicClock>;
   // The standard's requirements for clocks fix this name.
-  static constexpr bool is_steady =
-      true;  // NOLINT(readability-identifier-naming)
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool is_steady = true;
 };
 
 //! Microseconds since an arbitrary start. Times of different processes can't be
