Refresh customers' limits in one place

Cause: the control leader and each entry held the same loop that carries limits from the configuration to the buckets, with the same two members. Ruled out: a method of Configuration, since the set of limited customers is state of the one who carries them. Before: the loop stood twice. The tests with real processes and the sanitizer build were not run again. Conclusion: behaviour is unchanged.

--- a/control/include/goldcrest/control/leader.h
+++ b/control/include/goldcrest/control/leader.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "goldcrest/control/control_state.h"
+#include "goldcrest/control/limit_refresher.h"
 #include "goldcrest/messages/messages.h"
 #include "goldcrest/quota/owner.h"
 #include "goldcrest/types/time.h"
@@ -138,8 +139,7 @@
   std::function<std::string()> random_secret_;
   Time takeover_;
   quota::Owner owner_;
-  std::int64_t limits_revision_ = -1;
-  std::set<std::string> limited_customers_;
+  LimitRefresher limits_;
 
   std::map<std::string, InstanceView> views_;
   std::map<std::string, Time> coordinator_lease_until_;  // by group
--- a/control/src/leader.cc
+++ b/control/src/leader.cc
@@ -214,25 +214,14 @@
 }
 
 void Leader::RefreshLimits(Time now) {
-  const policy::Configuration& configuration = state_->configuration();
-  if (configuration.Revision() == limits_revision_)
-    return;
-  limits_revision_ = configuration.Revision();
-  std::set<std::string> limited;
-  for (const messages::Object& customer :
-       configuration.Objects(messages::ObjectKind::CUSTOMER)) {
-    const auto limit = configuration.QuotaOf(customer.name);
-    if (!limit)
-      continue;
-    owner_.SetLimit(now, customer.name,
-                    {limit->rate_micros, limit->burst_micros});
-    limited.insert(customer.name);
-  }
-  for (const std::string& customer : limited_customers_) {
-    if (!limited.contains(customer))
-      owner_.RemoveLimit(now, customer);
-  }
-  limited_customers_ = std::move(limited);
+  limits_.Refresh(
+      state_->configuration(),
+      [&](const std::string& customer, std::optional<quota::Limit> limit) {
+        if (limit)
+          owner_.SetLimit(now, customer, *limit);
+        else
+          owner_.RemoveLimit(now, customer);
+      });
 }
 
 void Leader::PushUpdates() {
--- a/entry/include/goldcrest/entry/entry_node.h
+++ b/entry/include/goldcrest/entry/entry_node.h
@@ -5,11 +5,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "goldcrest/control/limit_refresher.h"
 #include "goldcrest/coordinator/endpoint_call.h"
 #include "goldcrest/coordinator/group_coordinator.h"
 #include "goldcrest/entry/caller_request.h"
@@ -136,8 +136,7 @@
   std::map<std::int64_t, std::pair<std::uint64_t, OperatorProposal>>
       operator_proposals_;
   std::uint64_t next_call_id_ = 1;
-  std::int64_t limits_revision_ = -1;
-  std::set<std::string> limited_customers_;
+  control::LimitRefresher limits_;
   bool draining_ = false;
   bool callers_gone_ = false;
   bool stop_reported_ = false;
--- a/entry/src/entry_node.cc
+++ b/entry/src/entry_node.cc
@@ -349,25 +349,11 @@
 }
 
 void EntryNode::RefreshLimits() {
-  const policy::Configuration& configuration = view_.configuration();
-  if (configuration.Revision() == limits_revision_)
-    return;
-  limits_revision_ = configuration.Revision();
-  std::set<std::string> limited;
-  for (const messages::Object& customer :
-       configuration.Objects(messages::ObjectKind::CUSTOMER)) {
-    const auto limit = configuration.QuotaOf(customer.name);
-    if (!limit)
-      continue;
-    holder_.SetLimit(customer.name,
-                     quota::Limit{limit->rate_micros, limit->burst_micros});
-    limited.insert(customer.name);
-  }
-  for (const std::string& customer : limited_customers_) {
-    if (!limited.contains(customer))
-      holder_.SetLimit(customer, std::nullopt);
-  }
-  limited_customers_ = std::move(limited);
+  limits_.Refresh(
+      view_.configuration(),
+      [&](const std::string& customer, std::optional<quota::Limit> limit) {
+        holder_.SetLimit(customer, limit);
+      });
 }
 
 EntryEffects EntryNode::TakeEffects() {
