--- /dev/null
+++ b/adapters/include/goldcrest/adapters/log_output.h
@@ -0,0 +1,49 @@
+#ifndef GOLDCREST_ADAPTERS_LOG_OUTPUT_H_
+#define GOLDCREST_ADAPTERS_LOG_OUTPUT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "goldcrest/types/time.h"
+
+namespace goldcrest::adapters {
+
+//! Writes log lines to a descriptor without ever waiting for its reader, and
+//! bounds how many lines of one kind are written. What is left out is counted
+//! and told with the next line that goes out. Not thread-safe.
+class LogOutput {
+ public:
+  explicit LogOutput(int descriptor);
+
+  //! True when a line of this kind may be written now. `left_out` is set to the
+  //! number of lines of the kind that were not written since the last one.
+  bool Admit(Time now, const std::string& kind, std::uint64_t& left_out);
+
+  //! Writes a whole line with its end, or drops it when the reader is behind.
+  void Write(std::string_view line);
+
+  //! Lines lost because the reader was behind.
+  std::uint64_t Dropped() const { return dropped_; }
+
+  static constexpr std::int64_t kLinesPerSecond = 5;
+  static constexpr std::int64_t kBurstLines = 20;
+
+ private:
+  struct Bucket {
+    Duration credit{};
+    Time refilled_at;
+    std::uint64_t left_out = 0;
+  };
+
+  int descriptor_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t dropped_told_ = 0;
+  bool in_line_ = false;  // a line was cut off in the middle
+  std::map<std::string, Bucket> buckets_;
+};
+
+}  // namespace goldcrest::adapters
+
+#endif  // GOLDCREST_ADAPTERS_LOG_OUTPUT_H_
--- a/adapters/include/goldcrest/adapters/system_clock.h
+++ b/adapters/include/goldcrest/adapters/system_clock.h
@@ -7,7 +7,8 @@
 
 namespace goldcrest::adapters {
 
-//! The system's clocks. Time is std::chrono::steady_clock in microseconds.
+//! The system's clocks. Time is CLOCK_BOOTTIME in microseconds: it never goes
+//! back, and it counts the time that the machine was suspended.
 class SystemClock {
  public:
   static Time Now();
--- /dev/null
+++ b/adapters/src/line_socket.cc
@@ -0,0 +1,223 @@
+#include "goldcrest/adapters/line_socket.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <utility>
+
+namespace goldcrest::adapters {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = std::size_t{16} << 10U;
+
+// Sent bytes that the peer's machine does not acknowledge for this long end the
+// connection: it lost power or is cut off. The same for idle probes.
+constexpr std::chrono::milliseconds kUnacknowledged{4'000};
+constexpr int kProbeIdleSeconds = 3;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbeCount = 3;
+
+void SetOption(tcp::socket& socket, int name, int value) {
+  // A socket without the option still works; its loss shows later.
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value,
+               sizeof(value));
+}
+
+}  // namespace
+
+LineSocket::LineSocket(asio::io_context& context, std::size_t max_line_bytes)
+    : socket_(context), timer_(context), max_line_bytes_(max_line_bytes) {}
+
+void LineSocket::Accept(tcp::socket socket, Hooks hooks) {
+  socket_ = std::move(socket);
+  hooks_ = std::move(hooks);
+  open_ = true;
+  Start();
+}
+
+void LineSocket::Connect(const std::string& host,
+                         std::uint16_t port,
+                         std::chrono::milliseconds timeout,
+                         std::string greeting,
+                         Hooks hooks) {
+  hooks_ = std::move(hooks);
+  queued_ = std::move(greeting);
+  open_ = true;
+  error_code error;
+  const auto address = asio::ip::make_address(host, error);
+  if (error) {
+    asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
+      self->Fail("address can't be read: " + error.message());
+    });
+    return;
+  }
+  timer_.expires_after(timeout);
+  timer_.async_wait([self = shared_from_this()](error_code canceled) {
+    if (!canceled && !self->connected_)
+      self->Fail("no connection in time");
+  });
+  socket_.async_connect(tcp::endpoint(address, port),
+                        [self = shared_from_this()](error_code failed) {
+                          if (!self->open_)
+                            return;
+                          if (failed)
+                            return self->Fail(failed.message());
+                          self->timer_.cancel();
+                          self->Start();
+                          self->Flush();
+                        });
+}
+
+void LineSocket::Start() {
+  connected_ = true;
+  error_code ignored;
+  socket_.non_blocking(true, ignored);
+  socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetOption(socket_, TCP_USER_TIMEOUT,
+            static_cast<int>(kUnacknowledged.count()));
+  SetOption(socket_, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetOption(socket_, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  SetOption(socket_, TCP_KEEPCNT, kProbeCount);
+  AwaitRead();
+}
+
+void LineSocket::AwaitRead() {
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       if (!self->open_)
+                         return;
+                       if (error)
+                         return self->Fail(error.message());
+                       self->OnReadable();
+                     });
+}
+
+void LineSocket::OnReadable() {
+  // Shared by all sockets of the thread: it is empty between two calls.
+  thread_local std::array<char, kReadBytes> buffer;
+  error_code error;
+  const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block)
+    return AwaitRead();
+  if (error)
+    return Fail(error.message());
+  const auto self = shared_from_this();
+  if (!closing_)
+    Consume({buffer.data(), count});
+  if (open_)
+    AwaitRead();
+}
+
+void LineSocket::Consume(std::string_view bytes) {
+  // Lines are handed out of a copy: a hook may run another socket's read.
+  std::string text = std::exchange(partial_, {});
+  text.append(bytes);
+  std::size_t begin = 0;
+  while (open_ && !closing_) {
+    const std::size_t end = text.find('\n', begin);
+    if (end == std::string::npos)
+      break;
+    std::string_view line(text.data() + begin, end - begin);
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    begin = end + 1;
+    hooks_.line(line);
+  }
+  if (!open_)
+    return;
+  partial_ = text.substr(begin);
+  if (partial_.size() > max_line_bytes_)
+    Fail("a line is too long");
+}
+
+void LineSocket::Write(std::string_view bytes) {
+  if (!open_ || closing_)
+    return;
+  queued_.append(bytes);
+  if (queued_.size() > kMaxQueuedBytes)
+    return Fail("the peer does not read");
+  if (connected_ && !writing_)
+    Flush();
+}
+
+void LineSocket::Flush() {
+  while (open_ && !queued_.empty()) {
+    error_code error;
+    const std::size_t count = socket_.write_some(asio::buffer(queued_), error);
+    if (error == asio::error::would_block) {
+      writing_ = true;
+      socket_.async_wait(tcp::socket::wait_write,
+                         [self = shared_from_this()](error_code failed) {
+                           self->writing_ = false;
+                           if (!self->open_)
+                             return;
+                           if (failed)
+                             return self->Fail(failed.message());
+                           self->Flush();
+                         });
+      return;
+    }
+    if (error) {
+      // Reported from the event loop: the caller is in the middle of a step.
+      asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
+        self->Fail(error.message());
+      });
+      queued_.clear();
+      return;
+    }
+    queued_.erase(0, count);
+  }
+  if (queued_.empty())
+    queued_.shrink_to_fit();
+  if (!open_ || !closing_ || !queued_.empty())
+    return;
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void LineSocket::CloseAfterWrites(std::chrono::milliseconds linger) {
+  if (!open_ || closing_)
+    return;
+  closing_ = true;
+  timer_.expires_after(linger);
+  timer_.async_wait([self = shared_from_this()](error_code canceled) {
+    if (!canceled)
+      self->Close();
+  });
+  if (!writing_)
+    Flush();
+}
+
+void LineSocket::Fail(const std::string& cause) {
+  if (!open_)
+    return;
+  const auto closed = hooks_.closed;
+  Release();
+  if (closed)
+    closed(cause);
+}
+
+void LineSocket::Close() {
+  if (open_)
+    Release();
+}
+
+void LineSocket::Release() {
+  open_ = false;
+  timer_.cancel();
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  // The hooks may own this socket; they go once the running one has returned.
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->hooks_ = {}; });
+}
+
+}  // namespace goldcrest::adapters
--- /dev/null
+++ b/adapters/src/log_output.cc
@@ -0,0 +1,62 @@
+#include "goldcrest/adapters/log_output.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrest::adapters {
+namespace {
+
+constexpr Duration kLineCost =
+    std::chrono::seconds(1) / LogOutput::kLinesPerSecond;
+
+}  // namespace
+
+LogOutput::LogOutput(int descriptor) : descriptor_(descriptor) {
+  const int flags = ::fcntl(descriptor_, F_GETFL);
+  if (flags >= 0)
+    ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool LogOutput::Admit(Time now,
+                      const std::string& kind,
+                      std::uint64_t& left_out) {
+  const auto [it, inserted] = buckets_.try_emplace(kind);
+  Bucket& bucket = it->second;
+  const Duration full = kLineCost * kBurstLines;
+  if (inserted)
+    bucket.credit = full;
+  else
+    bucket.credit = std::min(full, bucket.credit + (now - bucket.refilled_at));
+  bucket.refilled_at = now;
+  if (bucket.credit < kLineCost) {
+    ++bucket.left_out;
+    return false;
+  }
+  bucket.credit -= kLineCost;
+  left_out = std::exchange(bucket.left_out, 0);
+  return true;
+}
+
+void LogOutput::Write(std::string_view line) {
+  std::string text;
+  if (in_line_)
+    text = "\n";
+  if (dropped_ != dropped_told_)
+    text += "event=log_lines_dropped count=" +
+            std::to_string(dropped_ - dropped_told_) + "\n";
+  text.append(line);
+  const ssize_t written = ::write(descriptor_, text.data(), text.size());
+  if (written <= 0) {
+    ++dropped_;
+    return;
+  }
+  dropped_told_ = dropped_;
+  in_line_ = static_cast<std::size_t>(written) < text.size();
+  if (in_line_)
+    ++dropped_;
+}
+
+}  // namespace goldcrest::adapters
--- a/adapters/src/system_clock.cc
+++ b/adapters/src/system_clock.cc
@@ -1,17 +1,23 @@
 #include "goldcrest/adapters/system_clock.h"
 
+#include <time.h>
+
 namespace goldcrest::adapters {
 namespace {
 
-// Later times, such as kNever, would overflow in nanoseconds.
-constexpr Time kLast(
-    std::chrono::floor<Duration>(std::chrono::steady_clock::duration::max()));
+// Longer waits count as endless: kNever would overflow in nanoseconds.
+constexpr Duration kLongest = std::chrono::hours(24 * 365);
 
 }  // namespace
 
 Time SystemClock::Now() {
-  return Time(std::chrono::floor<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  // The steady clock stands still while the machine is suspended, so that a
+  // lease would seem to hold after it has lapsed.
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time(
+      std::chrono::floor<Duration>(std::chrono::seconds(now.tv_sec) +
+                                   std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 std::chrono::milliseconds SystemClock::WallNow() {
@@ -20,9 +26,10 @@
 }
 
 std::chrono::steady_clock::time_point SystemClock::ToSteady(Time time) {
-  if (time >= kLast)
+  const Duration left = time >= kNever ? kLongest : time - Now();
+  if (left >= kLongest)
     return std::chrono::steady_clock::time_point::max();
-  return std::chrono::steady_clock::time_point(time.time_since_epoch());
+  return std::chrono::steady_clock::now() + left;
 }
 
 }  // namespace goldcrest::adapters
--- a/cmake/GoldcrestPackage.cmake
+++ b/cmake/GoldcrestPackage.cmake
@@ -6,6 +6,7 @@
 set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
 
 option(GOLDCREST_SANITIZE "Build with AddressSanitizer and UBSan" OFF)
+option(GOLDCREST_DEPLOY "Build the daemon only, without tests" OFF)
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
@@ -15,12 +16,16 @@
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
 find_package(fmt REQUIRED)
-find_package(Catch2 REQUIRED)
+if(NOT GOLDCREST_DEPLOY)
+  find_package(Catch2 REQUIRED)
+endif()
 find_package(docopt REQUIRED)
 
 add_library(goldcrest_warnings INTERFACE)
+# GCC 12 reports -Wrestrict for assignments of string literals (its bug 105329).
 target_compile_options(goldcrest_warnings INTERFACE -Wall -Wextra -Werror
-                                                    -Wno-missing-field-initializers)
+                                                    -Wno-missing-field-initializers
+                                                    -Wno-restrict)
 
 if(GOLDCREST_SANITIZE)
   add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
@@ -28,7 +33,9 @@
   add_link_options(-fsanitize=address,undefined)
 endif()
 
-add_library(goldcrest_test_main OBJECT ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
+if(NOT GOLDCREST_DEPLOY)
+  add_library(goldcrest_test_main OBJECT ${PROJECT_SOURCE_DIR}/cmake/test_main.cc)
+endif()
 
 # goldcrest_package(NAME SOURCES ... DEPENDS ... [TESTS ...] [TEST_DEPENDS ...])
 #
@@ -42,7 +49,7 @@
   target_include_directories(goldcrest_${NAME} PUBLIC include PRIVATE . internal)
   target_link_libraries(goldcrest_${NAME} PUBLIC ${ARG_DEPENDS}
                                           PRIVATE goldcrest_warnings)
-  if(ARG_TESTS)
+  if(ARG_TESTS AND NOT GOLDCREST_DEPLOY)
     goldcrest_test(${NAME} SOURCES ${ARG_TESTS} DEPENDS goldcrest_${NAME}
                    ${ARG_TEST_DEPENDS})
   endif()
@@ -50,6 +57,9 @@
 
 # goldcrest_test(NAME SOURCES ... DEPENDS ...)
 function(goldcrest_test NAME)
+  if(GOLDCREST_DEPLOY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(goldcrest_${NAME}_tests ${ARG_SOURCES}
                                          $<TARGET_OBJECTS:goldcrest_test_main>)
--- /dev/null
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -0,0 +1,171 @@
+#ifndef GOLDCREST_FLEET_CONTROLLER_H_
+#define GOLDCREST_FLEET_CONTROLLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "goldcrest/consensus/replica.h"
+#include "goldcrest/fleet/failover_planner.h"
+#include "goldcrest/fleet/fleet_state.h"
+#include "goldcrest/fleet/membership_planner.h"
+#include "goldcrest/quota/owner.h"
+#include "goldcrest/routing/endpoint_directory.h"
+#include "goldcrest/routing/routing_table.h"
+
+namespace goldcrest::fleet {
+
+//! How a call about the configuration ended.
+struct ConfigurationResult {
+  enum class Kind {
+    kDone,
+    kElsewhere,  //!< `leader` can tell.
+    kUnknown,    //!< No leader is known, or it was replaced meanwhile.
+  };
+  Kind kind = Kind::kUnknown;
+  std::string leader;
+  std::string text;  //!< Of the newest configuration; empty: there is none.
+};
+
+struct ControllerHooks {
+  std::function<void(const std::string& to, messages::PeerMessage)> send;
+  //! Makes the writes durable. False: the process must stop.
+  std::function<bool(const std::vector<consensus::LogWrite>&)> persist;
+  std::function<routing::RoutingTablePtr(const std::string& text)> decode;
+  //! More controllers are known.
+  std::function<void(const std::set<std::string>&)> known_controllers;
+  std::function<void(const routing::EndpointDirectory::Entry&, ProbePurpose)>
+      probe;
+  std::function<void(const messages::PrimaryAssignment&)> promote;
+  std::function<void(const std::string& event,
+                     const std::string& subject,
+                     const std::string& cause)>
+      decided;
+};
+
+struct ControllerOptions {
+  consensus::ReplicaOptions replica;  //!< Without a disk: never a member.
+  bool has_disk = true;
+  int tolerated_losses = 1;
+  std::set<std::string> seeds;  //!< Names of controllers known at the start.
+};
+
+//! One controller: its copy of the log, the directory of endpoints, and, while
+//! it leads, shares of rates, promotions and the membership. Does no I/O and
+//! reads no clock; not thread-safe.
+class Controller {
+ public:
+  using Done = std::function<void(ConfigurationResult)>;
+
+  Controller(Time now,
+             ControllerOptions options,
+             consensus::RestoredState restored,
+             std::mt19937_64 generator,
+             ControllerHooks hooks);
+
+  void Tick(Time now);
+  void OnMessage(Time now,
+                 const std::string& from,
+                 const messages::PeerMessage& message);
+  void OnLink(Time now, const std::string& peer, bool up);
+
+  //! An endpoint reported here.
+  void OnBeat(Time now, const messages::EndpointRecord& record);
+  //! An endpoint said that it has left.
+  void OnDeparture(Time now, const messages::EndpointRecord& departure);
+
+  //! `text` is a valid document of `version`. Done once it is decided, or once
+  //! a version that is not lower is.
+  void Put(Time now, std::int64_t version, std::string text, Done done);
+  ConfigurationResult Get(Time now) const;
+
+  void OnProbe(Time now,
+               const std::string& group,
+               const std::string& endpoint,
+               const ProbeResult& result);
+  void OnPromotion(Time now,
+                   const messages::PrimaryAssignment& assignment,
+                   PromotionResult result);
+
+  //! Hands leadership over before a planned stop.
+  void BeginDrain(Time now);
+
+  bool IsLeader() const { return replica_.IsLeader(); }
+  bool HasFailed() const { return failed_; }
+  const routing::EndpointDirectory& directory() const { return directory_; }
+  const FleetState& state() const { return state_; }
+
+ private:
+  struct Entry {
+    Time reported_at;
+    bool linked = false;
+    std::int64_t process = 0;
+  };
+  struct WaitingPut {
+    std::int64_t version = 0;
+    std::int64_t index = 0;
+    std::int64_t term = 0;
+    Done done;
+  };
+  // What only the leader of a term keeps.
+  struct Leadership {
+    std::int64_t term = 0;
+    std::unique_ptr<quota::Owner> owner;
+    std::unique_ptr<FailoverPlanner> failover;
+    std::int64_t version = -1;  // of the limits and groups set
+    std::map<std::string, std::int64_t> registering;  // instance: process
+  };
+
+  void Process(Time now, consensus::Output output);
+  void ApplyCommitted(Time now, const messages::LogEntry& entry);
+  void OnDocumentChanged(Time now);
+  void UpdateLeadership(Time now);
+  void SetLimits(Time now);
+  bool Leads(Time now) const;
+  std::int64_t Propose(Time now, const messages::FleetCommand& command);
+  void OnReport(Time now,
+                const std::string& from,
+                const messages::ProxyReport& report);
+  std::vector<messages::ShareUpdate> AnswerShares(
+      Time now,
+      const std::string& from,
+      const messages::ProxyReport& report);
+  void OnNotice(Time now,
+                const std::string& from,
+                const messages::ControllerNotice& notice);
+  void Merge(Time now, const messages::EndpointRecord& record);
+  void SendNotices(Time now);
+  void ToEntries(const messages::ProxyUpdate& update);
+  void LearnControllers(const std::vector<std::string>& names);
+  void PlanMembership(Time now);
+  void FailPuts(Time now);
+
+  ControllerOptions options_;
+  ControllerHooks hooks_;
+  consensus::Replica replica_;
+  FleetState state_;
+  routing::RoutingTablePtr table_;
+  std::int64_t applied_index_ = 0;
+  routing::EndpointDirectory directory_;
+  std::map<std::string, Entry> entries_;
+  std::map<std::string, ControllerPeer> peers_;
+  std::set<std::string> known_;
+  std::vector<WaitingPut> puts_;
+  std::unique_ptr<Leadership> leadership_;
+  Time next_notice_;
+  Time next_membership_;
+  Time next_expiry_;
+  std::size_t log_bytes_ = 0;  // since the last snapshot
+  bool draining_ = false;
+  bool failed_ = false;
+};
+
+}  // namespace goldcrest::fleet
+
+#endif  // GOLDCREST_FLEET_CONTROLLER_H_
--- /dev/null
+++ b/fleet/src/controller.cc
@@ -0,0 +1,328 @@
+#include "goldcrest/fleet/controller.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "goldcrest/messages/codec.h"
+
+namespace goldcrest::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kNoticeInterval = milliseconds(400);
+constexpr Duration kExpiryInterval = std::chrono::seconds(1);
+
+// An endpoint that no controller has heard for this long is gone; several
+// times the interval of heartbeats, and longer than the partitions that an
+// endpoint outlives.
+constexpr Duration kEndpointExpiry = std::chrono::seconds(15);
+
+// Log that is kept before a snapshot replaces it; documents have some kB to
+// some 100 kB.
+constexpr std::size_t kCompactBytes = std::size_t{4} << 20U;
+
+}  // namespace
+
+Controller::Controller(Time now,
+                       ControllerOptions options,
+                       consensus::RestoredState restored,
+                       std::mt19937_64 generator,
+                       ControllerHooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      replica_(options_.replica, restored, generator),
+      known_(options_.seeds),
+      next_notice_(now),
+      next_membership_(now),
+      next_expiry_(now + kEndpointExpiry) {
+  if (restored.snapshot.last_index == 0)
+    return;
+  auto snapshot = messages::DecodeFleetSnapshot(restored.snapshot.data);
+  if (!snapshot) {
+    failed_ = true;
+    return;
+  }
+  state_.Load(*std::move(snapshot));
+  applied_index_ = restored.snapshot.last_index;
+  OnDocumentChanged(now);
+}
+
+bool Controller::Leads(Time now) const {
+  return leadership_ != nullptr && replica_.HoldsLeaderLease(now);
+}
+
+void Controller::Tick(Time now) {
+  if (now >= replica_.NextDeadline())
+    Process(now, replica_.Tick(now));
+  UpdateLeadership(now);
+  if (Leads(now)) {
+    leadership_->failover->Tick(now);
+    PlanMembership(now);
+  }
+  FailPuts(now);
+  if (now >= next_notice_) {
+    next_notice_ = now + kNoticeInterval;
+    SendNotices(now);
+  }
+  if (now >= next_expiry_) {
+    next_expiry_ = now + kExpiryInterval;
+    for (const auto& record : directory_.Expire(now - kEndpointExpiry)) {
+      hooks_.decided("endpoint_gone", record.endpoint, "no heartbeat");
+      messages::ProxyUpdate update;
+      update.endpoints.push_back(record);
+      ToEntries(update);
+    }
+  }
+  if (log_bytes_ < kCompactBytes || applied_index_ <= replica_.SnapshotIndex())
+    return;
+  log_bytes_ = 0;
+  Process(now,
+          replica_.Compact(applied_index_, messages::Encode(state_.Save())));
+}
+
+void Controller::OnMessage(Time now,
+                           const std::string& from,
+                           const messages::PeerMessage& message) {
+  if (message.__isset.consensus && options_.has_disk) {
+    peers_[from].heard_at = now;
+    Process(now, replica_.Receive(now, from, message.consensus));
+    UpdateLeadership(now);
+  }
+  if (message.__isset.proxy_report)
+    OnReport(now, from, message.proxy_report);
+  if (message.__isset.controller_notice)
+    OnNotice(now, from, message.controller_notice);
+}
+
+void Controller::OnLink(Time now, const std::string& peer, bool up) {
+  (void)now;
+  hooks_.decided(up ? "link_up" : "link_down", peer, "");
+  const auto it = entries_.find(peer);
+  if (it != entries_.end())
+    it->second.linked = up;
+}
+
+void Controller::Process(Time now, consensus::Output output) {
+  if (failed_)
+    return;
+  if (!output.writes.empty() && !hooks_.persist(output.writes)) {
+    failed_ = true;
+    return;
+  }
+  for (consensus::Outbound& outbound : output.messages) {
+    messages::PeerMessage message;
+    message.__set_consensus(std::move(outbound.message));
+    hooks_.send(outbound.to, std::move(message));
+  }
+  if (output.installed) {
+    auto snapshot = messages::DecodeFleetSnapshot(output.installed->data);
+    if (!snapshot) {
+      failed_ = true;
+      return;
+    }
+    state_.Load(*std::move(snapshot));
+    applied_index_ = output.installed->last_index;
+    OnDocumentChanged(now);
+  }
+  for (const messages::LogEntry& entry : output.committed)
+    ApplyCommitted(now, entry);
+}
+
+void Controller::ApplyCommitted(Time now, const messages::LogEntry& entry) {
+  applied_index_ = entry.index;
+  if (!entry.members.empty()) {
+    std::string names;
+    for (const std::string& member : entry.members)
+      names += (names.empty() ? "" : ",") + member;
+    hooks_.decided("members_changed", names, "");
+  }
+  if (entry.command.empty())
+    return;
+  log_bytes_ += entry.command.size();
+  const auto command = messages::DecodeFleetCommand(entry.command);
+  if (!command) {
+    failed_ = true;
+    return;
+  }
+  const std::int64_t before = state_.version();
+  const bool first = state_.text().empty();
+  state_.Apply(*command);
+  if (state_.version() != before || first)
+    OnDocumentChanged(now);
+  if (command->__isset.holder && leadership_ != nullptr) {
+    leadership_->registering.erase(command->holder.instance);
+    const auto it = state_.holders().find(command->holder.instance);
+    if (it != state_.holders().end() && it->second.process != 0)
+      leadership_->owner->Register(it->first, it->second.incarnation);
+  }
+  std::vector<WaitingPut> done;
+  std::erase_if(puts_, [&](WaitingPut& put) {
+    if (put.index > entry.index || state_.version() < put.version)
+      return false;
+    done.push_back(std::move(put));
+    return true;
+  });
+  for (WaitingPut& put : done)
+    put.done({ConfigurationResult::Kind::kDone, "", ""});
+}
+
+void Controller::OnDocumentChanged(Time now) {
+  if (state_.text().empty())
+    return;
+  table_ = hooks_.decode(state_.text());
+  hooks_.decided("configuration_applied", std::to_string(state_.version()),
+                 table_ ? "" : "it can't be decoded");
+  if (leadership_ != nullptr)
+    SetLimits(now);
+  messages::ProxyUpdate update;
+  update.document_version = state_.version();
+  ToEntries(update);
+}
+
+void Controller::UpdateLeadership(Time now) {
+  const bool leads = replica_.IsLeader();
+  if (leadership_ != nullptr &&
+      (!leads || replica_.Term() != leadership_->term)) {
+    hooks_.decided("leadership_lost", std::to_string(leadership_->term), "");
+    leadership_.reset();
+  }
+  if (leadership_ != nullptr || !leads || !replica_.HoldsLeaderLease(now))
+    return;
+  leadership_ = std::make_unique<Leadership>();
+  leadership_->term = replica_.Term();
+  hooks_.decided("leadership_won", std::to_string(leadership_->term), "");
+  // Members that were silent for a long time count from now.
+  for (const std::string& member : replica_.Members()) {
+    if (member != options_.replica.self)
+      peers_[member].heard_at = std::max(peers_[member].heard_at, now);
+  }
+  std::map<std::string, std::int64_t> registered;
+  for (const auto& [instance, holder] : state_.holders()) {
+    if (holder.process != 0)
+      registered[instance] = holder.incarnation;
+  }
+  leadership_->owner =
+      std::make_unique<quota::Owner>(leadership_->term, now, registered);
+  FailoverHooks failover;
+  failover.probe = hooks_.probe;
+  failover.promote = hooks_.promote;
+  failover.assigned = [this](const messages::PrimaryAssignment& assignment) {
+    messages::ProxyUpdate update;
+    update.primaries.push_back(assignment);
+    ToEntries(update);
+  };
+  failover.decided = [this](const std::string& event, const std::string& group,
+                            const std::string& endpoint,
+                            const std::string& cause) {
+    hooks_.decided(event, group + " " + endpoint, cause);
+  };
+  leadership_->failover = std::make_unique<FailoverPlanner>(
+      now, leadership_->term, &directory_, std::move(failover));
+  SetLimits(now);
+}
+
+void Controller::SetLimits(Time now) {
+  if (!table_ || leadership_->version == table_->version)
+    return;
+  leadership_->version = table_->version;
+  std::set<std::string> groups;
+  for (const auto& [name, group] : table_->groups)
+    groups.insert(name);
+  leadership_->failover->SetGroups(now, groups);
+  constexpr std::int64_t kMicros = quota::kRequestMicros;
+  for (const routing::Customer& customer : table_->customers)
+    leadership_->owner->SetLimit(
+        now, customer.name,
+        {customer.rate_per_second * kMicros, customer.burst * kMicros});
+}
+
+std::int64_t Controller::Propose(Time now,
+                                 const messages::FleetCommand& command) {
+  consensus::Proposal proposal =
+      replica_.Propose(now, messages::Encode(command));
+  const std::int64_t index =
+      proposal.code == ResultCode::kOk ? proposal.index : 0;
+  Process(now, std::move(proposal.output));
+  return index;
+}
+
+void Controller::Put(Time now,
+                     std::int64_t version,
+                     std::string text,
+                     Done done) {
+  if (!Leads(now)) {
+    const std::string leader = replica_.Leader();
+    const bool elsewhere = !leader.empty() && leader != options_.replica.self;
+    done({elsewhere ? ConfigurationResult::Kind::kElsewhere
+                    : ConfigurationResult::Kind::kUnknown,
+          elsewhere ? leader : "", ""});
+    return;
+  }
+  if (!state_.text().empty() && version <= state_.version()) {
+    done({ConfigurationResult::Kind::kDone, "", ""});
+    return;
+  }
+  messages::FleetCommand command;
+  messages::PutDocument put;
+  put.version = version;
+  put.text = std::move(text);
+  command.__set_put(std::move(put));
+  WaitingPut waiting;
+  waiting.version = version;
+  waiting.term = replica_.Term();
+  waiting.index = replica_.LastIndex() + 1;
+  waiting.done = std::move(done);
+  puts_.push_back(std::move(waiting));
+  if (Propose(now, command) == 0)
+    puts_.back().term = -1;  // Answered by FailPuts().
+  FailPuts(now);
+}
+
+// Answers the calls whose entry may be lost with the leadership.
+void Controller::FailPuts(Time now) {
+  (void)now;
+  std::vector<WaitingPut> lost;
+  std::erase_if(puts_, [&](WaitingPut& put) {
+    if (replica_.IsLeader() && put.term == replica_.Term())
+      return false;
+    lost.push_back(std::move(put));
+    return true;
+  });
+  for (WaitingPut& put : lost)
+    put.done({ConfigurationResult::Kind::kUnknown, "", ""});
+}
+
+ConfigurationResult Controller::Get(Time now) const {
+  if (Leads(now))
+    return {ConfigurationResult::Kind::kDone, "", state_.text()};
+  const std::string leader = replica_.Leader();
+  if (!leader.empty() && leader != options_.replica.self)
+    return {ConfigurationResult::Kind::kElsewhere, leader, ""};
+  return {};
+}
+
+void Controller::OnProbe(Time now,
+                         const std::string& group,
+                         const std::string& endpoint,
+                         const ProbeResult& result) {
+  if (Leads(now))
+    leadership_->failover->OnProbe(now, group, endpoint, result);
+}
+
+void Controller::OnPromotion(Time now,
+                             const messages::PrimaryAssignment& assignment,
+                             PromotionResult result) {
+  if (Leads(now))
+    leadership_->failover->OnPromotion(now, assignment, result);
+}
+
+void Controller::BeginDrain(Time now) {
+  draining_ = true;
+  if (replica_.IsLeader())
+    Process(now, replica_.TransferLeadership(now));
+  UpdateLeadership(now);
+}
+
+}  // namespace goldcrest::fleet
--- /dev/null
+++ b/fleet/src/controller_peers.cc
@@ -0,0 +1,211 @@
+// What a controller exchanges with entries and other controllers.
+
+#include <algorithm>
+
+#include "goldcrest/fleet/controller.h"
+
+namespace goldcrest::fleet {
+namespace {
+
+constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
+
+// An entry without a report for this long no longer counts as one.
+constexpr Duration kEntryFresh = std::chrono::seconds(5);
+
+}  // namespace
+
+void Controller::OnBeat(Time now, const messages::EndpointRecord& record) {
+  const auto merge = directory_.Apply(now, record);
+  if (merge == routing::EndpointDirectory::Merge::kStale)
+    return;
+  messages::PeerMessage message;
+  messages::ControllerNotice notice;
+  notice.has_disk = options_.has_disk;
+  notice.joining = replica_.IsJoining();
+  notice.endpoints.push_back(record);
+  message.__set_controller_notice(notice);
+  for (const auto& [name, peer] : peers_)
+    hooks_.send(name, message);
+  if (merge != routing::EndpointDirectory::Merge::kChanged)
+    return;
+  std::string state = record.primary ? "primary" : "replica";
+  if (record.draining)
+    state += " draining";
+  if (record.gone)
+    state += " gone";
+  hooks_.decided("endpoint_changed", record.group + " " + record.endpoint,
+                 state);
+  messages::ProxyUpdate update;
+  update.endpoints.push_back(record);
+  ToEntries(update);
+}
+
+void Controller::OnDeparture(Time now,
+                             const messages::EndpointRecord& departure) {
+  const auto* known = directory_.Find(departure.endpoint);
+  if (known == nullptr || known->record.gone)
+    return;
+  messages::EndpointRecord record = known->record;
+  if (departure.started_ms != 0 && departure.started_ms < record.started_ms)
+    return;  // An earlier life of the endpoint.
+  record.sequence = std::max(record.sequence, departure.sequence) + 1;
+  record.gone = true;
+  OnBeat(now, record);
+}
+
+void Controller::Merge(Time now, const messages::EndpointRecord& record) {
+  if (directory_.Apply(now, record) !=
+      routing::EndpointDirectory::Merge::kChanged)
+    return;
+  messages::ProxyUpdate update;
+  update.endpoints.push_back(record);
+  ToEntries(update);
+}
+
+void Controller::ToEntries(const messages::ProxyUpdate& update) {
+  messages::ProxyUpdate filled = update;
+  if (filled.document_version == 0)
+    filled.document_version = state_.version();
+  messages::PeerMessage message;
+  message.__set_proxy_update(filled);
+  for (const auto& [name, entry] : entries_) {
+    if (entry.linked)
+      hooks_.send(name, message);
+  }
+}
+
+void Controller::OnReport(Time now,
+                          const std::string& from,
+                          const messages::ProxyReport& report) {
+  Entry& entry = entries_[from];
+  const bool fresh = !entry.linked || entry.process != report.process;
+  entry.linked = !report.stopped;
+  entry.process = report.process;
+  entry.reported_at = now;
+  messages::ProxyUpdate update;
+  update.report_sent_micros = report.sent_micros;
+  update.leader = Leads(now);
+  update.document_version = state_.version();
+  if (report.wants_document && state_.version() > report.document_version)
+    update.__set_document(state_.text());
+  if (fresh)
+    update.endpoints = directory_.All();
+  for (const std::string& name : known_)
+    update.controllers.push_back(name);
+  update.entries = static_cast<std::int32_t>(
+      std::ranges::count_if(entries_, [&](const auto& item) {
+        return now - item.second.reported_at < kEntryFresh;
+      }));
+  if (update.leader) {
+    update.shares = AnswerShares(now, from, report);
+    leadership_->failover->OnContacts(now, from, report.contacts);
+    if (fresh)
+      update.primaries = leadership_->failover->Assignments();
+  }
+  messages::PeerMessage message;
+  message.__set_proxy_update(std::move(update));
+  hooks_.send(from, std::move(message));
+}
+
+std::vector<messages::ShareUpdate> Controller::AnswerShares(
+    Time now,
+    const std::string& from,
+    const messages::ProxyReport& report) {
+  const auto it = state_.holders().find(from);
+  const bool registered =
+      it != state_.holders().end() && it->second.process == report.process;
+  if (report.stopped) {
+    if (!registered)
+      return {};
+    leadership_->owner->Release(now, from);
+    messages::FleetCommand command;
+    messages::RegisterHolder holder;
+    holder.instance = from;
+    holder.released = true;
+    command.__set_holder(holder);
+    Propose(now, command);
+    return {};
+  }
+  if (registered)
+    return leadership_->owner->OnReport(now, from, it->second.incarnation,
+                                        report.shares);
+  // An entry gets shares once a successor of this leader would know of it.
+  auto [pending, added] =
+      leadership_->registering.emplace(from, report.process);
+  if (!added && pending->second == report.process)
+    return {};
+  pending->second = report.process;
+  messages::FleetCommand command;
+  messages::RegisterHolder holder;
+  holder.instance = from;
+  holder.process = report.process;
+  command.__set_holder(holder);
+  if (Propose(now, command) == 0)
+    leadership_->registering.erase(from);
+  return {};
+}
+
+void Controller::OnNotice(Time now,
+                          const std::string& from,
+                          const messages::ControllerNotice& notice) {
+  ControllerPeer& peer = peers_[from];
+  peer.heard_at = now;
+  peer.has_disk = notice.has_disk;
+  peer.joining = notice.joining;
+  LearnControllers({from});
+  LearnControllers(notice.controllers);
+  for (const messages::EndpointRecord& record : notice.endpoints)
+    Merge(now, record);
+}
+
+void Controller::LearnControllers(const std::vector<std::string>& names) {
+  const std::size_t before = known_.size();
+  known_.insert(names.begin(), names.end());
+  if (known_.size() != before)
+    hooks_.known_controllers(known_);
+}
+
+void Controller::SendNotices(Time now) {
+  messages::ControllerNotice notice;
+  notice.has_disk = options_.has_disk;
+  notice.joining = replica_.IsJoining();
+  notice.controllers.assign(known_.begin(), known_.end());
+  (void)now;
+  for (const std::string& name : known_) {
+    if (name == options_.replica.self)
+      continue;
+    messages::PeerMessage message;
+    messages::ControllerNotice sent = notice;
+    // A controller that was silent may have missed heartbeats.
+    const auto peer = peers_.find(name);
+    if (peer == peers_.end() || now - peer->second.heard_at > kLivePeer)
+      sent.endpoints = directory_.All();
+    message.__set_controller_notice(std::move(sent));
+    hooks_.send(name, std::move(message));
+  }
+}
+
+void Controller::PlanMembership(Time now) {
+  if (now < next_membership_ || draining_)
+    return;
+  next_membership_ = now + kMembershipInterval;
+  MembershipView view;
+  view.self = options_.replica.self;
+  view.members = replica_.Members();
+  view.peers = peers_;
+  view.tolerated_losses = options_.tolerated_losses;
+  for (const std::string& member : view.members) {
+    if (member != view.self)
+      view.peers.try_emplace(member);
+  }
+  const auto next = NextMembership(now, view);
+  if (!next)
+    return;
+  consensus::Proposal proposal = replica_.ProposeMembers(now, *next);
+  if (proposal.code == ResultCode::kOk)
+    hooks_.decided("membership_proposed", std::to_string(next->size()),
+                   "was " + std::to_string(view.members.size()));
+  Process(now, std::move(proposal.output));
+}
+
+}  // namespace goldcrest::fleet
--- /dev/null
+++ b/fleet/src/failover_planner.cc
@@ -0,0 +1,337 @@
+#include "goldcrest/fleet/failover_planner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+
+namespace goldcrest::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kProbeInterval = milliseconds(250);
+constexpr Duration kFailingProbeInterval = milliseconds(100);
+
+// A primary that the leader has failed to reach for this long is lost, unless
+// an entry has reached it meanwhile. Longer than a retransmitted packet takes.
+constexpr Duration kLostAfter = milliseconds(450);
+constexpr int kLostFailures = 2;
+
+// With most entries unable to reach it, a primary is replaced though some do:
+// after a longer time, since the promotion loses commits not yet replicated.
+constexpr Duration kCutOffAfter = milliseconds(1200);
+constexpr int kCutOffRatio = 2;
+
+// An entry's report older than this says nothing any more.
+constexpr Duration kReportFresh = milliseconds(1500);
+
+// A new leader, or a new group, waits this long for heartbeats before it takes
+// a missing primary for lost.
+constexpr Duration kFirstSight = milliseconds(2500);
+
+constexpr Duration kSurveyTime = milliseconds(400);
+constexpr Duration kResendAfter = milliseconds(400);
+constexpr int kMaxSends = 4;
+constexpr Duration kSettleTime = milliseconds(2500);
+constexpr Duration kSettleProbeInterval = milliseconds(60);
+
+// Orders of one term; each decision gets a number of its own, so that a late
+// call of an earlier decision is refused.
+constexpr std::int64_t kOrdersPerTerm = 100'000;
+
+}  // namespace
+
+FailoverPlanner::FailoverPlanner(Time now,
+                                 std::int64_t term,
+                                 const routing::EndpointDirectory* directory,
+                                 FailoverHooks hooks)
+    : term_(term),
+      directory_(directory),
+      hooks_(std::move(hooks)),
+      started_at_(now) {}
+
+void FailoverPlanner::SetGroups(Time now, const std::set<std::string>& groups) {
+  std::erase_if(
+      groups_, [&](const auto& item) { return groups.count(item.first) == 0; });
+  for (const std::string& name : groups) {
+    const auto [it, inserted] = groups_.try_emplace(name);
+    if (inserted)
+      it->second.phase_since = now;
+  }
+}
+
+void FailoverPlanner::Tick(Time now) {
+  for (auto& [name, group] : groups_) {
+    switch (group.phase) {
+      case Phase::kWatching:
+        Watch(now, name, group);
+        break;
+      case Phase::kSurveying:
+        Survey(now, name, group);
+        break;
+      case Phase::kOrdering:
+        Order(now, name, group);
+        break;
+      case Phase::kSettling:
+        Settle(now, name, group);
+        break;
+    }
+  }
+}
+
+void FailoverPlanner::Enter(Time now, Group& group, Phase phase) {
+  group.phase = phase;
+  group.phase_since = now;
+  group.next_probe = now;
+}
+
+std::string FailoverPlanner::FindPrimary(const std::string& name,
+                                         const Group& group) const {
+  const routing::EndpointDirectory::Entry* newest = nullptr;
+  for (const auto* member : directory_->MembersOf(name)) {
+    if (!member->record.primary)
+      continue;
+    if (group.assigned && member->record.endpoint == group.assigned->endpoint)
+      return member->record.endpoint;
+    if (newest == nullptr || member->changed_at > newest->changed_at)
+      newest = member;
+  }
+  return newest == nullptr ? "" : newest->record.endpoint;
+}
+
+void FailoverPlanner::Watch(Time now, const std::string& name, Group& group) {
+  const auto* known = directory_->Find(group.primary);
+  if (known == nullptr || known->record.gone || !known->record.primary) {
+    const std::string found = FindPrimary(name, group);
+    if (!found.empty() && found != group.primary) {
+      hooks_.decided("primary_seen", name, found, "heartbeat");
+      group.primary = found;
+      group.failing_since.reset();
+      group.failures = 0;
+      group.phase_since = now;
+      group.next_probe = now;
+    }
+  }
+  const auto* primary = directory_->Find(group.primary);
+  if (primary == nullptr || primary->record.gone) {
+    if (!directory_->MembersOf(name).empty() &&
+        now - std::max(group.phase_since, started_at_) >= kFirstSight)
+      BeginSurvey(now, name, group, "no endpoint leads");
+    return;
+  }
+  if (primary->record.draining)
+    return BeginSurvey(now, name, group, "primary drains");
+  if (IsLost(now, group))
+    return BeginSurvey(now, name, group, "primary unreachable");
+  if (now < group.next_probe)
+    return;
+  group.next_probe =
+      now + (group.failing_since ? kFailingProbeInterval : kProbeInterval);
+  hooks_.probe(*primary, ProbePurpose::kLead);
+}
+
+bool FailoverPlanner::IsLost(Time now, const Group& group) const {
+  int reach = 0;
+  int fail = 0;
+  std::optional<Time> reached_at;
+  std::optional<Time> failing_since;
+  for (const auto& [entry, contact] : group.contacts) {
+    if (contact.endpoint != group.primary ||
+        now - contact.reported_at > kReportFresh)
+      continue;
+    if (contact.failing_since) {
+      ++fail;
+      if (!failing_since || *contact.failing_since < *failing_since)
+        failing_since = contact.failing_since;
+      continue;
+    }
+    if (!contact.success_at || now - *contact.success_at > kReportFresh)
+      continue;
+    ++reach;
+    reached_at = std::max(reached_at.value_or(Time()), *contact.success_at);
+  }
+  const bool leader_fails = group.failing_since &&
+                            group.failures >= kLostFailures &&
+                            now - *group.failing_since >= kLostAfter;
+  if (leader_fails && (!reached_at || *reached_at < *group.failing_since))
+    return true;
+  return fail > kCutOffRatio * (reach + (group.failing_since ? 0 : 1)) &&
+         now - *failing_since >= kCutOffAfter;
+}
+
+void FailoverPlanner::BeginSurvey(Time now,
+                                  const std::string& name,
+                                  Group& group,
+                                  const std::string& cause) {
+  hooks_.decided("survey", name, group.primary, cause);
+  group.cause = cause;
+  group.survey.clear();
+  group.asked.clear();
+  Enter(now, group, Phase::kSurveying);
+  for (const auto* member : directory_->MembersOf(name)) {
+    const std::string& endpoint = member->record.endpoint;
+    if (endpoint == group.primary || member->record.draining)
+      continue;
+    group.asked.insert(endpoint);
+    hooks_.probe(*member, ProbePurpose::kPosition);
+  }
+}
+
+void FailoverPlanner::Survey(Time now, const std::string& name, Group& group) {
+  if (group.survey.size() < group.asked.size() &&
+      now - group.phase_since < kSurveyTime)
+    return;
+  std::string best;
+  ProbeResult highest;
+  for (const auto& [endpoint, result] : group.survey) {
+    if (result.kind == ProbeResult::Kind::kUnreachable ||
+        group.refused.count(endpoint) > 0)
+      continue;
+    if (best.empty() || std::tie(result.term, result.number) >
+                            std::tie(highest.term, highest.number)) {
+      best = endpoint;
+      highest = result;
+    }
+  }
+  group.refused.clear();
+  if (best.empty()) {
+    hooks_.decided("no_candidate", name, "", group.cause);
+    group.failing_since.reset();
+    group.failures = 0;
+    Enter(now, group, Phase::kWatching);
+    group.next_probe = now;
+    return;
+  }
+  messages::PrimaryAssignment order;
+  order.group = name;
+  order.endpoint = best;
+  order.order = term_ * kOrdersPerTerm + ++orders_;
+  group.order = order;
+  group.sends = 0;
+  group.next_send = now;
+  Enter(now, group, Phase::kOrdering);
+  hooks_.decided("promotion_ordered", name, best,
+                 group.cause + ", position " + std::to_string(highest.term) +
+                     "." + std::to_string(highest.number));
+  Order(now, name, group);
+}
+
+void FailoverPlanner::Order(Time now, const std::string& name, Group& group) {
+  if (now < group.next_send)
+    return;
+  if (group.sends >= kMaxSends)
+    return BeginSurvey(now, name, group, "no answer to the promotion");
+  ++group.sends;
+  group.next_send = now + kResendAfter;
+  hooks_.promote(*group.order);
+}
+
+void FailoverPlanner::OnPromotion(Time now,
+                                  const messages::PrimaryAssignment& assignment,
+                                  PromotionResult result) {
+  const auto it = groups_.find(assignment.group);
+  if (it == groups_.end())
+    return;
+  Group& group = it->second;
+  if (group.phase != Phase::kOrdering || !group.order ||
+      group.order->order != assignment.order)
+    return;
+  if (result == PromotionResult::kUnanswered)
+    return;  // Sent again in time; the order's number stays the same.
+  if (result == PromotionResult::kRefused) {
+    group.refused.insert(assignment.endpoint);
+    return BeginSurvey(now, it->first, group, "promotion refused");
+  }
+  group.assigned = assignment;
+  group.primary = assignment.endpoint;
+  group.failing_since.reset();
+  group.failures = 0;
+  group.contacts.clear();
+  Enter(now, group, Phase::kSettling);
+  hooks_.assigned(assignment);
+}
+
+void FailoverPlanner::Settle(Time now, const std::string& name, Group& group) {
+  const auto* primary = directory_->Find(group.primary);
+  if (primary == nullptr || now - group.phase_since >= kSettleTime)
+    return BeginSurvey(now, name, group, "promoted endpoint does not lead");
+  if (now < group.next_probe)
+    return;
+  group.next_probe = now + kSettleProbeInterval;
+  hooks_.probe(*primary, ProbePurpose::kLead);
+}
+
+void FailoverPlanner::OnProbe(Time now,
+                              const std::string& name,
+                              const std::string& endpoint,
+                              const ProbeResult& result) {
+  const auto it = groups_.find(name);
+  if (it == groups_.end())
+    return;
+  Group& group = it->second;
+  if (group.phase == Phase::kSurveying && group.asked.count(endpoint) > 0) {
+    group.survey[endpoint] = result;
+    Survey(now, name, group);
+    return;
+  }
+  if (endpoint != group.primary)
+    return;
+  switch (result.kind) {
+    case ProbeResult::Kind::kLeads:
+      group.leads_at = now;
+      group.failing_since.reset();
+      group.failures = 0;
+      if (group.phase != Phase::kSettling)
+        return;
+      hooks_.decided("promotion_in_force", name, endpoint, group.cause);
+      return Enter(now, group, Phase::kWatching);
+    case ProbeResult::Kind::kFollows:
+      if (group.phase != Phase::kWatching)
+        return;
+      // Another endpoint may have said meanwhile that it leads.
+      group.failing_since.reset();
+      group.failures = 0;
+      if (const std::string found = FindPrimary(name, group); found != endpoint)
+        group.primary = found;
+      else if (group.leads_at && now - *group.leads_at > kFirstSight)
+        BeginSurvey(now, name, group, "no endpoint leads");
+      return;
+    case ProbeResult::Kind::kReached:
+      group.failing_since.reset();
+      group.failures = 0;
+      return;
+    case ProbeResult::Kind::kUnreachable:
+      if (!group.failing_since)
+        group.failing_since = now;
+      ++group.failures;
+      return;
+  }
+}
+
+void FailoverPlanner::OnContacts(
+    Time now,
+    const std::string& entry,
+    const std::vector<messages::PrimaryContact>& contacts) {
+  for (const messages::PrimaryContact& told : contacts) {
+    const auto it = groups_.find(told.group);
+    if (it == groups_.end())
+      continue;
+    EntryContact& contact = it->second.contacts[entry];
+    contact = EntryContact{told.endpoint, std::nullopt, std::nullopt, now};
+    if (told.success_age_ms >= 0)
+      contact.success_at = now - milliseconds(told.success_age_ms);
+    if (told.failing_ms > 0)
+      contact.failing_since = now - milliseconds(told.failing_ms);
+  }
+}
+
+std::vector<messages::PrimaryAssignment> FailoverPlanner::Assignments() const {
+  std::vector<messages::PrimaryAssignment> assignments;
+  for (const auto& [name, group] : groups_) {
+    if (group.assigned)
+      assignments.push_back(*group.assigned);
+  }
+  return assignments;
+}
+
+}  // namespace goldcrest::fleet
--- /dev/null
+++ b/fleet/src/membership_planner.cc
@@ -0,0 +1,52 @@
+#include "goldcrest/fleet/membership_planner.h"
+
+#include <algorithm>
+
+namespace goldcrest::fleet {
+namespace {
+
+std::vector<std::string> Without(std::vector<std::string> members,
+                                 const std::string& name) {
+  std::erase(members, name);
+  return members;
+}
+
+}  // namespace
+
+std::optional<std::vector<std::string>> NextMembership(
+    Time now,
+    const MembershipView& view) {
+  const auto is_member = [&](const std::string& name) {
+    return std::ranges::count(view.members, name) > 0;
+  };
+  const auto is_live = [&](const std::string& name) {
+    const auto it = view.peers.find(name);
+    return name == view.self ||
+           (it != view.peers.end() && now - it->second.heard_at < kLivePeer);
+  };
+  for (const auto& [name, peer] : view.peers) {
+    if (is_member(name) && peer.joining && is_live(name) &&
+        view.members.size() > 1)
+      return Without(view.members, name);
+  }
+  for (const auto& [name, peer] : view.peers) {
+    if (is_member(name) || !peer.has_disk || !is_live(name))
+      continue;
+    std::vector<std::string> members = view.members;
+    members.push_back(name);
+    return members;
+  }
+  const auto wanted = static_cast<std::size_t>(2 * view.tolerated_losses + 1);
+  if (view.members.size() <= wanted)
+    return std::nullopt;
+  for (const std::string& name : view.members) {
+    const auto it = view.peers.find(name);
+    if (name == view.self || it == view.peers.end() ||
+        now - it->second.heard_at < kSilentMember)
+      continue;
+    return Without(view.members, name);
+  }
+  return std::nullopt;
+}
+
+}  // namespace goldcrest::fleet
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -8040,6 +8040,2099 @@
 }
 
 
+EndpointRecord::~EndpointRecord() noexcept {
+}
+
+
+void EndpointRecord::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointRecord::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void EndpointRecord::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void EndpointRecord::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void EndpointRecord::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void EndpointRecord::__set_primary(const bool val) {
+  this->primary = val;
+}
+
+void EndpointRecord::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+
+void EndpointRecord::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void EndpointRecord::__set_gone(const bool val) {
+  this->gone = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->primary);
+          this->__isset.primary = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->gone);
+          this->__isset.gone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointRecord");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("primary", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->primary);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("gone", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->gone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointRecord &a, EndpointRecord &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.group, b.group);
+  swap(a.address, b.address);
+  swap(a.zone, b.zone);
+  swap(a.draining, b.draining);
+  swap(a.primary, b.primary);
+  swap(a.started_ms, b.started_ms);
+  swap(a.sequence, b.sequence);
+  swap(a.gone, b.gone);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointRecord::EndpointRecord(const EndpointRecord& other273) {
+  endpoint = other273.endpoint;
+  group = other273.group;
+  address = other273.address;
+  zone = other273.zone;
+  draining = other273.draining;
+  primary = other273.primary;
+  started_ms = other273.started_ms;
+  sequence = other273.sequence;
+  gone = other273.gone;
+  __isset = other273.__isset;
+}
+EndpointRecord::EndpointRecord(EndpointRecord&& other274) noexcept {
+  endpoint = std::move(other274.endpoint);
+  group = std::move(other274.group);
+  address = std::move(other274.address);
+  zone = std::move(other274.zone);
+  draining = other274.draining;
+  primary = other274.primary;
+  started_ms = other274.started_ms;
+  sequence = other274.sequence;
+  gone = other274.gone;
+  __isset = other274.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other275) {
+  endpoint = other275.endpoint;
+  group = other275.group;
+  address = other275.address;
+  zone = other275.zone;
+  draining = other275.draining;
+  primary = other275.primary;
+  started_ms = other275.started_ms;
+  sequence = other275.sequence;
+  gone = other275.gone;
+  __isset = other275.__isset;
+  return *this;
+}
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other276) noexcept {
+  endpoint = std::move(other276.endpoint);
+  group = std::move(other276.group);
+  address = std::move(other276.address);
+  zone = std::move(other276.zone);
+  draining = other276.draining;
+  primary = other276.primary;
+  started_ms = other276.started_ms;
+  sequence = other276.sequence;
+  gone = other276.gone;
+  __isset = other276.__isset;
+  return *this;
+}
+void EndpointRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointRecord(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "group=" << to_string(group);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "primary=" << to_string(primary);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "gone=" << to_string(gone);
+  out << ")";
+}
+
+
+PrimaryAssignment::~PrimaryAssignment() noexcept {
+}
+
+
+void PrimaryAssignment::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void PrimaryAssignment::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void PrimaryAssignment::__set_order(const int64_t val) {
+  this->order = val;
+}
+std::ostream& operator<<(std::ostream& out, const PrimaryAssignment& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PrimaryAssignment::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PrimaryAssignment::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PrimaryAssignment");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PrimaryAssignment &a, PrimaryAssignment &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.endpoint, b.endpoint);
+  swap(a.order, b.order);
+  swap(a.__isset, b.__isset);
+}
+
+PrimaryAssignment::PrimaryAssignment(const PrimaryAssignment& other277) {
+  group = other277.group;
+  endpoint = other277.endpoint;
+  order = other277.order;
+  __isset = other277.__isset;
+}
+PrimaryAssignment::PrimaryAssignment(PrimaryAssignment&& other278) noexcept {
+  group = std::move(other278.group);
+  endpoint = std::move(other278.endpoint);
+  order = other278.order;
+  __isset = other278.__isset;
+}
+PrimaryAssignment& PrimaryAssignment::operator=(const PrimaryAssignment& other279) {
+  group = other279.group;
+  endpoint = other279.endpoint;
+  order = other279.order;
+  __isset = other279.__isset;
+  return *this;
+}
+PrimaryAssignment& PrimaryAssignment::operator=(PrimaryAssignment&& other280) noexcept {
+  group = std::move(other280.group);
+  endpoint = std::move(other280.endpoint);
+  order = other280.order;
+  __isset = other280.__isset;
+  return *this;
+}
+void PrimaryAssignment::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PrimaryAssignment(";
+  out << "group=" << to_string(group);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "order=" << to_string(order);
+  out << ")";
+}
+
+
+PrimaryContact::~PrimaryContact() noexcept {
+}
+
+
+void PrimaryContact::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void PrimaryContact::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void PrimaryContact::__set_success_age_ms(const int64_t val) {
+  this->success_age_ms = val;
+}
+
+void PrimaryContact::__set_failing_ms(const int64_t val) {
+  this->failing_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PrimaryContact::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->success_age_ms);
+          this->__isset.success_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->failing_ms);
+          this->__isset.failing_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PrimaryContact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PrimaryContact");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("success_age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->success_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failing_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->failing_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PrimaryContact &a, PrimaryContact &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.endpoint, b.endpoint);
+  swap(a.success_age_ms, b.success_age_ms);
+  swap(a.failing_ms, b.failing_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PrimaryContact::PrimaryContact(const PrimaryContact& other281) {
+  group = other281.group;
+  endpoint = other281.endpoint;
+  success_age_ms = other281.success_age_ms;
+  failing_ms = other281.failing_ms;
+  __isset = other281.__isset;
+}
+PrimaryContact::PrimaryContact(PrimaryContact&& other282) noexcept {
+  group = std::move(other282.group);
+  endpoint = std::move(other282.endpoint);
+  success_age_ms = other282.success_age_ms;
+  failing_ms = other282.failing_ms;
+  __isset = other282.__isset;
+}
+PrimaryContact& PrimaryContact::operator=(const PrimaryContact& other283) {
+  group = other283.group;
+  endpoint = other283.endpoint;
+  success_age_ms = other283.success_age_ms;
+  failing_ms = other283.failing_ms;
+  __isset = other283.__isset;
+  return *this;
+}
+PrimaryContact& PrimaryContact::operator=(PrimaryContact&& other284) noexcept {
+  group = std::move(other284.group);
+  endpoint = std::move(other284.endpoint);
+  success_age_ms = other284.success_age_ms;
+  failing_ms = other284.failing_ms;
+  __isset = other284.__isset;
+  return *this;
+}
+void PrimaryContact::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PrimaryContact(";
+  out << "group=" << to_string(group);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "success_age_ms=" << to_string(success_age_ms);
+  out << ", " << "failing_ms=" << to_string(failing_ms);
+  out << ")";
+}
+
+
+ProxyReport::~ProxyReport() noexcept {
+}
+
+
+void ProxyReport::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void ProxyReport::__set_sent_micros(const int64_t val) {
+  this->sent_micros = val;
+}
+
+void ProxyReport::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void ProxyReport::__set_wants_document(const bool val) {
+  this->wants_document = val;
+}
+
+void ProxyReport::__set_shares(const std::vector<ShareReport> & val) {
+  this->shares = val;
+}
+
+void ProxyReport::__set_contacts(const std::vector<PrimaryContact> & val) {
+  this->contacts = val;
+}
+
+void ProxyReport::__set_stopped(const bool val) {
+  this->stopped = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProxyReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProxyReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_micros);
+          this->__isset.sent_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_document);
+          this->__isset.wants_document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->shares.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
+            {
+              xfer += this->shares[_i289].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->contacts.clear();
+            uint32_t _size290;
+            ::apache::thrift::protocol::TType _etype293;
+            xfer += iprot->readListBegin(_etype293, _size290);
+            this->contacts.resize(_size290);
+            uint32_t _i294;
+            for (_i294 = 0; _i294 < _size290; ++_i294)
+            {
+              xfer += this->contacts[_i294].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.contacts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopped);
+          this->__isset.stopped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProxyReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProxyReport");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_micros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sent_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_document", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->wants_document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<ShareReport> ::const_iterator _iter295;
+    for (_iter295 = this->shares.begin(); _iter295 != this->shares.end(); ++_iter295)
+    {
+      xfer += (*_iter295).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
+    std::vector<PrimaryContact> ::const_iterator _iter296;
+    for (_iter296 = this->contacts.begin(); _iter296 != this->contacts.end(); ++_iter296)
+    {
+      xfer += (*_iter296).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stopped", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->stopped);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProxyReport &a, ProxyReport &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.sent_micros, b.sent_micros);
+  swap(a.document_version, b.document_version);
+  swap(a.wants_document, b.wants_document);
+  swap(a.shares, b.shares);
+  swap(a.contacts, b.contacts);
+  swap(a.stopped, b.stopped);
+  swap(a.__isset, b.__isset);
+}
+
+ProxyReport::ProxyReport(const ProxyReport& other297) {
+  process = other297.process;
+  sent_micros = other297.sent_micros;
+  document_version = other297.document_version;
+  wants_document = other297.wants_document;
+  shares = other297.shares;
+  contacts = other297.contacts;
+  stopped = other297.stopped;
+  __isset = other297.__isset;
+}
+ProxyReport::ProxyReport(ProxyReport&& other298) noexcept {
+  process = other298.process;
+  sent_micros = other298.sent_micros;
+  document_version = other298.document_version;
+  wants_document = other298.wants_document;
+  shares = std::move(other298.shares);
+  contacts = std::move(other298.contacts);
+  stopped = other298.stopped;
+  __isset = other298.__isset;
+}
+ProxyReport& ProxyReport::operator=(const ProxyReport& other299) {
+  process = other299.process;
+  sent_micros = other299.sent_micros;
+  document_version = other299.document_version;
+  wants_document = other299.wants_document;
+  shares = other299.shares;
+  contacts = other299.contacts;
+  stopped = other299.stopped;
+  __isset = other299.__isset;
+  return *this;
+}
+ProxyReport& ProxyReport::operator=(ProxyReport&& other300) noexcept {
+  process = other300.process;
+  sent_micros = other300.sent_micros;
+  document_version = other300.document_version;
+  wants_document = other300.wants_document;
+  shares = std::move(other300.shares);
+  contacts = std::move(other300.contacts);
+  stopped = other300.stopped;
+  __isset = other300.__isset;
+  return *this;
+}
+void ProxyReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProxyReport(";
+  out << "process=" << to_string(process);
+  out << ", " << "sent_micros=" << to_string(sent_micros);
+  out << ", " << "document_version=" << to_string(document_version);
+  out << ", " << "wants_document=" << to_string(wants_document);
+  out << ", " << "shares=" << to_string(shares);
+  out << ", " << "contacts=" << to_string(contacts);
+  out << ", " << "stopped=" << to_string(stopped);
+  out << ")";
+}
+
+
+ProxyUpdate::~ProxyUpdate() noexcept {
+}
+
+
+void ProxyUpdate::__set_report_sent_micros(const int64_t val) {
+  this->report_sent_micros = val;
+}
+
+void ProxyUpdate::__set_leader(const bool val) {
+  this->leader = val;
+}
+
+void ProxyUpdate::__set_shares(const std::vector<ShareUpdate> & val) {
+  this->shares = val;
+}
+
+void ProxyUpdate::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void ProxyUpdate::__set_document(const std::string& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void ProxyUpdate::__set_endpoints(const std::vector<EndpointRecord> & val) {
+  this->endpoints = val;
+}
+
+void ProxyUpdate::__set_primaries(const std::vector<PrimaryAssignment> & val) {
+  this->primaries = val;
+}
+
+void ProxyUpdate::__set_controllers(const std::vector<std::string> & val) {
+  this->controllers = val;
+}
+
+void ProxyUpdate::__set_entries(const int32_t val) {
+  this->entries = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProxyUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->report_sent_micros);
+          this->__isset.report_sent_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size301;
+            ::apache::thrift::protocol::TType _etype304;
+            xfer += iprot->readListBegin(_etype304, _size301);
+            this->shares.resize(_size301);
+            uint32_t _i305;
+            for (_i305 = 0; _i305 < _size301; ++_i305)
+            {
+              xfer += this->shares[_i305].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endpoints.clear();
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->endpoints.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
+            {
+              xfer += this->endpoints[_i310].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->primaries.clear();
+            uint32_t _size311;
+            ::apache::thrift::protocol::TType _etype314;
+            xfer += iprot->readListBegin(_etype314, _size311);
+            this->primaries.resize(_size311);
+            uint32_t _i315;
+            for (_i315 = 0; _i315 < _size311; ++_i315)
+            {
+              xfer += this->primaries[_i315].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.primaries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controllers.clear();
+            uint32_t _size316;
+            ::apache::thrift::protocol::TType _etype319;
+            xfer += iprot->readListBegin(_etype319, _size316);
+            this->controllers.resize(_size316);
+            uint32_t _i320;
+            for (_i320 = 0; _i320 < _size316; ++_i320)
+            {
+              xfer += iprot->readString(this->controllers[_i320]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controllers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entries);
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProxyUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProxyUpdate");
+
+  xfer += oprot->writeFieldBegin("report_sent_micros", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->report_sent_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<ShareUpdate> ::const_iterator _iter321;
+    for (_iter321 = this->shares.begin(); _iter321 != this->shares.end(); ++_iter321)
+    {
+      xfer += (*_iter321).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeBinary(this->document);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+    std::vector<EndpointRecord> ::const_iterator _iter322;
+    for (_iter322 = this->endpoints.begin(); _iter322 != this->endpoints.end(); ++_iter322)
+    {
+      xfer += (*_iter322).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("primaries", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->primaries.size()));
+    std::vector<PrimaryAssignment> ::const_iterator _iter323;
+    for (_iter323 = this->primaries.begin(); _iter323 != this->primaries.end(); ++_iter323)
+    {
+      xfer += (*_iter323).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
+    std::vector<std::string> ::const_iterator _iter324;
+    for (_iter324 = this->controllers.begin(); _iter324 != this->controllers.end(); ++_iter324)
+    {
+      xfer += oprot->writeString((*_iter324));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->entries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProxyUpdate &a, ProxyUpdate &b) {
+  using ::std::swap;
+  swap(a.report_sent_micros, b.report_sent_micros);
+  swap(a.leader, b.leader);
+  swap(a.shares, b.shares);
+  swap(a.document_version, b.document_version);
+  swap(a.document, b.document);
+  swap(a.endpoints, b.endpoints);
+  swap(a.primaries, b.primaries);
+  swap(a.controllers, b.controllers);
+  swap(a.entries, b.entries);
+  swap(a.__isset, b.__isset);
+}
+
+ProxyUpdate::ProxyUpdate(const ProxyUpdate& other325) {
+  report_sent_micros = other325.report_sent_micros;
+  leader = other325.leader;
+  shares = other325.shares;
+  document_version = other325.document_version;
+  document = other325.document;
+  endpoints = other325.endpoints;
+  primaries = other325.primaries;
+  controllers = other325.controllers;
+  entries = other325.entries;
+  __isset = other325.__isset;
+}
+ProxyUpdate::ProxyUpdate(ProxyUpdate&& other326) noexcept {
+  report_sent_micros = other326.report_sent_micros;
+  leader = other326.leader;
+  shares = std::move(other326.shares);
+  document_version = other326.document_version;
+  document = std::move(other326.document);
+  endpoints = std::move(other326.endpoints);
+  primaries = std::move(other326.primaries);
+  controllers = std::move(other326.controllers);
+  entries = other326.entries;
+  __isset = other326.__isset;
+}
+ProxyUpdate& ProxyUpdate::operator=(const ProxyUpdate& other327) {
+  report_sent_micros = other327.report_sent_micros;
+  leader = other327.leader;
+  shares = other327.shares;
+  document_version = other327.document_version;
+  document = other327.document;
+  endpoints = other327.endpoints;
+  primaries = other327.primaries;
+  controllers = other327.controllers;
+  entries = other327.entries;
+  __isset = other327.__isset;
+  return *this;
+}
+ProxyUpdate& ProxyUpdate::operator=(ProxyUpdate&& other328) noexcept {
+  report_sent_micros = other328.report_sent_micros;
+  leader = other328.leader;
+  shares = std::move(other328.shares);
+  document_version = other328.document_version;
+  document = std::move(other328.document);
+  endpoints = std::move(other328.endpoints);
+  primaries = std::move(other328.primaries);
+  controllers = std::move(other328.controllers);
+  entries = other328.entries;
+  __isset = other328.__isset;
+  return *this;
+}
+void ProxyUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProxyUpdate(";
+  out << "report_sent_micros=" << to_string(report_sent_micros);
+  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "shares=" << to_string(shares);
+  out << ", " << "document_version=" << to_string(document_version);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "endpoints=" << to_string(endpoints);
+  out << ", " << "primaries=" << to_string(primaries);
+  out << ", " << "controllers=" << to_string(controllers);
+  out << ", " << "entries=" << to_string(entries);
+  out << ")";
+}
+
+
+ControllerNotice::~ControllerNotice() noexcept {
+}
+
+
+void ControllerNotice::__set_has_disk(const bool val) {
+  this->has_disk = val;
+}
+
+void ControllerNotice::__set_joining(const bool val) {
+  this->joining = val;
+}
+
+void ControllerNotice::__set_controllers(const std::vector<std::string> & val) {
+  this->controllers = val;
+}
+
+void ControllerNotice::__set_endpoints(const std::vector<EndpointRecord> & val) {
+  this->endpoints = val;
+}
+std::ostream& operator<<(std::ostream& out, const ControllerNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ControllerNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_disk);
+          this->__isset.has_disk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->joining);
+          this->__isset.joining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controllers.clear();
+            uint32_t _size329;
+            ::apache::thrift::protocol::TType _etype332;
+            xfer += iprot->readListBegin(_etype332, _size329);
+            this->controllers.resize(_size329);
+            uint32_t _i333;
+            for (_i333 = 0; _i333 < _size329; ++_i333)
+            {
+              xfer += iprot->readString(this->controllers[_i333]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controllers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endpoints.clear();
+            uint32_t _size334;
+            ::apache::thrift::protocol::TType _etype337;
+            xfer += iprot->readListBegin(_etype337, _size334);
+            this->endpoints.resize(_size334);
+            uint32_t _i338;
+            for (_i338 = 0; _i338 < _size334; ++_i338)
+            {
+              xfer += this->endpoints[_i338].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ControllerNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ControllerNotice");
+
+  xfer += oprot->writeFieldBegin("has_disk", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->has_disk);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("joining", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->joining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
+    std::vector<std::string> ::const_iterator _iter339;
+    for (_iter339 = this->controllers.begin(); _iter339 != this->controllers.end(); ++_iter339)
+    {
+      xfer += oprot->writeString((*_iter339));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+    std::vector<EndpointRecord> ::const_iterator _iter340;
+    for (_iter340 = this->endpoints.begin(); _iter340 != this->endpoints.end(); ++_iter340)
+    {
+      xfer += (*_iter340).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ControllerNotice &a, ControllerNotice &b) {
+  using ::std::swap;
+  swap(a.has_disk, b.has_disk);
+  swap(a.joining, b.joining);
+  swap(a.controllers, b.controllers);
+  swap(a.endpoints, b.endpoints);
+  swap(a.__isset, b.__isset);
+}
+
+ControllerNotice::ControllerNotice(const ControllerNotice& other341) {
+  has_disk = other341.has_disk;
+  joining = other341.joining;
+  controllers = other341.controllers;
+  endpoints = other341.endpoints;
+  __isset = other341.__isset;
+}
+ControllerNotice::ControllerNotice(ControllerNotice&& other342) noexcept {
+  has_disk = other342.has_disk;
+  joining = other342.joining;
+  controllers = std::move(other342.controllers);
+  endpoints = std::move(other342.endpoints);
+  __isset = other342.__isset;
+}
+ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other343) {
+  has_disk = other343.has_disk;
+  joining = other343.joining;
+  controllers = other343.controllers;
+  endpoints = other343.endpoints;
+  __isset = other343.__isset;
+  return *this;
+}
+ControllerNotice& ControllerNotice::operator=(ControllerNotice&& other344) noexcept {
+  has_disk = other344.has_disk;
+  joining = other344.joining;
+  controllers = std::move(other344.controllers);
+  endpoints = std::move(other344.endpoints);
+  __isset = other344.__isset;
+  return *this;
+}
+void ControllerNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ControllerNotice(";
+  out << "has_disk=" << to_string(has_disk);
+  out << ", " << "joining=" << to_string(joining);
+  out << ", " << "controllers=" << to_string(controllers);
+  out << ", " << "endpoints=" << to_string(endpoints);
+  out << ")";
+}
+
+
+RegisterHolder::~RegisterHolder() noexcept {
+}
+
+
+void RegisterHolder::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void RegisterHolder::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void RegisterHolder::__set_released(const bool val) {
+  this->released = val;
+}
+std::ostream& operator<<(std::ostream& out, const RegisterHolder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RegisterHolder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->released);
+          this->__isset.released = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RegisterHolder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RegisterHolder");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("released", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->released);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RegisterHolder &a, RegisterHolder &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.process, b.process);
+  swap(a.released, b.released);
+  swap(a.__isset, b.__isset);
+}
+
+RegisterHolder::RegisterHolder(const RegisterHolder& other345) {
+  instance = other345.instance;
+  process = other345.process;
+  released = other345.released;
+  __isset = other345.__isset;
+}
+RegisterHolder::RegisterHolder(RegisterHolder&& other346) noexcept {
+  instance = std::move(other346.instance);
+  process = other346.process;
+  released = other346.released;
+  __isset = other346.__isset;
+}
+RegisterHolder& RegisterHolder::operator=(const RegisterHolder& other347) {
+  instance = other347.instance;
+  process = other347.process;
+  released = other347.released;
+  __isset = other347.__isset;
+  return *this;
+}
+RegisterHolder& RegisterHolder::operator=(RegisterHolder&& other348) noexcept {
+  instance = std::move(other348.instance);
+  process = other348.process;
+  released = other348.released;
+  __isset = other348.__isset;
+  return *this;
+}
+void RegisterHolder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RegisterHolder(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "released=" << to_string(released);
+  out << ")";
+}
+
+
+HolderState::~HolderState() noexcept {
+}
+
+
+void HolderState::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void HolderState::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const HolderState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HolderState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HolderState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HolderState");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HolderState &a, HolderState &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
+}
+
+HolderState::HolderState(const HolderState& other349) noexcept {
+  process = other349.process;
+  incarnation = other349.incarnation;
+  __isset = other349.__isset;
+}
+HolderState::HolderState(HolderState&& other350) noexcept {
+  process = other350.process;
+  incarnation = other350.incarnation;
+  __isset = other350.__isset;
+}
+HolderState& HolderState::operator=(const HolderState& other351) noexcept {
+  process = other351.process;
+  incarnation = other351.incarnation;
+  __isset = other351.__isset;
+  return *this;
+}
+HolderState& HolderState::operator=(HolderState&& other352) noexcept {
+  process = other352.process;
+  incarnation = other352.incarnation;
+  __isset = other352.__isset;
+  return *this;
+}
+void HolderState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HolderState(";
+  out << "process=" << to_string(process);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
+PutDocument::~PutDocument() noexcept {
+}
+
+
+void PutDocument::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void PutDocument::__set_text(const std::string& val) {
+  this->text = val;
+}
+std::ostream& operator<<(std::ostream& out, const PutDocument& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PutDocument::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PutDocument::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PutDocument");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PutDocument &a, PutDocument &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+PutDocument::PutDocument(const PutDocument& other353) {
+  version = other353.version;
+  text = other353.text;
+  __isset = other353.__isset;
+}
+PutDocument::PutDocument(PutDocument&& other354) noexcept {
+  version = other354.version;
+  text = std::move(other354.text);
+  __isset = other354.__isset;
+}
+PutDocument& PutDocument::operator=(const PutDocument& other355) {
+  version = other355.version;
+  text = other355.text;
+  __isset = other355.__isset;
+  return *this;
+}
+PutDocument& PutDocument::operator=(PutDocument&& other356) noexcept {
+  version = other356.version;
+  text = std::move(other356.text);
+  __isset = other356.__isset;
+  return *this;
+}
+void PutDocument::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PutDocument(";
+  out << "version=" << to_string(version);
+  out << ", " << "text=" << to_string(text);
+  out << ")";
+}
+
+
+FleetCommand::~FleetCommand() noexcept {
+}
+
+
+void FleetCommand::__set_put(const PutDocument& val) {
+  this->put = val;
+__isset.put = true;
+}
+
+void FleetCommand::__set_holder(const RegisterHolder& val) {
+  this->holder = val;
+__isset.holder = true;
+}
+std::ostream& operator<<(std::ostream& out, const FleetCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->put.read(iprot);
+          this->__isset.put = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->holder.read(iprot);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetCommand");
+
+  if (this->__isset.put) {
+    xfer += oprot->writeFieldBegin("put", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->put.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.holder) {
+    xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->holder.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetCommand &a, FleetCommand &b) {
+  using ::std::swap;
+  swap(a.put, b.put);
+  swap(a.holder, b.holder);
+  swap(a.__isset, b.__isset);
+}
+
+FleetCommand::FleetCommand(const FleetCommand& other357) {
+  put = other357.put;
+  holder = other357.holder;
+  __isset = other357.__isset;
+}
+FleetCommand::FleetCommand(FleetCommand&& other358) noexcept {
+  put = std::move(other358.put);
+  holder = std::move(other358.holder);
+  __isset = other358.__isset;
+}
+FleetCommand& FleetCommand::operator=(const FleetCommand& other359) {
+  put = other359.put;
+  holder = other359.holder;
+  __isset = other359.__isset;
+  return *this;
+}
+FleetCommand& FleetCommand::operator=(FleetCommand&& other360) noexcept {
+  put = std::move(other360.put);
+  holder = std::move(other360.holder);
+  __isset = other360.__isset;
+  return *this;
+}
+void FleetCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetCommand(";
+  out << "put="; (__isset.put ? (out << to_string(put)) : (out << "<null>"));
+  out << ", " << "holder="; (__isset.holder ? (out << to_string(holder)) : (out << "<null>"));
+  out << ")";
+}
+
+
+FleetSnapshot::~FleetSnapshot() noexcept {
+}
+
+
+void FleetSnapshot::__set_document(const PutDocument& val) {
+  this->document = val;
+}
+
+void FleetSnapshot::__set_holders(const std::map<std::string, HolderState> & val) {
+  this->holders = val;
+}
+std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetSnapshot::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->holders.clear();
+            uint32_t _size361;
+            ::apache::thrift::protocol::TType _ktype362;
+            ::apache::thrift::protocol::TType _vtype363;
+            xfer += iprot->readMapBegin(_ktype362, _vtype363, _size361);
+            uint32_t _i365;
+            for (_i365 = 0; _i365 < _size361; ++_i365)
+            {
+              std::string _key366;
+              xfer += iprot->readString(_key366);
+              HolderState& _val367 = this->holders[_key366];
+              xfer += _val367.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.holders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t FleetSnapshot::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FleetSnapshot");
+
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->document.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
+    std::map<std::string, HolderState> ::const_iterator _iter368;
+    for (_iter368 = this->holders.begin(); _iter368 != this->holders.end(); ++_iter368)
+    {
+      xfer += oprot->writeString(_iter368->first);
+      xfer += _iter368->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FleetSnapshot &a, FleetSnapshot &b) {
+  using ::std::swap;
+  swap(a.document, b.document);
+  swap(a.holders, b.holders);
+  swap(a.__isset, b.__isset);
+}
+
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other369) {
+  document = other369.document;
+  holders = other369.holders;
+  __isset = other369.__isset;
+}
+FleetSnapshot::FleetSnapshot(FleetSnapshot&& other370) noexcept {
+  document = std::move(other370.document);
+  holders = std::move(other370.holders);
+  __isset = other370.__isset;
+}
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other371) {
+  document = other371.document;
+  holders = other371.holders;
+  __isset = other371.__isset;
+  return *this;
+}
+FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other372) noexcept {
+  document = std::move(other372.document);
+  holders = std::move(other372.holders);
+  __isset = other372.__isset;
+  return *this;
+}
+void FleetSnapshot::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FleetSnapshot(";
+  out << "document=" << to_string(document);
+  out << ", " << "holders=" << to_string(holders);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -8108,6 +10201,21 @@
   this->drain = val;
 __isset.drain = true;
 }
+
+void PeerMessage::__set_proxy_report(const ProxyReport& val) {
+  this->proxy_report = val;
+__isset.proxy_report = true;
+}
+
+void PeerMessage::__set_proxy_update(const ProxyUpdate& val) {
+  this->proxy_update = val;
+__isset.proxy_update = true;
+}
+
+void PeerMessage::__set_controller_notice(const ControllerNotice& val) {
+  this->controller_notice = val;
+__isset.controller_notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -8240,6 +10348,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->proxy_report.read(iprot);
+          this->__isset.proxy_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->proxy_update.read(iprot);
+          this->__isset.proxy_update = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->controller_notice.read(iprot);
+          this->__isset.controller_notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8322,6 +10454,21 @@
     xfer += oprot->writeBool(this->drain);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.proxy_report) {
+    xfer += oprot->writeFieldBegin("proxy_report", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->proxy_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.proxy_update) {
+    xfer += oprot->writeFieldBegin("proxy_update", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->proxy_update.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.controller_notice) {
+    xfer += oprot->writeFieldBegin("controller_notice", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->controller_notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8342,73 +10489,88 @@
   swap(a.query, b.query);
   swap(a.query_response, b.query_response);
   swap(a.drain, b.drain);
+  swap(a.proxy_report, b.proxy_report);
+  swap(a.proxy_update, b.proxy_update);
+  swap(a.controller_notice, b.controller_notice);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other273) {
-  hello = other273.hello;
-  ping = other273.ping;
-  pong = other273.pong;
-  consensus = other273.consensus;
-  report = other273.report;
-  update = other273.update;
-  forward = other273.forward;
-  forward_response = other273.forward_response;
-  propose = other273.propose;
-  propose_response = other273.propose_response;
-  query = other273.query;
-  query_response = other273.query_response;
-  drain = other273.drain;
-  __isset = other273.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other274) noexcept {
-  hello = std::move(other274.hello);
-  ping = other274.ping;
-  pong = other274.pong;
-  consensus = std::move(other274.consensus);
-  report = std::move(other274.report);
-  update = std::move(other274.update);
-  forward = std::move(other274.forward);
-  forward_response = std::move(other274.forward_response);
-  propose = std::move(other274.propose);
-  propose_response = std::move(other274.propose_response);
-  query = std::move(other274.query);
-  query_response = std::move(other274.query_response);
-  drain = other274.drain;
-  __isset = other274.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other275) {
-  hello = other275.hello;
-  ping = other275.ping;
-  pong = other275.pong;
-  consensus = other275.consensus;
-  report = other275.report;
-  update = other275.update;
-  forward = other275.forward;
-  forward_response = other275.forward_response;
-  propose = other275.propose;
-  propose_response = other275.propose_response;
-  query = other275.query;
-  query_response = other275.query_response;
-  drain = other275.drain;
-  __isset = other275.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other373) {
+  hello = other373.hello;
+  ping = other373.ping;
+  pong = other373.pong;
+  consensus = other373.consensus;
+  report = other373.report;
+  update = other373.update;
+  forward = other373.forward;
+  forward_response = other373.forward_response;
+  propose = other373.propose;
+  propose_response = other373.propose_response;
+  query = other373.query;
+  query_response = other373.query_response;
+  drain = other373.drain;
+  proxy_report = other373.proxy_report;
+  proxy_update = other373.proxy_update;
+  controller_notice = other373.controller_notice;
+  __isset = other373.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other374) noexcept {
+  hello = std::move(other374.hello);
+  ping = other374.ping;
+  pong = other374.pong;
+  consensus = std::move(other374.consensus);
+  report = std::move(other374.report);
+  update = std::move(other374.update);
+  forward = std::move(other374.forward);
+  forward_response = std::move(other374.forward_response);
+  propose = std::move(other374.propose);
+  propose_response = std::move(other374.propose_response);
+  query = std::move(other374.query);
+  query_response = std::move(other374.query_response);
+  drain = other374.drain;
+  proxy_report = std::move(other374.proxy_report);
+  proxy_update = std::move(other374.proxy_update);
+  controller_notice = std::move(other374.controller_notice);
+  __isset = other374.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other375) {
+  hello = other375.hello;
+  ping = other375.ping;
+  pong = other375.pong;
+  consensus = other375.consensus;
+  report = other375.report;
+  update = other375.update;
+  forward = other375.forward;
+  forward_response = other375.forward_response;
+  propose = other375.propose;
+  propose_response = other375.propose_response;
+  query = other375.query;
+  query_response = other375.query_response;
+  drain = other375.drain;
+  proxy_report = other375.proxy_report;
+  proxy_update = other375.proxy_update;
+  controller_notice = other375.controller_notice;
+  __isset = other375.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other276) noexcept {
-  hello = std::move(other276.hello);
-  ping = other276.ping;
-  pong = other276.pong;
-  consensus = std::move(other276.consensus);
-  report = std::move(other276.report);
-  update = std::move(other276.update);
-  forward = std::move(other276.forward);
-  forward_response = std::move(other276.forward_response);
-  propose = std::move(other276.propose);
-  propose_response = std::move(other276.propose_response);
-  query = std::move(other276.query);
-  query_response = std::move(other276.query_response);
-  drain = other276.drain;
-  __isset = other276.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other376) noexcept {
+  hello = std::move(other376.hello);
+  ping = other376.ping;
+  pong = other376.pong;
+  consensus = std::move(other376.consensus);
+  report = std::move(other376.report);
+  update = std::move(other376.update);
+  forward = std::move(other376.forward);
+  forward_response = std::move(other376.forward_response);
+  propose = std::move(other376.propose);
+  propose_response = std::move(other376.propose_response);
+  query = std::move(other376.query);
+  query_response = std::move(other376.query_response);
+  drain = other376.drain;
+  proxy_report = std::move(other376.proxy_report);
+  proxy_update = std::move(other376.proxy_update);
+  controller_notice = std::move(other376.controller_notice);
+  __isset = other376.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -8427,6 +10589,9 @@
   out << ", " << "query="; (__isset.query ? (out << to_string(query)) : (out << "<null>"));
   out << ", " << "query_response="; (__isset.query_response ? (out << to_string(query_response)) : (out << "<null>"));
   out << ", " << "drain="; (__isset.drain ? (out << to_string(drain)) : (out << "<null>"));
+  out << ", " << "proxy_report="; (__isset.proxy_report ? (out << to_string(proxy_report)) : (out << "<null>"));
+  out << ", " << "proxy_update="; (__isset.proxy_update ? (out << to_string(proxy_update)) : (out << "<null>"));
+  out << ", " << "controller_notice="; (__isset.controller_notice ? (out << to_string(controller_notice)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8540,30 +10705,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other277) {
-  change_id = other277.change_id;
-  fingerprint = other277.fingerprint;
-  result = other277.result;
-  __isset = other277.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other377) {
+  change_id = other377.change_id;
+  fingerprint = other377.fingerprint;
+  result = other377.result;
+  __isset = other377.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other278) noexcept {
-  change_id = std::move(other278.change_id);
-  fingerprint = std::move(other278.fingerprint);
-  result = std::move(other278.result);
-  __isset = other278.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other378) noexcept {
+  change_id = std::move(other378.change_id);
+  fingerprint = std::move(other378.fingerprint);
+  result = std::move(other378.result);
+  __isset = other378.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other279) {
-  change_id = other279.change_id;
-  fingerprint = other279.fingerprint;
-  result = other279.result;
-  __isset = other279.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other379) {
+  change_id = other379.change_id;
+  fingerprint = other379.fingerprint;
+  result = other379.result;
+  __isset = other379.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other280) noexcept {
-  change_id = std::move(other280.change_id);
-  fingerprint = std::move(other280.fingerprint);
-  result = std::move(other280.result);
-  __isset = other280.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other380) noexcept {
+  change_id = std::move(other380.change_id);
+  fingerprint = std::move(other380.fingerprint);
+  result = std::move(other380.result);
+  __isset = other380.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -8655,14 +10820,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size281;
-            ::apache::thrift::protocol::TType _etype284;
-            xfer += iprot->readListBegin(_etype284, _size281);
-            this->objects.resize(_size281);
-            uint32_t _i285;
-            for (_i285 = 0; _i285 < _size281; ++_i285)
+            uint32_t _size381;
+            ::apache::thrift::protocol::TType _etype384;
+            xfer += iprot->readListBegin(_etype384, _size381);
+            this->objects.resize(_size381);
+            uint32_t _i385;
+            for (_i385 = 0; _i385 < _size381; ++_i385)
             {
-              xfer += this->objects[_i285].read(iprot);
+              xfer += this->objects[_i385].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8675,14 +10840,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size286;
-            ::apache::thrift::protocol::TType _etype289;
-            xfer += iprot->readListBegin(_etype289, _size286);
-            this->changes.resize(_size286);
-            uint32_t _i290;
-            for (_i290 = 0; _i290 < _size286; ++_i290)
+            uint32_t _size386;
+            ::apache::thrift::protocol::TType _etype389;
+            xfer += iprot->readListBegin(_etype389, _size386);
+            this->changes.resize(_size386);
+            uint32_t _i390;
+            for (_i390 = 0; _i390 < _size386; ++_i390)
             {
-              xfer += this->changes[_i290].read(iprot);
+              xfer += this->changes[_i390].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8703,14 +10868,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size291;
-            ::apache::thrift::protocol::TType _etype294;
-            xfer += iprot->readListBegin(_etype294, _size291);
-            this->groups.resize(_size291);
-            uint32_t _i295;
-            for (_i295 = 0; _i295 < _size291; ++_i295)
+            uint32_t _size391;
+            ::apache::thrift::protocol::TType _etype394;
+            xfer += iprot->readListBegin(_etype394, _size391);
+            this->groups.resize(_size391);
+            uint32_t _i395;
+            for (_i395 = 0; _i395 < _size391; ++_i395)
             {
-              xfer += this->groups[_i295].read(iprot);
+              xfer += this->groups[_i395].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8723,14 +10888,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->endpoints.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
+            uint32_t _size396;
+            ::apache::thrift::protocol::TType _etype399;
+            xfer += iprot->readListBegin(_etype399, _size396);
+            this->endpoints.resize(_size396);
+            uint32_t _i400;
+            for (_i400 = 0; _i400 < _size396; ++_i400)
             {
-              xfer += this->endpoints[_i300].read(iprot);
+              xfer += this->endpoints[_i400].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8743,14 +10908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->instances.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size401;
+            ::apache::thrift::protocol::TType _etype404;
+            xfer += iprot->readListBegin(_etype404, _size401);
+            this->instances.resize(_size401);
+            uint32_t _i405;
+            for (_i405 = 0; _i405 < _size401; ++_i405)
             {
-              xfer += this->instances[_i305].read(iprot);
+              xfer += this->instances[_i405].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8763,14 +10928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->journal.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size406;
+            ::apache::thrift::protocol::TType _etype409;
+            xfer += iprot->readListBegin(_etype409, _size406);
+            this->journal.resize(_size406);
+            uint32_t _i410;
+            for (_i410 = 0; _i410 < _size406; ++_i410)
             {
-              xfer += this->journal[_i310].read(iprot);
+              xfer += this->journal[_i410].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8811,10 +10976,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter311;
-    for (_iter311 = this->objects.begin(); _iter311 != this->objects.end(); ++_iter311)
+    std::vector<Object> ::const_iterator _iter411;
+    for (_iter411 = this->objects.begin(); _iter411 != this->objects.end(); ++_iter411)
     {
-      xfer += (*_iter311).write(oprot);
+      xfer += (*_iter411).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8823,10 +10988,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter312;
-    for (_iter312 = this->changes.begin(); _iter312 != this->changes.end(); ++_iter312)
+    std::vector<AppliedChange> ::const_iterator _iter412;
+    for (_iter412 = this->changes.begin(); _iter412 != this->changes.end(); ++_iter412)
     {
-      xfer += (*_iter312).write(oprot);
+      xfer += (*_iter412).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8839,10 +11004,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter313;
-    for (_iter313 = this->groups.begin(); _iter313 != this->groups.end(); ++_iter313)
+    std::vector<GroupState> ::const_iterator _iter413;
+    for (_iter413 = this->groups.begin(); _iter413 != this->groups.end(); ++_iter413)
     {
-      xfer += (*_iter313).write(oprot);
+      xfer += (*_iter413).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8851,10 +11016,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter314;
-    for (_iter314 = this->endpoints.begin(); _iter314 != this->endpoints.end(); ++_iter314)
+    std::vector<EndpointInfo> ::const_iterator _iter414;
+    for (_iter414 = this->endpoints.begin(); _iter414 != this->endpoints.end(); ++_iter414)
     {
-      xfer += (*_iter314).write(oprot);
+      xfer += (*_iter414).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8863,10 +11028,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter315;
-    for (_iter315 = this->instances.begin(); _iter315 != this->instances.end(); ++_iter315)
+    std::vector<InstanceInfo> ::const_iterator _iter415;
+    for (_iter415 = this->instances.begin(); _iter415 != this->instances.end(); ++_iter415)
     {
-      xfer += (*_iter315).write(oprot);
+      xfer += (*_iter415).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8875,10 +11040,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter316;
-    for (_iter316 = this->journal.begin(); _iter316 != this->journal.end(); ++_iter316)
+    std::vector<JournalEntry> ::const_iterator _iter416;
+    for (_iter416 = this->journal.begin(); _iter416 != this->journal.end(); ++_iter416)
     {
-      xfer += (*_iter316).write(oprot);
+      xfer += (*_iter416).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8907,54 +11072,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other317) {
-  revision = other317.revision;
-  objects = other317.objects;
-  changes = other317.changes;
-  groups_revision = other317.groups_revision;
-  groups = other317.groups;
-  endpoints = other317.endpoints;
-  instances = other317.instances;
-  journal = other317.journal;
-  session_secret = other317.session_secret;
-  __isset = other317.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other318) noexcept {
-  revision = other318.revision;
-  objects = std::move(other318.objects);
-  changes = std::move(other318.changes);
-  groups_revision = other318.groups_revision;
-  groups = std::move(other318.groups);
-  endpoints = std::move(other318.endpoints);
-  instances = std::move(other318.instances);
-  journal = std::move(other318.journal);
-  session_secret = std::move(other318.session_secret);
-  __isset = other318.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other319) {
-  revision = other319.revision;
-  objects = other319.objects;
-  changes = other319.changes;
-  groups_revision = other319.groups_revision;
-  groups = other319.groups;
-  endpoints = other319.endpoints;
-  instances = other319.instances;
-  journal = other319.journal;
-  session_secret = other319.session_secret;
-  __isset = other319.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other417) {
+  revision = other417.revision;
+  objects = other417.objects;
+  changes = other417.changes;
+  groups_revision = other417.groups_revision;
+  groups = other417.groups;
+  endpoints = other417.endpoints;
+  instances = other417.instances;
+  journal = other417.journal;
+  session_secret = other417.session_secret;
+  __isset = other417.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other418) noexcept {
+  revision = other418.revision;
+  objects = std::move(other418.objects);
+  changes = std::move(other418.changes);
+  groups_revision = other418.groups_revision;
+  groups = std::move(other418.groups);
+  endpoints = std::move(other418.endpoints);
+  instances = std::move(other418.instances);
+  journal = std::move(other418.journal);
+  session_secret = std::move(other418.session_secret);
+  __isset = other418.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other419) {
+  revision = other419.revision;
+  objects = other419.objects;
+  changes = other419.changes;
+  groups_revision = other419.groups_revision;
+  groups = other419.groups;
+  endpoints = other419.endpoints;
+  instances = other419.instances;
+  journal = other419.journal;
+  session_secret = other419.session_secret;
+  __isset = other419.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other320) noexcept {
-  revision = other320.revision;
-  objects = std::move(other320.objects);
-  changes = std::move(other320.changes);
-  groups_revision = other320.groups_revision;
-  groups = std::move(other320.groups);
-  endpoints = std::move(other320.endpoints);
-  instances = std::move(other320.instances);
-  journal = std::move(other320.journal);
-  session_secret = std::move(other320.session_secret);
-  __isset = other320.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other420) noexcept {
+  revision = other420.revision;
+  objects = std::move(other420.objects);
+  changes = std::move(other420.changes);
+  groups_revision = other420.groups_revision;
+  groups = std::move(other420.groups);
+  endpoints = std::move(other420.endpoints);
+  instances = std::move(other420.instances);
+  journal = std::move(other420.journal);
+  session_secret = std::move(other420.session_secret);
+  __isset = other420.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -148,6 +148,28 @@
 
 class Hello;
 
+class EndpointRecord;
+
+class PrimaryAssignment;
+
+class PrimaryContact;
+
+class ProxyReport;
+
+class ProxyUpdate;
+
+class ControllerNotice;
+
+class RegisterHolder;
+
+class HolderState;
+
+class PutDocument;
+
+class FleetCommand;
+
+class FleetSnapshot;
+
 class PeerMessage;
 
 class AppliedChange;
@@ -2986,8 +3008,749 @@
 
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
+typedef struct _EndpointRecord__isset {
+  _EndpointRecord__isset() : endpoint(false), group(false), address(false), zone(false), draining(false), primary(false), started_ms(false), sequence(false), gone(false) {}
+  bool endpoint :1;
+  bool group :1;
+  bool address :1;
+  bool zone :1;
+  bool draining :1;
+  bool primary :1;
+  bool started_ms :1;
+  bool sequence :1;
+  bool gone :1;
+} _EndpointRecord__isset;
+
+class EndpointRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointRecord(const EndpointRecord&);
+  EndpointRecord(EndpointRecord&&) noexcept;
+  EndpointRecord& operator=(const EndpointRecord&);
+  EndpointRecord& operator=(EndpointRecord&&) noexcept;
+  EndpointRecord() noexcept
+                 : endpoint(),
+                   group(),
+                   address(),
+                   zone(),
+                   draining(0),
+                   primary(0),
+                   started_ms(0),
+                   sequence(0),
+                   gone(0) {
+  }
+
+  virtual ~EndpointRecord() noexcept;
+  std::string endpoint;
+  std::string group;
+  std::string address;
+  std::string zone;
+  bool draining;
+  bool primary;
+  int64_t started_ms;
+  int64_t sequence;
+  bool gone;
+
+  _EndpointRecord__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_group(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_draining(const bool val);
+
+  void __set_primary(const bool val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_gone(const bool val);
+
+  bool operator == (const EndpointRecord & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(group == rhs.group))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(primary == rhs.primary))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(gone == rhs.gone))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointRecord &a, EndpointRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj);
+
+typedef struct _PrimaryAssignment__isset {
+  _PrimaryAssignment__isset() : group(false), endpoint(false), order(false) {}
+  bool group :1;
+  bool endpoint :1;
+  bool order :1;
+} _PrimaryAssignment__isset;
+
+class PrimaryAssignment : public virtual ::apache::thrift::TBase {
+ public:
+
+  PrimaryAssignment(const PrimaryAssignment&);
+  PrimaryAssignment(PrimaryAssignment&&) noexcept;
+  PrimaryAssignment& operator=(const PrimaryAssignment&);
+  PrimaryAssignment& operator=(PrimaryAssignment&&) noexcept;
+  PrimaryAssignment() noexcept
+                    : group(),
+                      endpoint(),
+                      order(0) {
+  }
+
+  virtual ~PrimaryAssignment() noexcept;
+  std::string group;
+  std::string endpoint;
+  int64_t order;
+
+  _PrimaryAssignment__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_order(const int64_t val);
+
+  bool operator == (const PrimaryAssignment & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(order == rhs.order))
+      return false;
+    return true;
+  }
+  bool operator != (const PrimaryAssignment &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PrimaryAssignment & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PrimaryAssignment &a, PrimaryAssignment &b);
+
+std::ostream& operator<<(std::ostream& out, const PrimaryAssignment& obj);
+
+typedef struct _PrimaryContact__isset {
+  _PrimaryContact__isset() : group(false), endpoint(false), success_age_ms(false), failing_ms(false) {}
+  bool group :1;
+  bool endpoint :1;
+  bool success_age_ms :1;
+  bool failing_ms :1;
+} _PrimaryContact__isset;
+
+class PrimaryContact : public virtual ::apache::thrift::TBase {
+ public:
+
+  PrimaryContact(const PrimaryContact&);
+  PrimaryContact(PrimaryContact&&) noexcept;
+  PrimaryContact& operator=(const PrimaryContact&);
+  PrimaryContact& operator=(PrimaryContact&&) noexcept;
+  PrimaryContact() noexcept
+                 : group(),
+                   endpoint(),
+                   success_age_ms(0),
+                   failing_ms(0) {
+  }
+
+  virtual ~PrimaryContact() noexcept;
+  std::string group;
+  std::string endpoint;
+  int64_t success_age_ms;
+  int64_t failing_ms;
+
+  _PrimaryContact__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_success_age_ms(const int64_t val);
+
+  void __set_failing_ms(const int64_t val);
+
+  bool operator == (const PrimaryContact & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(success_age_ms == rhs.success_age_ms))
+      return false;
+    if (!(failing_ms == rhs.failing_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PrimaryContact &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PrimaryContact & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PrimaryContact &a, PrimaryContact &b);
+
+std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj);
+
+typedef struct _ProxyReport__isset {
+  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false) {}
+  bool process :1;
+  bool sent_micros :1;
+  bool document_version :1;
+  bool wants_document :1;
+  bool shares :1;
+  bool contacts :1;
+  bool stopped :1;
+} _ProxyReport__isset;
+
+class ProxyReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProxyReport(const ProxyReport&);
+  ProxyReport(ProxyReport&&) noexcept;
+  ProxyReport& operator=(const ProxyReport&);
+  ProxyReport& operator=(ProxyReport&&) noexcept;
+  ProxyReport() noexcept
+              : process(0),
+                sent_micros(0),
+                document_version(0),
+                wants_document(0),
+                stopped(0) {
+  }
+
+  virtual ~ProxyReport() noexcept;
+  int64_t process;
+  int64_t sent_micros;
+  int64_t document_version;
+  bool wants_document;
+  std::vector<ShareReport>  shares;
+  std::vector<PrimaryContact>  contacts;
+  bool stopped;
+
+  _ProxyReport__isset __isset;
+
+  void __set_process(const int64_t val);
+
+  void __set_sent_micros(const int64_t val);
+
+  void __set_document_version(const int64_t val);
+
+  void __set_wants_document(const bool val);
+
+  void __set_shares(const std::vector<ShareReport> & val);
+
+  void __set_contacts(const std::vector<PrimaryContact> & val);
+
+  void __set_stopped(const bool val);
+
+  bool operator == (const ProxyReport & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(sent_micros == rhs.sent_micros))
+      return false;
+    if (!(document_version == rhs.document_version))
+      return false;
+    if (!(wants_document == rhs.wants_document))
+      return false;
+    if (!(shares == rhs.shares))
+      return false;
+    if (!(contacts == rhs.contacts))
+      return false;
+    if (!(stopped == rhs.stopped))
+      return false;
+    return true;
+  }
+  bool operator != (const ProxyReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProxyReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProxyReport &a, ProxyReport &b);
+
+std::ostream& operator<<(std::ostream& out, const ProxyReport& obj);
+
+typedef struct _ProxyUpdate__isset {
+  _ProxyUpdate__isset() : report_sent_micros(false), leader(false), shares(false), document_version(false), document(false), endpoints(false), primaries(false), controllers(false), entries(false) {}
+  bool report_sent_micros :1;
+  bool leader :1;
+  bool shares :1;
+  bool document_version :1;
+  bool document :1;
+  bool endpoints :1;
+  bool primaries :1;
+  bool controllers :1;
+  bool entries :1;
+} _ProxyUpdate__isset;
+
+class ProxyUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProxyUpdate(const ProxyUpdate&);
+  ProxyUpdate(ProxyUpdate&&) noexcept;
+  ProxyUpdate& operator=(const ProxyUpdate&);
+  ProxyUpdate& operator=(ProxyUpdate&&) noexcept;
+  ProxyUpdate() noexcept
+              : report_sent_micros(0),
+                leader(0),
+                document_version(0),
+                document(),
+                entries(0) {
+  }
+
+  virtual ~ProxyUpdate() noexcept;
+  int64_t report_sent_micros;
+  bool leader;
+  std::vector<ShareUpdate>  shares;
+  int64_t document_version;
+  std::string document;
+  std::vector<EndpointRecord>  endpoints;
+  std::vector<PrimaryAssignment>  primaries;
+  std::vector<std::string>  controllers;
+  int32_t entries;
+
+  _ProxyUpdate__isset __isset;
+
+  void __set_report_sent_micros(const int64_t val);
+
+  void __set_leader(const bool val);
+
+  void __set_shares(const std::vector<ShareUpdate> & val);
+
+  void __set_document_version(const int64_t val);
+
+  void __set_document(const std::string& val);
+
+  void __set_endpoints(const std::vector<EndpointRecord> & val);
+
+  void __set_primaries(const std::vector<PrimaryAssignment> & val);
+
+  void __set_controllers(const std::vector<std::string> & val);
+
+  void __set_entries(const int32_t val);
+
+  bool operator == (const ProxyUpdate & rhs) const
+  {
+    if (!(report_sent_micros == rhs.report_sent_micros))
+      return false;
+    if (!(leader == rhs.leader))
+      return false;
+    if (!(shares == rhs.shares))
+      return false;
+    if (!(document_version == rhs.document_version))
+      return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
+    if (!(endpoints == rhs.endpoints))
+      return false;
+    if (!(primaries == rhs.primaries))
+      return false;
+    if (!(controllers == rhs.controllers))
+      return false;
+    if (!(entries == rhs.entries))
+      return false;
+    return true;
+  }
+  bool operator != (const ProxyUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProxyUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProxyUpdate &a, ProxyUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj);
+
+typedef struct _ControllerNotice__isset {
+  _ControllerNotice__isset() : has_disk(false), joining(false), controllers(false), endpoints(false) {}
+  bool has_disk :1;
+  bool joining :1;
+  bool controllers :1;
+  bool endpoints :1;
+} _ControllerNotice__isset;
+
+class ControllerNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  ControllerNotice(const ControllerNotice&);
+  ControllerNotice(ControllerNotice&&) noexcept;
+  ControllerNotice& operator=(const ControllerNotice&);
+  ControllerNotice& operator=(ControllerNotice&&) noexcept;
+  ControllerNotice() noexcept
+                   : has_disk(0),
+                     joining(0) {
+  }
+
+  virtual ~ControllerNotice() noexcept;
+  bool has_disk;
+  bool joining;
+  std::vector<std::string>  controllers;
+  std::vector<EndpointRecord>  endpoints;
+
+  _ControllerNotice__isset __isset;
+
+  void __set_has_disk(const bool val);
+
+  void __set_joining(const bool val);
+
+  void __set_controllers(const std::vector<std::string> & val);
+
+  void __set_endpoints(const std::vector<EndpointRecord> & val);
+
+  bool operator == (const ControllerNotice & rhs) const
+  {
+    if (!(has_disk == rhs.has_disk))
+      return false;
+    if (!(joining == rhs.joining))
+      return false;
+    if (!(controllers == rhs.controllers))
+      return false;
+    if (!(endpoints == rhs.endpoints))
+      return false;
+    return true;
+  }
+  bool operator != (const ControllerNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ControllerNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ControllerNotice &a, ControllerNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const ControllerNotice& obj);
+
+typedef struct _RegisterHolder__isset {
+  _RegisterHolder__isset() : instance(false), process(false), released(false) {}
+  bool instance :1;
+  bool process :1;
+  bool released :1;
+} _RegisterHolder__isset;
+
+class RegisterHolder : public virtual ::apache::thrift::TBase {
+ public:
+
+  RegisterHolder(const RegisterHolder&);
+  RegisterHolder(RegisterHolder&&) noexcept;
+  RegisterHolder& operator=(const RegisterHolder&);
+  RegisterHolder& operator=(RegisterHolder&&) noexcept;
+  RegisterHolder() noexcept
+                 : instance(),
+                   process(0),
+                   released(0) {
+  }
+
+  virtual ~RegisterHolder() noexcept;
+  std::string instance;
+  int64_t process;
+  bool released;
+
+  _RegisterHolder__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_process(const int64_t val);
+
+  void __set_released(const bool val);
+
+  bool operator == (const RegisterHolder & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(released == rhs.released))
+      return false;
+    return true;
+  }
+  bool operator != (const RegisterHolder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RegisterHolder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RegisterHolder &a, RegisterHolder &b);
+
+std::ostream& operator<<(std::ostream& out, const RegisterHolder& obj);
+
+typedef struct _HolderState__isset {
+  _HolderState__isset() : process(false), incarnation(false) {}
+  bool process :1;
+  bool incarnation :1;
+} _HolderState__isset;
+
+class HolderState : public virtual ::apache::thrift::TBase {
+ public:
+
+  HolderState(const HolderState&) noexcept;
+  HolderState(HolderState&&) noexcept;
+  HolderState& operator=(const HolderState&) noexcept;
+  HolderState& operator=(HolderState&&) noexcept;
+  HolderState() noexcept
+              : process(0),
+                incarnation(0) {
+  }
+
+  virtual ~HolderState() noexcept;
+  int64_t process;
+  int64_t incarnation;
+
+  _HolderState__isset __isset;
+
+  void __set_process(const int64_t val);
+
+  void __set_incarnation(const int64_t val);
+
+  bool operator == (const HolderState & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const HolderState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HolderState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HolderState &a, HolderState &b);
+
+std::ostream& operator<<(std::ostream& out, const HolderState& obj);
+
+typedef struct _PutDocument__isset {
+  _PutDocument__isset() : version(false), text(false) {}
+  bool version :1;
+  bool text :1;
+} _PutDocument__isset;
+
+class PutDocument : public virtual ::apache::thrift::TBase {
+ public:
+
+  PutDocument(const PutDocument&);
+  PutDocument(PutDocument&&) noexcept;
+  PutDocument& operator=(const PutDocument&);
+  PutDocument& operator=(PutDocument&&) noexcept;
+  PutDocument() noexcept
+              : version(0),
+                text() {
+  }
+
+  virtual ~PutDocument() noexcept;
+  int64_t version;
+  std::string text;
+
+  _PutDocument__isset __isset;
+
+  void __set_version(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const PutDocument & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const PutDocument &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PutDocument & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PutDocument &a, PutDocument &b);
+
+std::ostream& operator<<(std::ostream& out, const PutDocument& obj);
+
+typedef struct _FleetCommand__isset {
+  _FleetCommand__isset() : put(false), holder(false) {}
+  bool put :1;
+  bool holder :1;
+} _FleetCommand__isset;
+
+class FleetCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetCommand(const FleetCommand&);
+  FleetCommand(FleetCommand&&) noexcept;
+  FleetCommand& operator=(const FleetCommand&);
+  FleetCommand& operator=(FleetCommand&&) noexcept;
+  FleetCommand() noexcept {
+  }
+
+  virtual ~FleetCommand() noexcept;
+  PutDocument put;
+  RegisterHolder holder;
+
+  _FleetCommand__isset __isset;
+
+  void __set_put(const PutDocument& val);
+
+  void __set_holder(const RegisterHolder& val);
+
+  bool operator == (const FleetCommand & rhs) const
+  {
+    if (__isset.put != rhs.__isset.put)
+      return false;
+    else if (__isset.put && !(put == rhs.put))
+      return false;
+    if (__isset.holder != rhs.__isset.holder)
+      return false;
+    else if (__isset.holder && !(holder == rhs.holder))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetCommand &a, FleetCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetCommand& obj);
+
+typedef struct _FleetSnapshot__isset {
+  _FleetSnapshot__isset() : document(false), holders(false) {}
+  bool document :1;
+  bool holders :1;
+} _FleetSnapshot__isset;
+
+class FleetSnapshot : public virtual ::apache::thrift::TBase {
+ public:
+
+  FleetSnapshot(const FleetSnapshot&);
+  FleetSnapshot(FleetSnapshot&&) noexcept;
+  FleetSnapshot& operator=(const FleetSnapshot&);
+  FleetSnapshot& operator=(FleetSnapshot&&) noexcept;
+  FleetSnapshot() noexcept {
+  }
+
+  virtual ~FleetSnapshot() noexcept;
+  PutDocument document;
+  std::map<std::string, HolderState>  holders;
+
+  _FleetSnapshot__isset __isset;
+
+  void __set_document(const PutDocument& val);
+
+  void __set_holders(const std::map<std::string, HolderState> & val);
+
+  bool operator == (const FleetSnapshot & rhs) const
+  {
+    if (!(document == rhs.document))
+      return false;
+    if (!(holders == rhs.holders))
+      return false;
+    return true;
+  }
+  bool operator != (const FleetSnapshot &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FleetSnapshot & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FleetSnapshot &a, FleetSnapshot &b);
+
+std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj);
+
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : hello(false), ping(false), pong(false), consensus(false), report(false), update(false), forward(false), forward_response(false), propose(false), propose_response(false), query(false), query_response(false), drain(false) {}
+  _PeerMessage__isset() : hello(false), ping(false), pong(false), consensus(false), report(false), update(false), forward(false), forward_response(false), propose(false), propose_response(false), query(false), query_response(false), drain(false), proxy_report(false), proxy_update(false), controller_notice(false) {}
   bool hello :1;
   bool ping :1;
   bool pong :1;
@@ -3001,6 +3764,9 @@
   bool query :1;
   bool query_response :1;
   bool drain :1;
+  bool proxy_report :1;
+  bool proxy_update :1;
+  bool controller_notice :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -3030,6 +3796,9 @@
   QueryRequest query;
   QueryResponse query_response;
   bool drain;
+  ProxyReport proxy_report;
+  ProxyUpdate proxy_update;
+  ControllerNotice controller_notice;
 
   _PeerMessage__isset __isset;
 
@@ -3059,6 +3828,12 @@
 
   void __set_drain(const bool val);
 
+  void __set_proxy_report(const ProxyReport& val);
+
+  void __set_proxy_update(const ProxyUpdate& val);
+
+  void __set_controller_notice(const ControllerNotice& val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -3113,6 +3888,18 @@
       return false;
     else if (__isset.drain && !(drain == rhs.drain))
       return false;
+    if (__isset.proxy_report != rhs.__isset.proxy_report)
+      return false;
+    else if (__isset.proxy_report && !(proxy_report == rhs.proxy_report))
+      return false;
+    if (__isset.proxy_update != rhs.__isset.proxy_update)
+      return false;
+    else if (__isset.proxy_update && !(proxy_update == rhs.proxy_update))
+      return false;
+    if (__isset.controller_notice != rhs.__isset.controller_notice)
+      return false;
+    else if (__isset.controller_notice && !(controller_notice == rhs.controller_notice))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -371,6 +371,96 @@
 }
 
 // One frame between daemons. One field is set.
+// ---- statement entries and controllers -----------------------------------
+
+// What an endpoint has said of itself, as one controller heard it.
+struct EndpointRecord {
+  1: string endpoint,
+  2: string group,
+  3: string address,                     // IP number and port
+  4: string zone,
+  5: bool draining,
+  6: bool primary,                       // as the endpoint sees itself
+  7: i64 started_ms,                     // Unix time of its start, 0: unknown
+  8: i64 sequence,                       // increases within one start
+  9: bool gone,
+}
+
+// The endpoint that leads a group since `term` of the controllers' order.
+struct PrimaryAssignment {
+  1: string group,
+  2: string endpoint,
+  3: i64 order,                          // fencing token of the promotion
+}
+
+// How an entry has fared with the primary of a group.
+struct PrimaryContact {
+  1: string group,
+  2: string endpoint,
+  3: i64 success_age_ms,                 // -1: none yet
+  4: i64 failing_ms,                     // 0: the last attempt succeeded
+}
+
+// Entry to controller. Shares go to the leader only.
+struct ProxyReport {
+  1: i64 process,                        // random, differs after a restart
+  2: i64 sent_micros,                    // sender's clock, echoed
+  3: i64 document_version,
+  4: bool wants_document,
+  5: list<ShareReport> shares,
+  6: list<PrimaryContact> contacts,
+  7: bool stopped,                       // last report: holds nothing
+}
+
+// Controller to entry.
+struct ProxyUpdate {
+  1: i64 report_sent_micros,             // 0: not an answer to a report
+  2: bool leader,
+  3: list<ShareUpdate> shares,
+  4: i64 document_version,               // applied by this controller
+  5: optional binary document,
+  6: list<EndpointRecord> endpoints,
+  7: list<PrimaryAssignment> primaries,
+  8: list<string> controllers,           // known addresses, IP number and port
+  9: i32 entries,                        // connected to the sender
+}
+
+// Controller to controller.
+struct ControllerNotice {
+  1: bool has_disk,
+  2: bool joining,                       // its log was not admitted yet
+  3: list<string> controllers,
+  4: list<EndpointRecord> endpoints,
+}
+
+// An entry process that may hold shares of customers' rates.
+struct RegisterHolder {
+  1: string instance,
+  2: i64 process,                        // random, differs after a restart
+  3: bool released,
+}
+
+struct HolderState {
+  1: i64 process,
+  2: i64 incarnation,                    // grows with each process
+}
+
+struct PutDocument {
+  1: i64 version,
+  2: binary text,
+}
+
+// A command in the controllers' log; one field is set.
+struct FleetCommand {
+  1: optional PutDocument put,
+  2: optional RegisterHolder holder,
+}
+
+struct FleetSnapshot {
+  1: PutDocument document,
+  2: map<string, HolderState> holders,   // by instance
+}
+
 struct PeerMessage {
   1: optional Hello hello,
   2: optional i64 ping,
@@ -385,6 +475,9 @@
   11: optional QueryRequest query,
   12: optional QueryResponse query_response,
   13: optional bool drain,               // the receiver starts a planned stop
+  14: optional ProxyReport proxy_report,
+  15: optional ProxyUpdate proxy_update,
+  16: optional ControllerNotice controller_notice,
 }
 
 // ---- snapshot of the control state machine -------------------------------
--- a/messages/include/goldcrest/messages/codec.h
+++ b/messages/include/goldcrest/messages/codec.h
@@ -24,6 +24,8 @@
 std::string Encode(const Command& command);
 std::string Encode(const ControlSnapshot& snapshot);
 std::string Encode(const Change& change);
+std::string Encode(const FleetCommand& command);
+std::string Encode(const FleetSnapshot& snapshot);
 std::string Encode(const LogEntry& entry);
 
 //! Decodes bytes of any origin; nullopt when they are not one whole valid
@@ -31,6 +33,8 @@
 std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes);
 std::optional<Command> DecodeCommand(std::string_view bytes);
 std::optional<ControlSnapshot> DecodeControlSnapshot(std::string_view bytes);
+std::optional<FleetCommand> DecodeFleetCommand(std::string_view bytes);
+std::optional<FleetSnapshot> DecodeFleetSnapshot(std::string_view bytes);
 std::optional<LogEntry> DecodeLogEntry(std::string_view bytes);
 
 }  // namespace goldcrest::messages
--- a/messages/src/codec.cc
+++ b/messages/src/codec.cc
@@ -68,6 +68,14 @@
   return EncodeAny(change);
 }
 
+std::string Encode(const FleetCommand& command) {
+  return EncodeAny(command);
+}
+
+std::string Encode(const FleetSnapshot& snapshot) {
+  return EncodeAny(snapshot);
+}
+
 std::string Encode(const LogEntry& entry) {
   return EncodeAny(entry);
 }
@@ -84,6 +92,14 @@
   return DecodeAny<ControlSnapshot>(bytes, kMaxSnapshotBytes);
 }
 
+std::optional<FleetCommand> DecodeFleetCommand(std::string_view bytes) {
+  return DecodeAny<FleetCommand>(bytes);
+}
+
+std::optional<FleetSnapshot> DecodeFleetSnapshot(std::string_view bytes) {
+  return DecodeAny<FleetSnapshot>(bytes, kMaxSnapshotBytes);
+}
+
 std::optional<LogEntry> DecodeLogEntry(std::string_view bytes) {
   return DecodeAny<LogEntry>(bytes);
 }
--- /dev/null
+++ b/programs/goldcrestd/controller_service.cc
@@ -0,0 +1,272 @@
+#include "programs/goldcrestd/controller_service.h"
+
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "goldcrest/adapters/json.h"
+#include "goldcrest/adapters/system_clock.h"
+#include "goldcrest/platform/calls.h"
+#include "goldcrest/platform/endpoint_beat.h"
+#include "goldcrest/platform/routing_document.h"
+#include "programs/goldcrestd/platform_peers.h"
+
+namespace goldcrest {
+namespace {
+
+using adapters::HttpResponse;
+using adapters::SystemClock;
+using fleet::ConfigurationResult;
+using std::chrono::milliseconds;
+
+constexpr Duration kTick = milliseconds(20);
+
+// A promotion that was not answered by then is sent again by the planner.
+constexpr Duration kPromotionDeadline = milliseconds(900);
+
+// Largest configuration that is taken.
+constexpr std::size_t kMaxBodyBytes = std::size_t{8} << 20U;
+
+// Time for the successor to be elected and for answers to leave.
+constexpr Duration kHandOver = milliseconds(600);
+
+HttpResponse Refusal(int status, std::string_view message) {
+  adapters::JsonWriter json;
+  json.BeginObject().Member("error", message).EndObject();
+  HttpResponse response;
+  response.status = status;
+  response.body = json.Take();
+  return response;
+}
+
+}  // namespace
+
+ControllerService::ControllerService(boost::asio::io_context& context,
+                                     const platform::BootSettings& settings,
+                                     storage::OpenedLog log,
+                                     PlatformLog& out)
+    : context_(context),
+      settings_(settings),
+      out_(out),
+      scheduler_(context),
+      store_(std::move(log.store)),
+      known_(ControllerNames(settings)),
+      prober_(context,
+              scheduler_,
+              [this](const std::string& group,
+                     const std::string& endpoint,
+                     const fleet::ProbeResult& result) {
+                controller_->OnProbe(SystemClock::Now(), group, endpoint,
+                                     result);
+              }) {
+  adapters::HttpClientOptions api;
+  api.host = settings_.platform_api.host;
+  api.port = settings_.platform_api.port;
+  platform_api_ = std::make_unique<adapters::HttpClient>(context_, api);
+
+  fleet::ControllerOptions options;
+  options.replica.self = PeerName(settings_, kControllerOffset);
+  options.has_disk = store_ != nullptr;
+  options.tolerated_losses = settings_.tolerated_losses;
+  options.seeds = known_;
+  if (settings_.first_start)
+    options.replica.bootstrap_members = {known_.begin(), known_.end()};
+  controller_ = std::make_unique<fleet::Controller>(
+      SystemClock::Now(), options, std::move(log.state),
+      std::mt19937_64(std::random_device()()), MakeHooks());
+
+  peers_ = std::make_unique<adapters::PeerTransport>(
+      context_, PeerOptions(settings_, kControllerOffset), out_.logger(),
+      [this](const std::string& from, const messages::PeerMessage& message) {
+        controller_->OnMessage(SystemClock::Now(), from, message);
+      },
+      [this](const std::string& peer, bool up) {
+        controller_->OnLink(SystemClock::Now(), peer, up);
+      });
+  adapters::HttpServerOptions http;
+  http.host = settings_.controller_listen.host;
+  http.port = settings_.controller_listen.port;
+  http.max_body_bytes = kMaxBodyBytes;
+  http_ = std::make_unique<adapters::HttpServer>(
+      context_, http,
+      [this](const adapters::HttpRequest& request,
+             const adapters::HttpServer::Respond& respond) {
+        HandleHttp(request, respond);
+      });
+}
+
+ControllerService::~ControllerService() = default;
+
+void ControllerService::Start() {
+  peers_->SetPeers(PeerAddresses(known_));
+  peers_->Start();
+  http_->Start();
+  Tick();
+}
+
+fleet::ControllerHooks ControllerService::MakeHooks() {
+  fleet::ControllerHooks hooks;
+  hooks.send = [this](const std::string& to,
+                      const messages::PeerMessage& message) {
+    peers_->Send(to, message);
+  };
+  hooks.persist = [this](const std::vector<consensus::LogWrite>& writes) {
+    return store_ == nullptr || static_cast<bool>(store_->Apply(writes));
+  };
+  hooks.decode = [](const std::string& text) {
+    return platform::DecodeRoutingDocument(text).table;
+  };
+  hooks.known_controllers = [this](const std::set<std::string>& names) {
+    known_ = names;
+    peers_->SetPeers(PeerAddresses(known_));
+  };
+  hooks.probe = [this](const routing::EndpointDirectory::Entry& entry,
+                       fleet::ProbePurpose purpose) {
+    prober_.Probe(entry.record, purpose);
+  };
+  hooks.promote = [this](const messages::PrimaryAssignment& assignment) {
+    Promote(assignment);
+  };
+  hooks.decided = [this](const std::string& event, const std::string& subject,
+                         const std::string& cause) {
+    counters_.GetCounter("goldcrest_decisions_total", {{"event", event}}).Add();
+    out_.Event(event, {{"subject", subject}, {"cause", cause}});
+  };
+  return hooks;
+}
+
+void ControllerService::Tick() {
+  const Time now = SystemClock::Now();
+  controller_->Tick(now);
+  prober_.CloseIdle(now);
+  if (controller_->HasFailed()) {
+    out_.Event("log_failed", {{"folder", settings_.data_folder}});
+    if (on_failure_)
+      on_failure_();
+    return;
+  }
+  scheduler_.After(kTick, [this] { Tick(); });
+}
+
+void ControllerService::HandleHttp(
+    const adapters::HttpRequest& request,
+    const adapters::HttpServer::Respond& respond) {
+  const auto call = platform::DecodeCall(request.method, request.path);
+  if (!call)
+    return respond(Refusal(404, "no such call"));
+  switch (call->call) {
+    case platform::Call::kBeat:
+      return respond(HandleBeat(call->endpoint, request.body));
+    case platform::Call::kDeparture:
+      controller_->OnDeparture(
+          SystemClock::Now(),
+          platform::DecodeDeparture(call->endpoint, request.body));
+      return respond(HttpResponse());
+    case platform::Call::kPutConfiguration:
+      return HandlePut(request.body, respond);
+    case platform::Call::kGetConfiguration:
+      return respond(
+          ToResponse(controller_->Get(SystemClock::Now()), request.path));
+    case platform::Call::kMetrics: {
+      HttpResponse response;
+      response.content_type = adapters::Counters::kContentType;
+      response.body = counters_.Render();
+      return respond(response);
+    }
+    case platform::Call::kReadiness:
+      return respond(HttpResponse());
+  }
+}
+
+HttpResponse ControllerService::HandleBeat(const std::string& endpoint,
+                                           const std::string& body) {
+  std::string problem;
+  const auto record = platform::DecodeBeat(endpoint, body, problem);
+  if (!record) {
+    out_.Event("heartbeat_refused",
+               {{"endpoint", endpoint}, {"cause", problem}});
+    return Refusal(400, problem);
+  }
+  controller_->OnBeat(SystemClock::Now(), *record);
+  HttpResponse response;
+  response.body = platform::EncodeBeatAnswer("");
+  return response;
+}
+
+void ControllerService::HandlePut(
+    const std::string& body,
+    const adapters::HttpServer::Respond& respond) {
+  const platform::DecodedDocument decoded =
+      platform::DecodeRoutingDocument(body);
+  if (!decoded.table) {
+    out_.Event("configuration_refused", {{"cause", decoded.problem}});
+    return respond(Refusal(400, decoded.problem));
+  }
+  const std::int64_t version = decoded.table->version;
+  controller_->Put(
+      SystemClock::Now(), version, body,
+      [this, respond, version](const ConfigurationResult& result) {
+        out_.Event(
+            "configuration_answered",
+            {{"version", version}, {"result", static_cast<int>(result.kind)}});
+        respond(ToResponse(
+            result, platform::PathOf(platform::Call::kPutConfiguration)));
+      });
+}
+
+HttpResponse ControllerService::ToResponse(const ConfigurationResult& result,
+                                           std::string_view path) const {
+  HttpResponse response;
+  switch (result.kind) {
+    case ConfigurationResult::Kind::kDone:
+      response.body = result.text.empty() ? "{}" : result.text;
+      return response;
+    case ConfigurationResult::Kind::kElsewhere: {
+      platform::SocketAddress leader = platform::ParseAddress(result.leader);
+      leader.port = settings_.controller_listen.port;
+      response.status = 307;
+      response.headers.emplace_back(
+          "Location",
+          "http://" + platform::ToString(leader) + std::string(path));
+      return response;
+    }
+    case ConfigurationResult::Kind::kUnknown:
+      break;
+  }
+  return Refusal(503, "no leader is known");
+}
+
+void ControllerService::Promote(const messages::PrimaryAssignment& assignment) {
+  adapters::HttpCall call = platform::EncodePromotion(
+      assignment.group, assignment.endpoint, settings_.instance,
+      assignment.order, SystemClock::Now() + kPromotionDeadline);
+  platform_api_->Call(
+      call, [this, assignment](const adapters::HttpResult& result) {
+        fleet::PromotionResult outcome = fleet::PromotionResult::kUnanswered;
+        if (result.delivery == adapters::HttpDelivery::kAnswered) {
+          if (result.status == 200)
+            outcome = fleet::PromotionResult::kAccepted;
+          else if (result.status == 409)
+            outcome = fleet::PromotionResult::kRefused;
+        }
+        out_.Event("promotion_answered", {{"endpoint", assignment.endpoint},
+                                          {"order", assignment.order},
+                                          {"status", result.status},
+                                          {"cause", result.error}});
+        controller_->OnPromotion(SystemClock::Now(), assignment, outcome);
+      });
+}
+
+void ControllerService::BeginDrain(std::function<void()> done) {
+  out_.Event("stop_requested", {});
+  controller_->BeginDrain(SystemClock::Now());
+  scheduler_.After(kHandOver, std::move(done));
+}
+
+void ControllerService::OnSettings(const platform::BootSettings& settings) {
+  known_.merge(ControllerNames(settings));
+  out_.Event("settings_loaded", {{"seeds", settings.controller_seeds.size()}});
+  peers_->SetPeers(PeerAddresses(known_));
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/programs/goldcrestd/controller_service.h
@@ -0,0 +1,75 @@
+#ifndef GOLDCREST_PROGRAMS_GOLDCRESTD_CONTROLLER_SERVICE_H_
+#define GOLDCREST_PROGRAMS_GOLDCRESTD_CONTROLLER_SERVICE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "goldcrest/adapters/counters.h"
+#include "goldcrest/adapters/http_client.h"
+#include "goldcrest/adapters/http_server.h"
+#include "goldcrest/adapters/peer_transport.h"
+#include "goldcrest/adapters/scheduler.h"
+#include "goldcrest/fleet/controller.h"
+#include "goldcrest/platform/boot_settings.h"
+#include "goldcrest/storage/log_store.h"
+#include "programs/goldcrestd/endpoint_prober.h"
+#include "programs/goldcrestd/platform_log.h"
+
+namespace goldcrest {
+
+//! The process that serves endpoints' heartbeats and operators: HTTP, the log
+//! on disk and probes around a fleet::Controller. Runs on one thread, which
+//! waits for the disk.
+class ControllerService {
+ public:
+  ControllerService(boost::asio::io_context& context,
+                    const platform::BootSettings& settings,
+                    storage::OpenedLog log,
+                    PlatformLog& out);
+  ~ControllerService();
+
+  void Start();
+
+  //! Hands over what it leads and stops; `done` runs once it may exit.
+  void BeginDrain(std::function<void()> done);
+
+  //! Runs when the log can't be written; the process must stop.
+  void SetFailureHook(std::function<void()> hook) {
+    on_failure_ = std::move(hook);
+  }
+
+  void OnSettings(const platform::BootSettings& settings);
+
+ private:
+  fleet::ControllerHooks MakeHooks();
+  void Tick();
+  void HandleHttp(const adapters::HttpRequest& request,
+                  const adapters::HttpServer::Respond& respond);
+  adapters::HttpResponse HandleBeat(const std::string& endpoint,
+                                    const std::string& body);
+  void HandlePut(const std::string& body,
+                 const adapters::HttpServer::Respond& respond);
+  adapters::HttpResponse ToResponse(const fleet::ConfigurationResult& result,
+                                    std::string_view path) const;
+  void Promote(const messages::PrimaryAssignment& assignment);
+
+  boost::asio::io_context& context_;
+  platform::BootSettings settings_;
+  PlatformLog& out_;
+  adapters::Counters counters_;
+  adapters::Scheduler scheduler_;
+  std::unique_ptr<storage::LogStore> store_;
+  std::set<std::string> known_;
+  EndpointProber prober_;
+  std::unique_ptr<adapters::HttpClient> platform_api_;
+  std::unique_ptr<fleet::Controller> controller_;
+  std::unique_ptr<adapters::PeerTransport> peers_;
+  std::unique_ptr<adapters::HttpServer> http_;
+  std::function<void()> on_failure_;
+};
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_PROGRAMS_GOLDCRESTD_CONTROLLER_SERVICE_H_
--- /dev/null
+++ b/programs/goldcrestd/endpoint_prober.cc
@@ -0,0 +1,172 @@
+#include "programs/goldcrestd/endpoint_prober.h"
+
+#include <chrono>
+
+#include "goldcrest/adapters/system_clock.h"
+#include "goldcrest/platform/boot_settings.h"
+
+namespace goldcrest {
+namespace {
+
+using adapters::SystemClock;
+using fleet::ProbePurpose;
+using fleet::ProbeResult;
+using statements::EndpointCommand;
+using statements::Outcome;
+
+// An endpoint answers in some milliseconds; a lost packet costs 200 ms.
+constexpr std::chrono::milliseconds kAnswerTimeout{350};
+
+constexpr Duration kIdleKept = std::chrono::seconds(2);
+
+// How probes are named to endpoints in place of a customer.
+constexpr const char* kProbeCustomer = "goldcrestcross";
+
+}  // namespace
+
+EndpointProber::EndpointProber(boost::asio::io_context& context,
+                               adapters::Scheduler& scheduler,
+                               Result result)
+    : context_(context), scheduler_(scheduler), result_(std::move(result)) {}
+
+EndpointProber::~EndpointProber() {
+  for (auto& [endpoint, connection] : connections_)
+    connection->socket->Close();
+}
+
+void EndpointProber::Probe(const messages::EndpointRecord& record,
+                           ProbePurpose purpose) {
+  auto& connection = connections_[record.endpoint];
+  if (connection && connection->address != record.address) {
+    connection->socket->Close();
+    connection.reset();
+  }
+  if (connection && (connection->asked || !connection->started)) {
+    connection->purpose = purpose;
+    return;
+  }
+  const std::uint64_t attempt = ++attempts_;
+  const bool fresh = !connection;
+  if (fresh) {
+    connection = std::make_unique<Connection>();
+    connection->group = record.group;
+    connection->endpoint = record.endpoint;
+    connection->address = record.address;
+    connection->socket = std::make_shared<adapters::LineSocket>(
+        context_, platform::kMaxLineBytes);
+  }
+  connection->purpose = purpose;
+  connection->attempt = attempt;
+  connection->used_at = SystemClock::Now();
+  scheduler_.After(kAnswerTimeout, [this, endpoint = record.endpoint, attempt] {
+    const auto it = connections_.find(endpoint);
+    if (it == connections_.end() || it->second->attempt != attempt ||
+        (it->second->started && !it->second->asked))
+      return;
+    Fail(endpoint);
+  });
+  if (!fresh)
+    return Ask(*connection);
+  const platform::SocketAddress address =
+      platform::ParseAddress(record.address);
+  connection->socket->Connect(
+      address.host, address.port, kAnswerTimeout,
+      platform::EncodeEndpointStart(record.group, kProbeCustomer,
+                                    record.endpoint),
+      {[this, endpoint = record.endpoint](std::string_view line) {
+         OnLine(endpoint, line);
+       },
+       [this, endpoint = record.endpoint](const std::string&) {
+         Fail(endpoint);
+       }});
+}
+
+void EndpointProber::Ask(Connection& connection) {
+  connection.asked = true;
+  EndpointCommand command;
+  command.kind = connection.purpose == ProbePurpose::kLead
+                     ? EndpointCommand::Kind::kBegin
+                     : EndpointCommand::Kind::kStatus;
+  connection.socket->Write(platform::EncodeCommand(command));
+}
+
+void EndpointProber::OnLine(const std::string& endpoint,
+                            std::string_view line) {
+  const auto it = connections_.find(endpoint);
+  if (it == connections_.end())
+    return;
+  Connection& connection = *it->second;
+  switch (connection.decoder.OnLine(line)) {
+    case platform::AnswerDecoder::Step::kMore:
+      return;
+    case platform::AnswerDecoder::Step::kMalformed:
+      return Fail(endpoint);
+    case platform::AnswerDecoder::Step::kAnswer:
+      return OnAnswer(connection, connection.decoder.Take());
+  }
+}
+
+void EndpointProber::OnAnswer(Connection& connection,
+                              const statements::Answer& answer) {
+  if (!connection.started) {
+    connection.started = true;
+    return Ask(connection);
+  }
+  if (connection.cleaning) {
+    connection.cleaning = false;
+    return;
+  }
+  if (!connection.asked)
+    return Fail(connection.endpoint);
+  ProbeResult result;
+  result.kind = ProbeResult::Kind::kFollows;
+  if (answer.position) {
+    result.term = answer.position->term;
+    result.number = answer.position->number;
+  }
+  if (connection.purpose == ProbePurpose::kLead) {
+    if (answer.outcome == Outcome::kDone)
+      result.kind = ProbeResult::Kind::kLeads;
+    if (answer.state != statements::TransactionState::kIdle) {
+      EndpointCommand rollback;
+      rollback.kind = EndpointCommand::Kind::kRollback;
+      connection.cleaning = true;
+      connection.socket->Write(platform::EncodeCommand(rollback));
+    }
+  } else if (const auto received = platform::ReceivedPosition(answer)) {
+    result.term = received->term;
+    result.number = received->number;
+  }
+  Finish(connection, result);
+}
+
+void EndpointProber::Finish(Connection& connection, const ProbeResult& result) {
+  connection.asked = false;
+  connection.used_at = SystemClock::Now();
+  result_(connection.group, connection.endpoint, result);
+}
+
+void EndpointProber::Fail(const std::string& endpoint) {
+  const auto it = connections_.find(endpoint);
+  if (it == connections_.end())
+    return;
+  const std::unique_ptr<Connection> connection = std::move(it->second);
+  connections_.erase(it);
+  connection->socket->Close();
+  ProbeResult result;
+  if (connection->decoder.Partial().outcome == Outcome::kTooManyConnections)
+    result.kind = ProbeResult::Kind::kReached;
+  result_(connection->group, endpoint, result);
+}
+
+void EndpointProber::CloseIdle(Time now) {
+  std::erase_if(connections_, [now](auto& item) {
+    Connection& connection = *item.second;
+    if (connection.asked || now - connection.used_at < kIdleKept)
+      return false;
+    connection.socket->Close();
+    return true;
+  });
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/programs/goldcrestd/entry_service.h
@@ -0,0 +1,106 @@
+#ifndef GOLDCREST_PROGRAMS_GOLDCRESTD_ENTRY_SERVICE_H_
+#define GOLDCREST_PROGRAMS_GOLDCRESTD_ENTRY_SERVICE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "goldcrest/adapters/counters.h"
+#include "goldcrest/adapters/http_server.h"
+#include "goldcrest/adapters/line_socket.h"
+#include "goldcrest/adapters/peer_transport.h"
+#include "goldcrest/adapters/scheduler.h"
+#include "goldcrest/platform/boot_settings.h"
+#include "goldcrest/platform/statement_codec.h"
+#include "goldcrest/statements/statement_proxy.h"
+#include "programs/goldcrestd/platform_log.h"
+
+namespace goldcrest {
+
+//! The process that serves callers: sockets of callers and endpoints around a
+//! StatementProxy, and links to all controllers. Runs on one thread.
+class EntryService {
+ public:
+  EntryService(boost::asio::io_context& context,
+               const platform::BootSettings& settings,
+               PlatformLog& log);
+  ~EntryService();
+
+  void Start();
+
+  //! Starts a planned stop; `done` runs once no session is left.
+  void BeginDrain(std::function<void()> done);
+
+  //! Takes over changed settings; only the seeds may change.
+  void OnSettings(const platform::BootSettings& settings);
+
+ private:
+  struct EndpointLink {
+    std::shared_ptr<adapters::LineSocket> socket;
+    platform::AnswerDecoder decoder;
+    bool started = false;
+  };
+  struct ControllerView {
+    bool linked = false;
+    bool leads = false;
+    std::int64_t version = 0;
+    Time heard_at;
+    Time reported_at;
+  };
+
+  statements::ProxyHooks MakeHooks();
+  void AwaitCaller();
+  void OnCaller(boost::asio::ip::tcp::socket socket);
+  void OnCallerLine(statements::SessionId id, std::string_view line);
+  void CloseCaller(statements::SessionId id);
+  void OpenEndpoint(statements::ConnectionId id,
+                    const statements::ConnectionTarget& target);
+  void OnEndpointLine(statements::ConnectionId id, std::string_view line);
+  void OnEndpointClosed(statements::ConnectionId id, const std::string& cause);
+  void OnPeerMessage(const std::string& from,
+                     const messages::PeerMessage& message);
+  void OnUpdate(const std::string& from, const messages::ProxyUpdate& update);
+  void OnLink(const std::string& controller, bool up);
+  void UpdatePeers();
+  void Tick();
+  void Report(Time now, const std::string& controller, bool wants_document);
+  void FetchDocument(Time now);
+  void DrainStep(Time now);
+  bool IsReady() const;
+  adapters::HttpResponse HandleHttp(const adapters::HttpRequest& request);
+
+  boost::asio::io_context& context_;
+  platform::BootSettings settings_;
+  PlatformLog& log_;
+  std::int64_t process_;  // random, differs after a restart
+  adapters::Counters counters_;
+  adapters::Scheduler scheduler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  statements::StatementProxy proxy_;
+  std::uint64_t next_session_ = 1;
+  std::map<statements::SessionId, std::shared_ptr<adapters::LineSocket>>
+      callers_;
+  std::set<statements::SessionId> started_sessions_;
+  std::map<statements::ConnectionId, EndpointLink> endpoints_;
+  std::set<std::string> known_controllers_;
+  std::map<std::string, ControllerView> controllers_;
+  std::string leader_;
+  std::string fetching_from_;
+  Time fetch_until_;
+  bool endpoints_known_ = false;
+  bool ready_told_ = false;
+  Time drain_started_ = kNever;
+  bool drain_announced_ = false;
+  std::function<void()> on_drained_;
+  std::unique_ptr<adapters::PeerTransport> peers_;
+  std::unique_ptr<adapters::HttpServer> http_;
+};
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_PROGRAMS_GOLDCRESTD_ENTRY_SERVICE_H_
--- a/programs/goldcrestd/main.cc
+++ b/programs/goldcrestd/main.cc
@@ -14,6 +14,7 @@
 #include "goldcrest/settings/daemon_settings.h"
 #include "goldcrest/storage/storage_error.h"
 #include "programs/goldcrestd/daemon.h"
+#include "programs/goldcrestd/platform_main.h"
 
 namespace goldcrest {
 namespace {
@@ -25,6 +26,8 @@
 Usage:
   goldcrestd run --config FILE [--bootstrap]
   goldcrestd check --config FILE
+  goldcrestd entry
+  goldcrestd controller
   goldcrestd (-h | --help)
   goldcrestd --version
 
@@ -36,6 +39,9 @@
   -h --help      Show this text.
   --version      Show the version.
 
+entry and controller are the two processes of an instance on a platform that
+writes their settings; GOLDCRESTCROSS_BOOT names the file. See docs/platform.md.
+
 SIGTERM or SIGINT starts a planned stop, which cuts no request; a second one
 stops at once.
 )";
@@ -111,6 +117,10 @@
 int Main(int argc, char** argv) {
   const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true,
                                         "goldcrestd " GOLDCREST_VERSION);
+  if (arguments.at("entry").asBool())
+    return RunEntry();
+  if (arguments.at("controller").asBool())
+    return RunController();
   const std::string config = arguments.at("--config").asString();
   if (arguments.at("check").asBool()) {
     const std::vector<settings::Problem> problems =
--- /dev/null
+++ b/programs/goldcrestd/platform_main.cc
@@ -0,0 +1,165 @@
+#include "programs/goldcrestd/platform_main.h"
+
+#include <fmt/format.h>
+#include <sysexits.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/leaf/pred.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+
+#include "goldcrest/storage/storage_error.h"
+#include "programs/goldcrestd/controller_service.h"
+#include "programs/goldcrestd/entry_service.h"
+
+namespace goldcrest {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr const char* kLogCluster = "goldcrestcross";
+
+// The settings may change without a signal.
+constexpr Duration kSettingsInterval = std::chrono::seconds(2);
+
+// Runs a service until SIGTERM or SIGINT has stopped it. SIGHUP and a changed
+// settings file make it read its settings again.
+template <typename Service>
+class Runner {
+ public:
+  Runner(boost::asio::io_context& context, Service& service, PlatformLog& log)
+      : context_(context),
+        service_(service),
+        log_(log),
+        scheduler_(context),
+        stop_signals_(context, SIGTERM, SIGINT),
+        reload_signals_(context, SIGHUP) {}
+
+  int Run() {
+    AwaitStop();
+    AwaitReload();
+    Poll();
+    service_.Start();
+    log_.Event("started", {});
+    context_.run();
+    return code_;
+  }
+
+  void End(int code) {
+    code_ = code;
+    context_.stop();
+  }
+
+ private:
+  void AwaitStop() {
+    stop_signals_.async_wait([this](boost::system::error_code error, int) {
+      if (error)
+        return;
+      service_.BeginDrain([this] { End(EXIT_SUCCESS); });
+      AwaitStop();
+    });
+  }
+
+  void AwaitReload() {
+    reload_signals_.async_wait([this](boost::system::error_code error, int) {
+      if (error)
+        return;
+      Reload();
+      AwaitReload();
+    });
+  }
+
+  void Poll() {
+    scheduler_.After(kSettingsInterval, [this] {
+      Reload();
+      Poll();
+    });
+  }
+
+  void Reload() {
+    leaf::try_handle_all(
+        [this]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(settings, platform::LoadBootSettings());
+          if (settings.controller_seeds == seeds_)
+            return {};
+          seeds_ = settings.controller_seeds;
+          service_.OnSettings(settings);
+          return {};
+        },
+        [this](const platform::BootError& error) {
+          log_.Event("settings_unreadable", {{"cause", error.message}});
+        },
+        [this] {
+          log_.Event("settings_unreadable", {{"cause", "unknown"}});
+        });
+  }
+
+  boost::asio::io_context& context_;
+  Service& service_;
+  PlatformLog& log_;
+  adapters::Scheduler scheduler_;
+  boost::asio::signal_set stop_signals_;
+  boost::asio::signal_set reload_signals_;
+  std::vector<platform::SocketAddress> seeds_;
+  int code_ = EXIT_SUCCESS;
+};
+
+leaf::result<int> TryEntry() {
+  BOOST_LEAF_AUTO(settings, platform::LoadBootSettings());
+  PlatformLog log(settings.instance + "/entry", settings.zone);
+  boost::asio::io_context context(1);
+  EntryService service(context, settings, log);
+  return Runner(context, service, log).Run();
+}
+
+leaf::result<int> TryController() {
+  BOOST_LEAF_AUTO(settings, platform::LoadBootSettings());
+  PlatformLog log(settings.instance + "/controller", settings.zone);
+  storage::OpenedLog opened;
+  if (!settings.data_folder.empty()) {
+    storage::LogStoreOptions options;
+    options.folder = settings.data_folder;
+    options.cluster = kLogCluster;
+    options.instance = settings.host;
+    BOOST_LEAF_ASSIGN(opened, storage::LogStore::Open(options));
+  }
+  boost::asio::io_context context(1);
+  ControllerService service(context, settings, std::move(opened), log);
+  Runner runner(context, service, log);
+  service.SetFailureHook([&] { runner.End(EX_IOERR); });
+  return runner.Run();
+}
+
+template <typename Try>
+int RunGuarded(Try run) {
+  return leaf::try_handle_all(
+      run,
+      [](const platform::BootError& error) {
+        fmt::print(stderr, "settings: {}\n", error.message);
+        return EX_CONFIG;
+      },
+      [](const storage::StorageError& error) {
+        fmt::print(stderr, "error {}: {}\n", ToNumber(error.code),
+                   error.message);
+        return EX_IOERR;
+      },
+      [](leaf::catch_<std::exception> error) {
+        fmt::print(stderr, "error: {}\n", error.matched.what());
+        return EX_OSERR;
+      },
+      [] { return EX_SOFTWARE; });
+}
+
+}  // namespace
+
+int RunEntry() {
+  return RunGuarded(TryEntry);
+}
+
+int RunController() {
+  return RunGuarded(TryController);
+}
+
+}  // namespace goldcrest
