--- /dev/null
+++ b/programs/goldcrestd/platform_peers.cc
@@ -0,0 +1,59 @@
+#include "programs/goldcrestd/platform_peers.h"
+
+#include <chrono>
+
+namespace goldcrest {
+namespace {
+
+constexpr const char* kCluster = "goldcrestcross";
+
+// Controllers elect within 400 to 800 ms, so that a link that went silent must
+// be replaced soon after.
+constexpr std::chrono::milliseconds kPingInterval{400};
+constexpr std::chrono::milliseconds kSilenceTimeout{1'200};
+
+}  // namespace
+
+std::string PeerName(const platform::BootSettings& settings,
+                     std::uint16_t offset) {
+  return settings.host + ":" +
+         std::to_string(settings.first_internal_port + offset);
+}
+
+std::set<std::string> ControllerNames(const platform::BootSettings& settings) {
+  std::set<std::string> names;
+  for (const platform::SocketAddress& seed : settings.controller_seeds)
+    names.insert(
+        seed.host + ":" +
+        std::to_string(settings.first_internal_port + kControllerOffset));
+  return names;
+}
+
+std::map<std::string, adapters::PeerAddress> PeerAddresses(
+    const std::set<std::string>& names) {
+  std::map<std::string, adapters::PeerAddress> addresses;
+  for (const std::string& name : names) {
+    const platform::SocketAddress address = platform::ParseAddress(name);
+    if (address.port != 0)
+      addresses[name] = {address.host, address.port};
+  }
+  return addresses;
+}
+
+adapters::PeerTransportOptions PeerOptions(
+    const platform::BootSettings& settings,
+    std::uint16_t offset) {
+  adapters::PeerTransportOptions options;
+  options.cluster = kCluster;
+  options.self.instance = PeerName(settings, offset);
+  options.self.zone = settings.zone;
+  options.self.host = settings.host;
+  options.self.port = settings.first_internal_port + offset;
+  options.host = settings.host;
+  options.port = settings.first_internal_port + offset;
+  options.ping_interval = kPingInterval;
+  options.silence_timeout = kSilenceTimeout;
+  return options;
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/routing/src/endpoint_directory.cc
@@ -0,0 +1,76 @@
+#include "goldcrest/routing/endpoint_directory.h"
+
+#include <tuple>
+
+namespace goldcrest::routing {
+namespace {
+
+auto Freshness(const messages::EndpointRecord& record) {
+  return std::tuple(record.started_ms, record.sequence, record.gone);
+}
+
+bool SameState(const messages::EndpointRecord& left,
+               const messages::EndpointRecord& right) {
+  return left.group == right.group && left.address == right.address &&
+         left.zone == right.zone && left.draining == right.draining &&
+         left.primary == right.primary && left.gone == right.gone &&
+         left.started_ms == right.started_ms;
+}
+
+}  // namespace
+
+EndpointDirectory::Merge EndpointDirectory::Apply(
+    Time now,
+    const messages::EndpointRecord& record) {
+  const auto [it, inserted] =
+      entries_.try_emplace(record.endpoint, Entry{record, now, now});
+  if (inserted)
+    return Merge::kChanged;
+  Entry& entry = it->second;
+  if (Freshness(record) <= Freshness(entry.record))
+    return Merge::kStale;
+  const bool same = SameState(entry.record, record);
+  entry.record = record;
+  entry.heard_at = now;
+  if (same)
+    return Merge::kRefreshed;
+  entry.changed_at = now;
+  return Merge::kChanged;
+}
+
+std::vector<messages::EndpointRecord> EndpointDirectory::Expire(Time oldest) {
+  std::vector<messages::EndpointRecord> expired;
+  for (auto& [name, entry] : entries_) {
+    if (entry.record.gone || entry.heard_at >= oldest)
+      continue;
+    entry.record.gone = true;
+    expired.push_back(entry.record);
+  }
+  return expired;
+}
+
+const EndpointDirectory::Entry* EndpointDirectory::Find(
+    const std::string& endpoint) const {
+  const auto it = entries_.find(endpoint);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+std::vector<const EndpointDirectory::Entry*> EndpointDirectory::MembersOf(
+    const std::string& group) const {
+  std::vector<const Entry*> members;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.record.gone || entry.record.group != group)
+      continue;
+    members.push_back(&entry);
+  }
+  return members;
+}
+
+std::vector<messages::EndpointRecord> EndpointDirectory::All() const {
+  std::vector<messages::EndpointRecord> records;
+  for (const auto& [name, entry] : entries_)
+    records.push_back(entry.record);
+  return records;
+}
+
+}  // namespace goldcrest::routing
--- /dev/null
+++ b/routing/src/routing_table.cc
@@ -0,0 +1,15 @@
+#include "goldcrest/routing/routing_table.h"
+
+namespace goldcrest::routing {
+
+const Route* RoutingTable::FindRoute(const std::string& database) const {
+  const auto it = routes.find(database);
+  return it == routes.end() ? nullptr : &it->second;
+}
+
+const Customer* RoutingTable::FindCustomer(const std::string& key) const {
+  const auto it = keys.find(key);
+  return it == keys.end() ? nullptr : &customers[it->second];
+}
+
+}  // namespace goldcrest::routing
--- /dev/null
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -0,0 +1,145 @@
+#ifndef GOLDCREST_STATEMENTS_CONNECTION_POOL_H_
+#define GOLDCREST_STATEMENTS_CONNECTION_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "goldcrest/statements/statement.h"
+#include "goldcrest/types/time.h"
+
+namespace goldcrest::statements {
+
+using SessionId = std::uint64_t;
+using ConnectionId = std::uint64_t;
+
+//! What an entry knows of one connection to an endpoint.
+struct Connection {
+  enum class State { kOpening, kIdle, kBusy };
+  //! What the next answers on the connection belong to.
+  struct Expected {
+    enum class Kind { kSetup, kBegin, kStatement, kCleanup };
+    Kind kind = Kind::kStatement;
+    Time sent_at;
+  };
+
+  ConnectionId id = 0;
+  std::string endpoint;
+  std::string group;
+  std::string customer;
+  State state = State::kOpening;
+  SessionId session = 0;  //!< kBusy: who uses it; 0: nobody waits any more.
+  bool in_transaction = false;
+  bool leads_checked = false;  //!< Its transaction runs on a primary only.
+  std::map<std::string, std::string> values;
+  std::set<std::string> prepared;
+  std::deque<Expected> expected;
+  Time since;  //!< Of `state`.
+};
+
+//! What opening a connection takes.
+struct ConnectionTarget {
+  std::string endpoint;
+  std::string group;
+  std::string customer;
+};
+
+struct ConnectionPoolHooks {
+  std::function<void(ConnectionId, const ConnectionTarget&)> open;
+  std::function<void(ConnectionId)> close;
+};
+
+//! The connections of one entry to all endpoints. A connection belongs to one
+//! customer, since an endpoint is told the customer when it is opened. The
+//! limit of an endpoint over all entries is kept by the endpoint: an entry
+//! opens its even part freely and more while it needs them, and gives up what
+//! idles.
+class ConnectionPool {
+ public:
+  explicit ConnectionPool(ConnectionPoolHooks hooks);
+
+  //! An idle connection for the customer, which becomes busy for `session`;
+  //! nullptr when there is none.
+  Connection* Take(Time now,
+                   const std::string& endpoint,
+                   const std::string& customer,
+                   SessionId session);
+
+  bool HasIdle(const std::string& endpoint, const std::string& customer) const;
+
+  //! Begins to open a connection, closing an idle one of another customer when
+  //! `limit` is reached. Returns 0 when that can't be done now.
+  ConnectionId Open(Time now, const ConnectionTarget& target, int limit);
+
+  //! True when Open() would begin to open a connection.
+  bool MayOpen(Time now, const std::string& endpoint, int limit) const;
+
+  bool IsOpening(ConnectionId id) const;
+
+  void OnOpened(Time now, ConnectionId id);
+  //! `outcome`: kTooManyConnections, kWrongEndpoint, or kFailed for any other
+  //! cause.
+  void OnOpenFailed(Time now, ConnectionId id, Outcome outcome);
+
+  Connection* Find(ConnectionId id);
+
+  //! Makes a busy connection idle. Answers may still be due on it.
+  void Release(Time now, Connection& connection);
+
+  //! Closes and forgets the connection.
+  void Close(ConnectionId id);
+
+  //! Forgets a connection that the endpoint has closed.
+  void Forget(ConnectionId id);
+
+  //! The endpoint answered a statement after `latency`.
+  void OnLatency(const std::string& endpoint, Duration latency);
+
+  //! The endpoint failed; it is left alone for a while, longer each time.
+  void OnFailure(Time now, const std::string& endpoint);
+
+  //! Expected time for one more statement at the endpoint: its recent latency,
+  //! or the age of its oldest unanswered statement, times what this entry has
+  //! outstanding there.
+  Duration ExpectedWait(Time now, const std::string& endpoint) const;
+
+  bool IsAvoided(Time now, const std::string& endpoint) const;
+
+  //! Closes connections that have idled too long, or whose endpoint satisfies
+  //! `unwanted`; those above `even_part` of their endpoint go sooner.
+  void CloseIdle(Time now,
+                 const std::function<bool(const std::string&)>& unwanted,
+                 const std::function<int(const std::string&)>& even_part);
+
+  //! Connections without an answer since before `oldest`, used by nobody.
+  std::vector<ConnectionId> Stuck(Time oldest) const;
+
+  int CountOf(const std::string& endpoint) const;
+  std::size_t Size() const { return connections_.size(); }
+
+ private:
+  struct Health {
+    Duration latency{};
+    int failures = 0;
+    Time avoid_until;
+    Time open_after;  // the endpoint had too many connections
+    int count = 0;
+  };
+
+  Connection* FindIdle(const std::string& endpoint,
+                       const std::function<bool(const Connection&)>& matches);
+  void Remove(ConnectionId id);
+
+  ConnectionPoolHooks hooks_;
+  ConnectionId next_id_ = 1;
+  std::map<ConnectionId, Connection> connections_;
+  std::map<std::string, Health> health_;
+};
+
+}  // namespace goldcrest::statements
+
+#endif  // GOLDCREST_STATEMENTS_CONNECTION_POOL_H_
--- /dev/null
+++ b/statements/src/connection_pool.cc
@@ -0,0 +1,246 @@
+#include "goldcrest/statements/connection_pool.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace goldcrest::statements {
+namespace {
+
+// After a refusal for too many connections: long enough for another entry to
+// give up an idle one.
+constexpr Duration kTooManyPause = std::chrono::milliseconds(120);
+
+// An endpoint that can't be reached is tried again after this, doubled with
+// each failure in a row.
+constexpr Duration kFailurePause = std::chrono::milliseconds(100);
+constexpr int kMaxFailureDoublings = 3;
+
+// An idle connection within the even part is kept this long; it costs the
+// endpoint some milliseconds of a slot to open another.
+constexpr Duration kIdleKept = std::chrono::seconds(4);
+constexpr Duration kExtraIdleKept = std::chrono::milliseconds(250);
+
+// Weight of the newest latency: 1 / kLatencyWeight.
+constexpr int kLatencyWeight = 5;
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(ConnectionPoolHooks hooks)
+    : hooks_(std::move(hooks)) {}
+
+Connection* ConnectionPool::FindIdle(
+    const std::string& endpoint,
+    const std::function<bool(const Connection&)>& matches) {
+  Connection* best = nullptr;
+  for (auto& [id, connection] : connections_) {
+    if (connection.state != Connection::State::kIdle ||
+        connection.endpoint != endpoint || !matches(connection))
+      continue;
+    if (best == nullptr || connection.since > best->since)
+      best = &connection;
+  }
+  return best;
+}
+
+Connection* ConnectionPool::Take(Time now,
+                                 const std::string& endpoint,
+                                 const std::string& customer,
+                                 SessionId session) {
+  Connection* connection = FindIdle(endpoint, [&](const Connection& candidate) {
+    return candidate.customer == customer;
+  });
+  if (connection == nullptr)
+    return nullptr;
+  connection->state = Connection::State::kBusy;
+  connection->since = now;
+  connection->session = session;
+  return connection;
+}
+
+bool ConnectionPool::HasIdle(const std::string& endpoint,
+                             const std::string& customer) const {
+  return std::ranges::any_of(connections_, [&](const auto& item) {
+    return item.second.state == Connection::State::kIdle &&
+           item.second.endpoint == endpoint && item.second.customer == customer;
+  });
+}
+
+bool ConnectionPool::MayOpen(Time now,
+                             const std::string& endpoint,
+                             int limit) const {
+  const auto it = health_.find(endpoint);
+  if (it == health_.end())
+    return true;
+  if (now < it->second.open_after || now < it->second.avoid_until)
+    return false;
+  if (it->second.count < limit)
+    return true;
+  return std::ranges::any_of(connections_, [&](const auto& item) {
+    return item.second.state == Connection::State::kIdle &&
+           item.second.endpoint == endpoint && item.second.expected.empty();
+  });
+}
+
+ConnectionId ConnectionPool::Open(Time now,
+                                  const ConnectionTarget& target,
+                                  int limit) {
+  if (!MayOpen(now, target.endpoint, limit))
+    return 0;
+  if (health_[target.endpoint].count >= limit) {
+    // The least recently used one goes.
+    Connection* oldest = nullptr;
+    for (auto& [id, connection] : connections_) {
+      if (connection.state != Connection::State::kIdle ||
+          connection.endpoint != target.endpoint)
+        continue;
+      if (oldest == nullptr || connection.since < oldest->since)
+        oldest = &connection;
+    }
+    if (oldest == nullptr)
+      return 0;
+    Close(oldest->id);
+  }
+  const ConnectionId id = next_id_++;
+  Connection& connection = connections_[id];
+  connection.id = id;
+  connection.endpoint = target.endpoint;
+  connection.group = target.group;
+  connection.customer = target.customer;
+  connection.since = now;
+  ++health_[target.endpoint].count;
+  hooks_.open(id, target);
+  return id;
+}
+
+bool ConnectionPool::IsOpening(ConnectionId id) const {
+  const auto it = connections_.find(id);
+  return it != connections_.end() &&
+         it->second.state == Connection::State::kOpening;
+}
+
+void ConnectionPool::OnOpened(Time now, ConnectionId id) {
+  Connection* connection = Find(id);
+  if (connection == nullptr)
+    return;
+  connection->state = Connection::State::kIdle;
+  connection->since = now;
+  health_[connection->endpoint].failures = 0;
+}
+
+void ConnectionPool::OnOpenFailed(Time now, ConnectionId id, Outcome outcome) {
+  Connection* connection = Find(id);
+  if (connection == nullptr)
+    return;
+  if (outcome == Outcome::kTooManyConnections)
+    health_[connection->endpoint].open_after = now + kTooManyPause;
+  else
+    OnFailure(now, connection->endpoint);
+  Remove(id);
+}
+
+Connection* ConnectionPool::Find(ConnectionId id) {
+  const auto it = connections_.find(id);
+  return it == connections_.end() ? nullptr : &it->second;
+}
+
+void ConnectionPool::Release(Time now, Connection& connection) {
+  connection.state = Connection::State::kIdle;
+  connection.since = now;
+  connection.session = 0;
+  connection.in_transaction = false;
+  connection.leads_checked = false;
+}
+
+void ConnectionPool::Remove(ConnectionId id) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end())
+    return;
+  --health_[it->second.endpoint].count;
+  connections_.erase(it);
+}
+
+void ConnectionPool::Close(ConnectionId id) {
+  Remove(id);
+  hooks_.close(id);
+}
+
+void ConnectionPool::Forget(ConnectionId id) {
+  Remove(id);
+}
+
+void ConnectionPool::OnLatency(const std::string& endpoint, Duration latency) {
+  Health& health = health_[endpoint];
+  health.failures = 0;
+  health.latency += (latency - health.latency) / kLatencyWeight;
+}
+
+void ConnectionPool::OnFailure(Time now, const std::string& endpoint) {
+  Health& health = health_[endpoint];
+  const int doublings = std::min(health.failures, kMaxFailureDoublings);
+  if (now < health.avoid_until)
+    return;  // One fault breaks several connections at once.
+  ++health.failures;
+  health.avoid_until = now + kFailurePause * (1 << doublings);
+}
+
+Duration ConnectionPool::ExpectedWait(Time now,
+                                      const std::string& endpoint) const {
+  const auto it = health_.find(endpoint);
+  if (it == health_.end())
+    return Duration::zero();
+  Duration oldest{};
+  int outstanding = 0;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.endpoint != endpoint || connection.expected.empty())
+      continue;
+    ++outstanding;
+    oldest = std::max(oldest, now - connection.expected.front().sent_at);
+  }
+  return std::max(it->second.latency, oldest) * (1 + outstanding);
+}
+
+bool ConnectionPool::IsAvoided(Time now, const std::string& endpoint) const {
+  const auto it = health_.find(endpoint);
+  return it != health_.end() && now < it->second.avoid_until;
+}
+
+void ConnectionPool::CloseIdle(
+    Time now,
+    const std::function<bool(const std::string&)>& unwanted,
+    const std::function<int(const std::string&)>& even_part) {
+  std::vector<ConnectionId> closing;
+  std::map<std::string, int> left;
+  for (const auto& [id, connection] : connections_)
+    ++left[connection.endpoint];
+  for (const auto& [id, connection] : connections_) {
+    if (connection.state != Connection::State::kIdle)
+      continue;
+    const bool extra =
+        left[connection.endpoint] > even_part(connection.endpoint);
+    const Duration kept = extra ? kExtraIdleKept : kIdleKept;
+    if (now - connection.since < kept && !unwanted(connection.endpoint))
+      continue;
+    closing.push_back(id);
+    --left[connection.endpoint];
+  }
+  for (const ConnectionId id : closing)
+    Close(id);
+}
+
+std::vector<ConnectionId> ConnectionPool::Stuck(Time oldest) const {
+  std::vector<ConnectionId> stuck;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.session != 0 || connection.expected.empty() ||
+        connection.expected.front().sent_at >= oldest)
+      continue;
+    stuck.push_back(id);
+  }
+  return stuck;
+}
+
+int ConnectionPool::CountOf(const std::string& endpoint) const {
+  const auto it = health_.find(endpoint);
+  return it == health_.end() ? 0 : it->second.count;
+}
+
+}  // namespace goldcrest::statements
--- /dev/null
+++ b/statements/src/proxy_sessions.cc
@@ -0,0 +1,408 @@
+// Sessions: what an entry answers itself, and admission of operations.
+
+#include <algorithm>
+#include <chrono>
+
+#include "goldcrest/statements/statement_proxy.h"
+
+namespace goldcrest::statements {
+namespace {
+
+// Longest wait for a token of the customer's rate; the controllers answer a
+// report within a round trip, and the share's own rate yields the rest.
+constexpr Duration kTokenWait = std::chrono::milliseconds(300);
+
+// A statement that has found no endpoint by this part of its timeout is
+// refused, so that the caller can still come back within its own deadline.
+constexpr int kGiveUpDivisor = 2;
+
+constexpr const char* kRetryHint = "not run; retry after 100 ms";
+
+Answer Completed() {
+  Answer answer;
+  answer.signature = "-";
+  return answer;
+}
+
+}  // namespace
+
+StatementProxy::StatementProxy(ProxyOptions options, ProxyHooks hooks)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      pool_({hooks_.open, hooks_.close}) {}
+
+void StatementProxy::OnSessionStart(Time now,
+                                    SessionId id,
+                                    const std::string& database,
+                                    const std::string& key) {
+  Session& session = sessions_[id];
+  session.id = id;
+  session.database = database;
+  session.key = key;
+  session.started_at = now;
+  const auto refuse = [&](Outcome outcome, const char* message) {
+    Answer answer;
+    answer.outcome = outcome;
+    answer.message = message;
+    Decide(now, session, "session_refused", "", NameOf(outcome));
+    hooks_.answer(id, answer);
+    sessions_.erase(id);
+    hooks_.close_session(id);
+  };
+  if (!table_)
+    return refuse(Outcome::kBusy, "no configuration yet; retry after 500 ms");
+  const routing::Route* route = table_->FindRoute(database);
+  if (route == nullptr)
+    return refuse(Outcome::kUnknownDatabase, "no such database");
+  if (!route->open && table_->FindCustomer(key) == nullptr)
+    return refuse(Outcome::kUnknownKey, "unknown key");
+  hooks_.answer(id, Completed());
+}
+
+void StatementProxy::OnStatement(Time now, SessionId id, Statement statement) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end())
+    return;
+  Session& session = it->second;
+  if (session.close_announced) {
+    hooks_.answer_crossed(id);
+    return;
+  }
+  if (session.pending || !session.inbox.empty()) {
+    session.inbox.push_back(std::move(statement));
+    return;
+  }
+  Handle(now, session, std::move(statement));
+  NextFromInbox(now, id);
+}
+
+void StatementProxy::OnSessionClosed(Time now, SessionId id) {
+  const auto it = sessions_.find(id);
+  if (it == sessions_.end())
+    return;
+  Session& session = it->second;
+  if (session.pending && session.route != nullptr)
+    Decide(now, session, "caller_left", "", "session closed");
+  if (session.customer.size() > 0 && session.pending &&
+      std::ranges::count(token_waiters_, id) > 0)
+    holder_.StopWaiting(session.customer);
+  std::erase(token_waiters_, id);
+  Abandon(now, session);
+  sessions_.erase(it);
+}
+
+// Frees the connection of a session that no longer waits for it.
+void StatementProxy::Abandon(Time now, Session& session) {
+  if (session.connection == 0)
+    return;
+  Connection* connection = pool_.Find(session.connection);
+  session.connection = 0;
+  if (connection == nullptr)
+    return;
+  connection->session = 0;
+  if (connection->expected.empty())
+    CleanUp(now, *connection);
+}
+
+void StatementProxy::NextFromInbox(Time now, SessionId id) {
+  while (true) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || it->second.pending || it->second.inbox.empty())
+      return;
+    Statement next = std::move(it->second.inbox.front());
+    it->second.inbox.pop_front();
+    Handle(now, it->second, std::move(next));
+  }
+}
+
+void StatementProxy::Handle(Time now, Session& session, Statement statement) {
+  if (session.state == TransactionState::kOpen)
+    session.idle_until = kNever;
+  const bool ends = statement.kind == StatementKind::kRollback ||
+                    statement.kind == StatementKind::kCommit;
+  if (session.aborted && !ends) {
+    Answer answer;
+    answer.outcome = Outcome::kAborted;
+    answer.message = "the transaction was rolled back";
+    session.state = TransactionState::kFailed;
+    return ReplyLocally(now, session, std::move(answer));
+  }
+  if (session.state == TransactionState::kFailed && !ends) {
+    Answer answer;
+    answer.outcome = Outcome::kMalformed;
+    answer.message = "the transaction has failed";
+    return ReplyLocally(now, session, std::move(answer));
+  }
+  switch (statement.kind) {
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+      return HandleBegin(now, session, std::move(statement));
+    case StatementKind::kRollback:
+      return HandleRollback(now, session);
+    case StatementKind::kSet:
+      session.values[statement.name] = statement.value;
+      return ReplyLocally(now, session, Completed());
+    case StatementKind::kPrepare:
+    case StatementKind::kDeallocate:
+      return HandlePrepare(now, session, statement);
+    case StatementKind::kCommit:
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+    case StatementKind::kExecute:
+      return HandleRunnable(now, session, std::move(statement));
+    case StatementKind::kMalformed: {
+      Answer answer;
+      answer.outcome = Outcome::kMalformed;
+      answer.message = "the statement can't be read";
+      if (session.state == TransactionState::kOpen)
+        session.state = TransactionState::kFailed;
+      return ReplyLocally(now, session, std::move(answer));
+    }
+  }
+}
+
+void StatementProxy::HandleBegin(Time now,
+                                 Session& session,
+                                 Statement statement) {
+  if (session.state != TransactionState::kIdle) {
+    Answer answer;
+    answer.outcome = Outcome::kMalformed;
+    answer.message = "a transaction is open already";
+    return ReplyLocally(now, session, std::move(answer));
+  }
+  session.read_only = statement.kind == StatementKind::kBeginReadOnly;
+  if (!StartOperation(now, session))
+    return;
+  session.pending = Pending{};
+  session.pending->statement = std::move(statement);
+  session.pending->arrival = now;
+  session.pending->give_up =
+      now + std::min(kTokenWait, session.route->target_latency);
+  session.pending->deadline = session.pending->give_up;
+  if (Admit(now, session)) {
+    session.pending.reset();
+    session.state = TransactionState::kOpen;
+    ReplyLocally(now, session, Completed());
+  }
+}
+
+// Looks up the route and the customer of an operation that begins. Answers and
+// returns false when it may not run.
+bool StatementProxy::StartOperation(Time now, Session& session) {
+  session.table = table_;
+  session.route = table_->FindRoute(session.database);
+  session.started_at = now;
+  session.ran = false;
+  session.aborted = false;
+  session.connection = 0;
+  if (session.route == nullptr) {
+    Refuse(now, session, Outcome::kUnknownDatabase, "no such database");
+    return false;
+  }
+  const routing::Customer* customer = table_->FindCustomer(session.key);
+  if (customer == nullptr && !session.route->open) {
+    Refuse(now, session, Outcome::kUnknownKey, "unknown key");
+    return false;
+  }
+  session.customer = customer == nullptr ? "-" : customer->name;
+  return true;
+}
+
+// Takes a token of the customer's rate; false when the operation has to wait
+// for one.
+bool StatementProxy::Admit(Time now, Session& session) {
+  if (holder_.TryTake(now, session.customer)) {
+    session.pending->counted = true;
+    return true;
+  }
+  holder_.Wait(now, session.customer);
+  token_waiters_.push_back(session.id);
+  return false;
+}
+
+void StatementProxy::ServeWaitingForTokens(Time now) {
+  const std::vector<SessionId> waiters = std::exchange(token_waiters_, {});
+  for (const SessionId id : waiters) {
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || !it->second.pending)
+      continue;
+    Session& session = it->second;
+    if (holder_.TryTakeWaiting(now, session.customer)) {
+      session.pending->counted = true;
+      const StatementKind kind = session.pending->statement.kind;
+      if (kind == StatementKind::kBegin ||
+          kind == StatementKind::kBeginReadOnly) {
+        session.pending.reset();
+        session.state = TransactionState::kOpen;
+        ReplyLocally(now, session, Completed());
+        NextFromInbox(now, id);
+      } else {
+        waiting_[session.route->group].push_back(id);
+        Dispatch(now, session);
+      }
+      continue;
+    }
+    if (now >= session.pending->give_up) {
+      holder_.StopWaiting(session.customer);
+      Refuse(now, session, Outcome::kBusy,
+             "customer's rate exceeded; retry after 500 ms");
+      NextFromInbox(now, id);
+      continue;
+    }
+    token_waiters_.push_back(id);
+  }
+}
+
+void StatementProxy::HandleRollback(Time now, Session& session) {
+  if (session.state == TransactionState::kIdle) {
+    Answer answer;
+    answer.outcome = Outcome::kMalformed;
+    answer.message = "no transaction is open";
+    return ReplyLocally(now, session, std::move(answer));
+  }
+  Abandon(now, session);
+  const bool failed = session.state == TransactionState::kFailed;
+  session.state = TransactionState::kIdle;
+  EndOperation(now, session, failed ? Outcome::kAborted : Outcome::kDone);
+  ReplyLocally(now, session, Completed());
+}
+
+void StatementProxy::HandlePrepare(Time now,
+                                   Session& session,
+                                   const Statement& statement) {
+  if (statement.kind == StatementKind::kPrepare) {
+    session.prepared[statement.name] = {statement.writes, statement.value};
+    return ReplyLocally(now, session, Completed());
+  }
+  if (session.prepared.erase(statement.name) > 0)
+    return ReplyLocally(now, session, Completed());
+  Answer answer;
+  answer.outcome = Outcome::kUnknownPrepared;
+  answer.message = "no such prepared statement";
+  if (session.state == TransactionState::kOpen)
+    session.state = TransactionState::kFailed;
+  ReplyLocally(now, session, std::move(answer));
+}
+
+void StatementProxy::HandleRunnable(Time now,
+                                    Session& session,
+                                    Statement statement) {
+  const bool commit = statement.kind == StatementKind::kCommit;
+  if (commit && (session.state != TransactionState::kOpen || session.aborted)) {
+    const bool open = session.state != TransactionState::kIdle;
+    Abandon(now, session);
+    session.state = TransactionState::kIdle;
+    session.aborted = false;
+    Answer answer;
+    answer.outcome = open ? Outcome::kAborted : Outcome::kMalformed;
+    answer.message =
+        open ? "the transaction was rolled back" : "no transaction is open";
+    if (open)
+      EndOperation(now, session, Outcome::kAborted);
+    return ReplyLocally(now, session, std::move(answer));
+  }
+  if (statement.kind == StatementKind::kExecute &&
+      session.prepared.count(statement.name) == 0) {
+    Answer answer;
+    answer.outcome = Outcome::kUnknownPrepared;
+    answer.message = "no such prepared statement";
+    if (session.state == TransactionState::kOpen)
+      session.state = TransactionState::kFailed;
+    return ReplyLocally(now, session, std::move(answer));
+  }
+  if (session.state == TransactionState::kIdle && !StartOperation(now, session))
+    return;
+  Submit(now, session, std::move(statement));
+}
+
+void StatementProxy::Submit(Time now, Session& session, Statement statement) {
+  session.pending = Pending{};
+  Pending& pending = *session.pending;
+  pending.statement = std::move(statement);
+  pending.arrival = now;
+  pending.deadline = now + session.route->statement_timeout;
+  pending.give_up = now + session.route->statement_timeout / kGiveUpDivisor;
+  if (session.state == TransactionState::kIdle) {
+    pending.give_up =
+        std::min(pending.give_up,
+                 now + std::min(kTokenWait, session.route->target_latency));
+    if (!Admit(now, session))
+      return;
+    pending.give_up = now + session.route->statement_timeout / kGiveUpDivisor;
+  }
+  if (session.connection != 0) {
+    Connection* connection = pool_.Find(session.connection);
+    if (connection != nullptr)
+      return SendStatement(now, session, *connection, std::nullopt);
+  }
+  waiting_[session.route->group].push_back(session.id);
+  Dispatch(now, session);
+}
+
+void StatementProxy::ReplyLocally(Time now, Session& session, Answer answer) {
+  answer.position.reset();
+  Reply(now, session, std::move(answer));
+}
+
+// Ends the pending statement. The caller's next statement is taken from the
+// inbox by whoever called in.
+void StatementProxy::Reply(Time now, Session& session, Answer answer) {
+  session.pending.reset();
+  answer.state = session.state;
+  if (session.state == TransactionState::kOpen &&
+      table_->transaction_idle > Duration::zero())
+    session.idle_until = now + table_->transaction_idle;
+  hooks_.answer(session.id, answer);
+  if (!draining_ || session.state != TransactionState::kIdle ||
+      session.close_announced || !session.inbox.empty())
+    return;
+  session.close_announced = true;
+  hooks_.announce_close(session.id);
+}
+
+void StatementProxy::Refuse(Time now,
+                            Session& session,
+                            Outcome outcome,
+                            const std::string& message) {
+  Decide(now, session, "refused", "",
+         std::string(NameOf(outcome)) + ": " + message);
+  if (session.state == TransactionState::kOpen)
+    session.state = TransactionState::kFailed;
+  else
+    EndOperation(now, session, outcome);
+  Answer answer;
+  answer.outcome = outcome;
+  answer.message = message.empty() ? kRetryHint : message;
+  ReplyLocally(now, session, std::move(answer));
+}
+
+void StatementProxy::EndOperation(Time now, Session& session, Outcome outcome) {
+  session.idle_until = kNever;
+  if (session.route != nullptr)
+    hooks_.completed(*session.route, outcome, now - session.started_at);
+  session.route = nullptr;
+  session.table.reset();
+  session.aborted = false;
+  session.ran = false;
+}
+
+void StatementProxy::Decide(Time now,
+                            const Session& session,
+                            const std::string& event,
+                            const std::string& endpoint,
+                            const std::string& cause) {
+  Decision decision;
+  decision.event = event;
+  if (session.pending) {
+    decision.statement_id = session.pending->statement.id;
+    decision.age = now - session.pending->arrival;
+  }
+  if (session.route != nullptr)
+    decision.group = session.route->group;
+  decision.endpoint = endpoint;
+  decision.cause = cause;
+  decision.configuration_version = Version();
+  hooks_.decided(decision);
+}
+
+}  // namespace goldcrest::statements
