Date a confirmed position by the time its statement was sent

Ruled out: the clock during a freeze (it counts the suspended time). Conclusion: latency and coverage need two times; both are kept now.

--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -25,6 +25,7 @@
     enum class Kind { kSetup, kBegin, kStatement, kCleanup };
     Kind kind = Kind::kStatement;
     Time sent_at;
+    Time worked_on_since;  //!< `sent_at`, or the answer before it if later.
   };
 
   ConnectionId id = 0;
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -194,7 +194,7 @@
     if (connection.endpoint != endpoint || connection.expected.empty())
       continue;
     ++outstanding;
-    oldest = std::max(oldest, now - connection.expected.front().sent_at);
+    oldest = std::max(oldest, now - connection.expected.front().worked_on_since);
   }
   return std::max(it->second.latency, oldest) * (1 + outstanding);
 }
@@ -231,7 +231,7 @@
   std::vector<ConnectionId> stuck;
   for (const auto& [id, connection] : connections_) {
     if (connection.session != 0 || connection.expected.empty() ||
-        connection.expected.front().sent_at >= oldest)
+        connection.expected.front().worked_on_since >= oldest)
       continue;
     stuck.push_back(id);
   }
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -65,8 +65,8 @@
   }
   const Connection::Expected expected = connection->expected.front();
   connection->expected.pop_front();
-  if (!connection->expected.empty())  // It is worked on from now.
-    connection->expected.front().sent_at = now;
+  if (!connection->expected.empty())
+    connection->expected.front().worked_on_since = now;
   const std::string group = connection->group;
   switch (expected.kind) {
     case Connection::Expected::Kind::kSetup:
@@ -88,6 +88,8 @@
       OnBeginAnswer(now, *connection, answer, expected.sent_at);
       break;
     case Connection::Expected::Kind::kStatement:
+      if (answer.outcome == Outcome::kDone)
+        pool_.OnLatency(connection->endpoint, now - expected.worked_on_since);
       OnStatementAnswer(now, *connection, answer, expected.sent_at);
       break;
   }
@@ -135,11 +137,8 @@
                                        const Answer& answer,
                                        Time sent_at) {
   const bool refused_lead = answer.outcome == Outcome::kReadOnly;
-  if (answer.outcome == Outcome::kDone) {
-    pool_.OnLatency(connection.endpoint, now - sent_at);
-    if (connection.leads_checked)
-      Learn(now, connection, answer, sent_at);
-  }
+  if (answer.outcome == Outcome::kDone && connection.leads_checked)
+    Learn(now, connection, answer, sent_at);
   const auto it = sessions_.find(connection.session);
   if (it == sessions_.end() || !it->second.pending)
     return CleanUp(now, connection);
@@ -252,7 +251,7 @@
   if (connection.in_transaction) {
     EndpointCommand rollback;
     rollback.kind = EndpointCommand::Kind::kRollback;
-    connection.expected.push_back({Connection::Expected::Kind::kCleanup, now});
+    connection.expected.push_back({Connection::Expected::Kind::kCleanup, now, now});
     Send(now, connection, {rollback});
   }
   pool_.Release(now, connection);
