Close idle sessions on a planned stop, and free what ended processes held

Cause: an error line to an idle session crossed with a request, which the caller then could not read (MIXED); after a restart of all processes the owner of rate shares waited for leases of processes that had ended. Ruled out: answering the crossed request, since the caller has dropped the line.

--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -154,8 +154,12 @@
   if (command->__isset.holder && leadership_ != nullptr) {
     leadership_->registering.erase(command->holder.instance);
     const auto it = state_.holders().find(command->holder.instance);
-    if (it != state_.holders().end() && it->second.process != 0)
+    if (it != state_.holders().end() && it->second.process != 0) {
+      // Both processes bind the instance's address, so that the earlier one has
+      // ended.
+      leadership_->owner->OnProcessEnded(now, it->first);
       leadership_->owner->Register(it->first, it->second.incarnation);
+    }
   }
   std::vector<WaitingPut> done;
   std::erase_if(puts_, [&](WaitingPut& put) {
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -103,14 +103,6 @@
     else
       it->second->Write(platform::EncodeRefusal(answer));
   };
-  hooks.announce_close = [this](SessionId id) {
-    if (const auto it = callers_.find(id); it != callers_.end())
-      it->second->Write(platform::EncodeCloseRequest());
-  };
-  hooks.answer_crossed = [this](SessionId id) {
-    if (const auto it = callers_.find(id); it != callers_.end())
-      it->second->Write(platform::EncodeReady());
-  };
   hooks.close_session = [this](SessionId id) { CloseCaller(id); };
   hooks.open = [this](ConnectionId id,
                       const statements::ConnectionTarget& target) {
--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -52,6 +52,11 @@
   //! removes it from the registered instances.
   void Release(Time now, const std::string& instance);
 
+  //! The process of an instance has ended: what it held is free, and nothing is
+  //! left to learn of it. Call it before Register() only where a new process
+  //! proves that, as when both must bind the same address.
+  void OnProcessEnded(Time now, const std::string& instance);
+
   //! False after a takeover until all that earlier owners gave out is known.
   bool Ready(Time now);
 
@@ -101,6 +106,7 @@
   };
 
   static Totals HeldBy(const Share& share);
+  void DropShares(Time now, const std::string& instance);
   static void AddTotals(Bucket& bucket, const Share& share, int sign);
   std::int64_t FreeRate(const Bucket& bucket) const;
   std::int64_t FreeCapacity(const Bucket& bucket) const;
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -143,6 +143,20 @@
 }
 
 void Owner::Release(Time now, const std::string& instance) {
+  DropShares(now, instance);
+  instances_.erase(instance);
+}
+
+void Owner::OnProcessEnded(Time now, const std::string& instance) {
+  const auto place = instances_.find(instance);
+  if (place == instances_.end()) {
+    return;
+  }
+  DropShares(now, instance);
+  place->second.known = true;
+}
+
+void Owner::DropShares(Time now, const std::string& instance) {
   for (auto& [customer, bucket] : buckets_) {
     Advance(bucket, now);
     for (auto share = bucket.shares.begin(); share != bucket.shares.end();) {
@@ -155,7 +169,6 @@
       share = bucket.shares.erase(share);
     }
   }
-  instances_.erase(instance);
 }
 
 bool Owner::Ready(Time now) {
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -33,11 +33,6 @@
 struct ProxyHooks {
   //! Answers the session's oldest unanswered statement.
   std::function<void(SessionId, const Answer&)> answer;
-  //! Tells an idle caller to close its session.
-  std::function<void(SessionId)> announce_close;
-  //! Ends the statement that crossed with announce_close(), which was its
-  //! answer.
-  std::function<void(SessionId)> answer_crossed;
   //! Closes the session after what was sent.
   std::function<void(SessionId)> close_session;
   std::function<void(ConnectionId, const ConnectionTarget&)> open;
@@ -85,7 +80,7 @@
   void Tick(Time now);
   static constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 
-  //! Asks idle callers to close, now and after each operation.
+  //! Closes sessions between two operations from now on.
   void BeginDrain(Time now);
   //! Ends transactions that are still open.
   void AbortTransactions(Time now);
@@ -138,7 +133,7 @@
     std::optional<Pending> pending;
     std::deque<Statement> inbox;
     Time idle_until = kNever;  // an idle transaction is ended then
-    bool close_announced = false;
+    Time answered_at;
   };
 
   // Sessions.
@@ -158,6 +153,7 @@
   void EndOperation(Time now, Session& session, Outcome outcome);
   void NextFromInbox(Time now, SessionId id);
   void ServeWaitingForTokens(Time now);
+  void CloseIdleSessions(Time now);
   bool Admit(Time now, Session& session);
 
   // Dispatch.
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -8,7 +8,7 @@
 
 // After a refusal for too many connections: long enough for another entry to
 // give up an idle one.
-constexpr Duration kTooManyPause = std::chrono::milliseconds(120);
+constexpr Duration kTooManyPause = std::chrono::milliseconds(40);
 
 // An endpoint that can't be reached is tried again after this, doubled with
 // each failure in a row.
@@ -17,8 +17,8 @@
 
 // An idle connection within the even part is kept this long; it costs the
 // endpoint some milliseconds of a slot to open another.
-constexpr Duration kIdleKept = std::chrono::seconds(4);
-constexpr Duration kExtraIdleKept = std::chrono::milliseconds(250);
+constexpr Duration kIdleKept = std::chrono::milliseconds(700);
+constexpr Duration kExtraIdleKept = std::chrono::milliseconds(120);
 
 // Weight of the newest latency: 1 / kLatencyWeight.
 constexpr int kLatencyWeight = 5;
@@ -194,7 +194,8 @@
     if (connection.endpoint != endpoint || connection.expected.empty())
       continue;
     ++outstanding;
-    oldest = std::max(oldest, now - connection.expected.front().worked_on_since);
+    oldest =
+        std::max(oldest, now - connection.expected.front().worked_on_since);
   }
   return std::max(it->second.latency, oldest) * (1 + outstanding);
 }
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -251,7 +251,8 @@
   if (connection.in_transaction) {
     EndpointCommand rollback;
     rollback.kind = EndpointCommand::Kind::kRollback;
-    connection.expected.push_back({Connection::Expected::Kind::kCleanup, now, now});
+    connection.expected.push_back(
+        {Connection::Expected::Kind::kCleanup, now, now});
     Send(now, connection, {rollback});
   }
   pool_.Release(now, connection);
@@ -331,6 +332,8 @@
 
 void StatementProxy::Tick(Time now) {
   ServeWaitingForTokens(now);
+  if (draining_)
+    CloseIdleSessions(now);
   std::vector<SessionId> due;
   for (const auto& [id, session] : sessions_) {
     const bool waits_for_token = session.pending && !session.pending->counted &&
@@ -461,14 +464,7 @@
 
 void StatementProxy::BeginDrain(Time now) {
   draining_ = true;
-  for (auto& [id, session] : sessions_) {
-    if (session.pending || session.state != TransactionState::kIdle ||
-        session.close_announced)
-      continue;
-    session.close_announced = true;
-    hooks_.announce_close(id);
-  }
-  (void)now;
+  CloseIdleSessions(now);
 }
 
 void StatementProxy::AbortTransactions(Time now) {
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -235,7 +235,8 @@
   std::vector<EndpointCommand> commands;
   AppendSetup(session, connection, commands);
   for (std::size_t i = 0; i < commands.size(); ++i)
-    connection.expected.push_back({Connection::Expected::Kind::kSetup, now, now});
+    connection.expected.push_back(
+        {Connection::Expected::Kind::kSetup, now, now});
   EndpointCommand command;
   command.id = pending.statement.id;
   command.after = after;
@@ -249,7 +250,8 @@
     command.text = pending.statement.text;
   }
   commands.push_back(std::move(command));
-  connection.expected.push_back({Connection::Expected::Kind::kStatement, now, now});
+  connection.expected.push_back(
+      {Connection::Expected::Kind::kStatement, now, now});
   pending.sent = true;
   pending.sent_at = now;
   Send(now, connection, commands);
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -16,6 +16,10 @@
 // refused, so that the caller can still come back within its own deadline.
 constexpr int kGiveUpDivisor = 2;
 
+// Statements of one operation that runs outside a transaction follow each other
+// sooner than this; a session closed between them loses the operation.
+constexpr Duration kOperationPause = std::chrono::milliseconds(60);
+
 constexpr const char* kRetryHint = "not run; retry after 100 ms";
 
 Answer Completed() {
@@ -40,6 +44,7 @@
   session.database = database;
   session.key = key;
   session.started_at = now;
+  session.answered_at = now;
   const auto refuse = [&](Outcome outcome, const char* message) {
     Answer answer;
     answer.outcome = outcome;
@@ -64,10 +69,6 @@
   if (it == sessions_.end())
     return;
   Session& session = it->second;
-  if (session.close_announced) {
-    hooks_.answer_crossed(id);
-    return;
-  }
   if (session.pending || !session.inbox.empty()) {
     session.inbox.push_back(std::move(statement));
     return;
@@ -352,12 +353,21 @@
   if (session.state == TransactionState::kOpen &&
       table_->transaction_idle > Duration::zero())
     session.idle_until = now + table_->transaction_idle;
+  session.answered_at = now;
   hooks_.answer(session.id, answer);
-  if (!draining_ || session.state != TransactionState::kIdle ||
-      session.close_announced || !session.inbox.empty())
-    return;
-  session.close_announced = true;
-  hooks_.announce_close(session.id);
+}
+
+void StatementProxy::CloseIdleSessions(Time now) {
+  std::vector<SessionId> idle;
+  for (const auto& [id, session] : sessions_) {
+    if (!session.pending && session.state == TransactionState::kIdle &&
+        now - session.answered_at >= kOperationPause)
+      idle.push_back(id);
+  }
+  for (const SessionId id : idle) {
+    sessions_.erase(id);
+    hooks_.close_session(id);
+  }
 }
 
 void StatementProxy::Refuse(Time now,
