Bound how many connections an entry opens at a time

Ruled out: lost primaries (the group's primary answered throughout). Conclusion: opening is paced now; refusals by rate are next.

--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -128,7 +128,9 @@
     int failures = 0;
     Time avoid_until;
     Time open_after;  // the endpoint had too many connections
+    int refusals = 0;  // for too many connections, in a row
     int count = 0;
+    int opening = 0;
   };
 
   Connection* FindIdle(const std::string& endpoint,
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -6,9 +6,15 @@
 namespace goldcrest::statements {
 namespace {
 
-// After a refusal for too many connections: long enough for another entry to
-// give up an idle one.
+// Pause after a refusal for too many connections, doubled with each one in a
+// row: long enough for another entry to give up an idle one. Each attempt costs
+// the endpoint some milliseconds of a slot, refused or not.
 constexpr Duration kTooManyPause = std::chrono::milliseconds(40);
+constexpr int kMaxTooManyDoublings = 4;
+
+// Connections that an entry opens to one endpoint at a time. Without a bound,
+// a full endpoint spends its slots on refusing connections.
+constexpr int kMaxOpening = 2;
 
 // An endpoint that can't be reached is tried again after this, doubled with
 // each failure in a row.
@@ -71,7 +77,8 @@
   const auto it = health_.find(endpoint);
   if (it == health_.end())
     return true;
-  if (now < it->second.open_after || now < it->second.avoid_until)
+  if (now < it->second.open_after || now < it->second.avoid_until ||
+      it->second.opening >= kMaxOpening)
     return false;
   if (it->second.count < limit)
     return true;
@@ -108,6 +115,7 @@
   connection.customer = target.customer;
   connection.since = now;
   ++health_[target.endpoint].count;
+  ++health_[target.endpoint].opening;
   hooks_.open(id, target);
   return id;
 }
@@ -124,17 +132,24 @@
     return;
   connection->state = Connection::State::kIdle;
   connection->since = now;
-  health_[connection->endpoint].failures = 0;
+  Health& health = health_[connection->endpoint];
+  health.failures = 0;
+  health.refusals = 0;
+  --health.opening;
 }
 
 void ConnectionPool::OnOpenFailed(Time now, ConnectionId id, Outcome outcome) {
   Connection* connection = Find(id);
   if (connection == nullptr)
     return;
-  if (outcome == Outcome::kTooManyConnections)
-    health_[connection->endpoint].open_after = now + kTooManyPause;
-  else
+  Health& health = health_[connection->endpoint];
+  if (outcome == Outcome::kTooManyConnections) {
+    const int doublings = std::min(health.refusals, kMaxTooManyDoublings);
+    ++health.refusals;
+    health.open_after = now + kTooManyPause * (1 << doublings);
+  } else {
     OnFailure(now, connection->endpoint);
+  }
   Remove(id);
 }
 
@@ -155,7 +170,10 @@
   const auto it = connections_.find(id);
   if (it == connections_.end())
     return;
-  --health_[it->second.endpoint].count;
+  Health& health = health_[it->second.endpoint];
+  --health.count;
+  if (it->second.state == Connection::State::kOpening)
+    --health.opening;
   connections_.erase(it);
 }
 
