--- a/cmake/GoldcrestPackage.cmake
+++ b/cmake/GoldcrestPackage.cmake
@@ -13,6 +13,20 @@
   set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
 endif()
 
+# A deployed daemon starts on a fraction of a core: each shared library that
+# need not be loaded shortens a restart.
+set(GOLDCREST_THRIFT thrift)
+set(GOLDCREST_DOCOPT docopt)
+if(GOLDCREST_DEPLOY)
+  set(OPENSSL_USE_STATIC_LIBS TRUE)
+  set(GOLDCREST_THRIFT -l:libthrift.a)
+  set(GOLDCREST_DOCOPT docopt_s)
+  add_compile_definitions(FMT_HEADER_ONLY=1)
+  add_compile_options(-ffunction-sections -fdata-sections)
+  add_link_options(-static-libstdc++ -static-libgcc -Wl,--as-needed
+                   -Wl,--gc-sections -Wl,-O1)
+endif()
+
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
 find_package(fmt REQUIRED)
--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -53,6 +53,7 @@
   consensus::ReplicaOptions replica;  //!< Without a disk: never a member.
   bool has_disk = true;
   int tolerated_losses = 1;
+  quota::LimitWindow limit_window;
   std::set<std::string> seeds;  //!< Names of controllers known at the start.
 };
 
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -21,6 +21,12 @@
 
 constexpr Duration kTick = milliseconds(20);
 
+// Zones are some 11 ms apart and back, and a lost packet costs 200 ms: a leader
+// keeps its lease through one loss, and a new one follows within half a second.
+constexpr Duration kHeartbeat = milliseconds(75);
+constexpr Duration kElectionMin = milliseconds(300);
+constexpr Duration kElectionMax = milliseconds(550);
+
 // A promotion that was not answered by then is sent again by the planner.
 constexpr Duration kPromotionDeadline = milliseconds(900);
 
@@ -66,8 +72,12 @@
 
   fleet::ControllerOptions options;
   options.replica.self = PeerName(settings_, kControllerOffset);
+  options.replica.heartbeat_interval = kHeartbeat;
+  options.replica.election_timeout_min = kElectionMin;
+  options.replica.election_timeout_max = kElectionMax;
   options.has_disk = store_ != nullptr;
   options.tolerated_losses = settings_.tolerated_losses;
+  options.limit_window = LimitWindowOf(settings_);
   options.seeds = known_;
   if (settings_.first_start)
     options.replica.bootstrap_members = {known_.begin(), known_.end()};
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -52,7 +52,7 @@
       process_(RandomProcess()),
       scheduler_(context),
       acceptor_(context),
-      proxy_({settings.zone}, MakeHooks()) {
+      proxy_({settings.zone, LimitWindowOf(settings)}, MakeHooks()) {
   known_controllers_ = ControllerNames(settings_);
   adapters::PeerTransportOptions peers = PeerOptions(settings_, kEntryOffset);
   peers_ = std::make_unique<adapters::PeerTransport>(
--- a/programs/goldcrestd/platform_log.cc
+++ b/programs/goldcrestd/platform_log.cc
@@ -35,7 +35,8 @@
   const auto age =
       std::chrono::duration_cast<std::chrono::milliseconds>(decision.age);
   logger_->Log(LogLevel::kInfo, decision.event, ResultCode::kOk,
-               {{"statement", decision.statement_id},
+               {{"request", decision.statement_id},
+                {"customer", decision.customer},
                 {"group", decision.group},
                 {"endpoint", decision.endpoint},
                 {"cause", decision.cause},
--- a/programs/goldcrestd/platform_peers.cc
+++ b/programs/goldcrestd/platform_peers.cc
@@ -10,7 +10,10 @@
 // Controllers elect within 400 to 800 ms, so that a link that went silent must
 // be replaced soon after.
 constexpr std::chrono::milliseconds kPingInterval{400};
-constexpr std::chrono::milliseconds kSilenceTimeout{1'200};
+constexpr std::chrono::milliseconds kSilenceTimeout{1'000};
+
+// After a restart of all instances, service waits for these links.
+constexpr std::chrono::milliseconds kMaxBackoff{150};
 
 }  // namespace
 
@@ -53,7 +56,13 @@
   options.port = settings.first_internal_port + offset;
   options.ping_interval = kPingInterval;
   options.silence_timeout = kSilenceTimeout;
+  options.max_backoff = kMaxBackoff;
   return options;
 }
 
+quota::LimitWindow LimitWindowOf(const platform::BootSettings& settings) {
+  return {settings.quota_window, settings.quota_tolerance,
+          settings.quota_allowance};
+}
+
 }  // namespace goldcrest
--- a/programs/goldcrestd/platform_peers.h
+++ b/programs/goldcrestd/platform_peers.h
@@ -7,6 +7,7 @@
 
 #include "goldcrest/adapters/peer_transport.h"
 #include "goldcrest/platform/boot_settings.h"
+#include "goldcrest/quota/limit.h"
 
 namespace goldcrest {
 
@@ -31,6 +32,8 @@
     const platform::BootSettings& settings,
     std::uint16_t offset);
 
+quota::LimitWindow LimitWindowOf(const platform::BootSettings& settings);
+
 }  // namespace goldcrest
 
 #endif  // GOLDCREST_PROGRAMS_GOLDCRESTD_PLATFORM_PEERS_H_
--- a/quota/include/goldcrest/quota/limit.h
+++ b/quota/include/goldcrest/quota/limit.h
@@ -31,6 +31,21 @@
   bool operator==(const Limit&) const = default;
 };
 
+//! How the use of a limit is judged: in no span of `length` may a customer have
+//! more than (rate * length + burst) * (1 + tolerance) + allowance requests.
+struct LimitWindow {
+  Duration length = std::chrono::seconds(5);
+  double tolerance = 0.1;
+  std::int64_t allowance = 20;  //!< Requests.
+};
+
+//! The bucket that uses what a limit of `rate` requests a second and `burst`
+//! requests allows in any window: a customer that keeps sending gets most of it
+//! as a rate, the rest lets requests come unevenly.
+Limit LimitFor(std::int64_t rate,
+               std::int64_t burst,
+               const LimitWindow& window);
+
 //! Adds what `rate_micros` yields in `elapsed` to `level_micros`, up to
 //! `capacity_micros`; a level above it stays. `remainder` carries millionths of
 //! a micro-token from call to call, so that no call rounds up.
--- a/quota/src/limit.cc
+++ b/quota/src/limit.cc
@@ -1,6 +1,37 @@
 #include "goldcrest/quota/limit.h"
 
+#include <cmath>
+
 namespace goldcrest::quota {
+namespace {
+
+// Part of a window's requests that comes as a rate; the rest is burst.
+constexpr double kRatePart = 0.85;
+
+// Part of the tolerance and the allowance that is used. The rest covers
+// requests that are repeated at another endpoint after they ran.
+constexpr double kToleranceUsed = 0.9;
+
+}  // namespace
+
+Limit LimitFor(std::int64_t rate,
+               std::int64_t burst,
+               const LimitWindow& window) {
+  const double seconds =
+      std::chrono::duration<double>(window.length).count();
+  const double allowed =
+      (static_cast<double>(rate) * seconds + static_cast<double>(burst)) *
+          (1 + window.tolerance * kToleranceUsed) +
+      static_cast<double>(window.allowance) * kToleranceUsed;
+  if (rate == 0 && burst == 0)
+    return {};
+  const auto micros = [](double requests) {
+    return static_cast<std::int64_t>(
+        std::floor(requests * static_cast<double>(kRequestMicros)));
+  };
+  return {micros(allowed * kRatePart / seconds),
+          micros(allowed * (1 - kRatePart))};
+}
 
 void Refill(std::int64_t rate_micros,
             std::int64_t capacity_micros,
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -26,8 +26,9 @@
 constexpr std::int64_t kPermille = 1000;
 
 // An entry whose part of the burst would be smaller gets single tokens on
-// demand instead: a bucket of less than two tokens is empty most of the time.
-constexpr std::int64_t kMinCapacityMicros = 2 * kRequestMicros;
+// demand instead: a bucket of less than one token never yields one. Above that
+// a share lets the entry go on while there is no owner.
+constexpr std::int64_t kMinCapacityMicros = kRequestMicros;
 
 // Share changes below this part of the limit are not worth an update.
 constexpr std::int64_t kMinChangePercent = 2;
--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -103,6 +103,10 @@
   //! The endpoint failed; it is left alone for a while, longer each time.
   void OnFailure(Time now, const std::string& endpoint);
 
+  //! The endpoint's log was behind what a read asked for.
+  void OnBehind(Time now, const std::string& endpoint);
+  bool IsBehind(Time now, const std::string& endpoint) const;
+
   //! Expected time for one more statement at the endpoint: its recent latency,
   //! or the age of its oldest unanswered statement, times what this entry has
   //! outstanding there.
@@ -128,6 +132,7 @@
     int failures = 0;
     Time avoid_until;
     Time open_after;  // the endpoint had too many connections
+    Time behind_until;
     int refusals = 0;  // for too many connections, in a row
     int count = 0;
     int opening = 0;
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -28,6 +28,7 @@
   std::string cause;
   Duration age{};  //!< Of the statement, or of the belief.
   std::int64_t configuration_version = 0;
+  std::string customer;  //!< Empty when it concerns no session.
 };
 
 struct ProxyHooks {
@@ -45,6 +46,7 @@
 
 struct ProxyOptions {
   std::string zone;
+  quota::LimitWindow limit_window;
   int entries = 11;  //!< Until a controller tells how many there are.
 };
 
@@ -136,7 +138,16 @@
     Time answered_at;
   };
 
+  // A session that was opened before there was a configuration.
+  struct WaitingStart {
+    SessionId session = 0;
+    std::string database;
+    std::string key;
+    Time until;
+  };
+
   // Sessions.
+  void RefuseWaitingStarts(Time now);
   void Handle(Time now, Session& session, Statement statement);
   void HandleBegin(Time now, Session& session, Statement statement);
   void HandleRollback(Time now, Session& session);
@@ -156,6 +167,8 @@
   void CloseIdleSessions(Time now);
   bool Admit(Time now, Session& session);
 
+  void SetLimits(const routing::RoutingTable& table);
+
   // Dispatch.
   bool NeedsPrimary(const Session& session) const;
   bool Writes(const Session& session, const Statement& statement) const;
@@ -228,6 +241,7 @@
   std::map<SessionId, Session> sessions_;
   std::map<std::string, std::vector<SessionId>> waiting_;  // by group
   std::vector<SessionId> token_waiters_;
+  std::vector<WaitingStart> waiting_starts_;
   bool draining_ = false;
 };
 
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -23,8 +23,11 @@
 
 // An idle connection within the even part is kept this long; it costs the
 // endpoint some milliseconds of a slot to open another.
-constexpr Duration kIdleKept = std::chrono::milliseconds(700);
-constexpr Duration kExtraIdleKept = std::chrono::milliseconds(120);
+constexpr Duration kIdleKept = std::chrono::milliseconds(1000);
+constexpr Duration kExtraIdleKept = std::chrono::milliseconds(150);
+
+// An endpoint whose log was behind is asked for other reads again after this.
+constexpr Duration kBehindPause = std::chrono::milliseconds(200);
 
 // Weight of the newest latency: 1 / kLatencyWeight.
 constexpr int kLatencyWeight = 5;
@@ -201,6 +204,15 @@
   health.avoid_until = now + kFailurePause * (1 << doublings);
 }
 
+void ConnectionPool::OnBehind(Time now, const std::string& endpoint) {
+  health_[endpoint].behind_until = now + kBehindPause;
+}
+
+bool ConnectionPool::IsBehind(Time now, const std::string& endpoint) const {
+  const auto it = health_.find(endpoint);
+  return it != health_.end() && now < it->second.behind_until;
+}
+
 Duration ConnectionPool::ExpectedWait(Time now,
                                       const std::string& endpoint) const {
   const auto it = health_.find(endpoint);
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -12,7 +12,6 @@
 
 // How long an endpoint is left out for one statement after it refused it.
 constexpr Duration kBusyPause = std::chrono::milliseconds(40);
-constexpr Duration kBehindPause = std::chrono::milliseconds(250);
 constexpr Duration kOtherPause = std::chrono::milliseconds(400);
 
 // Statements that only the primary may run are tried again there after this.
@@ -226,15 +225,15 @@
     return false;
   pending.last_cause = endpoint + ": " + NameOf(outcome);
   const bool primary = NeedsPrimary(session);
+  if (outcome == Outcome::kBehind)
+    pool_.OnBehind(now, endpoint);
   Duration pause = kOtherPause;
   if (outcome == Outcome::kBusy)
     pause = kBusyPause;
-  if (outcome == Outcome::kBehind)
-    pause = kBehindPause;
   if (primary)
     pending.retry_at =
         outcome == Outcome::kReadOnly ? now : now + kPrimaryPause;
-  else
+  else if (outcome != Outcome::kBehind)
     pending.avoid[endpoint] = now + pause;
   pending.sent = false;
   waiting_[session.route->group].push_back(session.id);
@@ -331,6 +330,7 @@
 }
 
 void StatementProxy::Tick(Time now) {
+  RefuseWaitingStarts(now);
   ServeWaitingForTokens(now);
   if (draining_)
     CloseIdleSessions(now);
@@ -394,23 +394,40 @@
     DispatchGroup(now, group);
 }
 
-void StatementProxy::OnRoutingTable(Time now, routing::RoutingTablePtr table) {
-  if (table_ && table->version <= table_->version)
-    return;
-  std::set<std::string> kept;
-  constexpr std::int64_t kMicros = quota::kRequestMicros;
-  for (const routing::Customer& customer : table->customers) {
-    kept.insert(customer.name);
-    holder_.SetLimit(customer.name,
-                     quota::Limit{customer.rate_per_second * kMicros,
-                                  customer.burst * kMicros});
-  }
+void StatementProxy::SetLimits(const routing::RoutingTable& table) {
+  std::map<std::string, quota::Limit> before;
+  const auto limit_of = [this](const routing::Customer& customer) {
+    return quota::LimitFor(customer.rate_per_second, customer.burst,
+                           options_.limit_window);
+  };
   if (table_) {
-    for (const routing::Customer& customer : table_->customers) {
-      if (kept.count(customer.name) == 0)
-        holder_.SetLimit(customer.name, std::nullopt);
+    for (const routing::Customer& customer : table_->customers)
+      before[customer.name] = limit_of(customer);
+  }
+  for (const routing::Customer& customer : table.customers) {
+    const quota::Limit limit = limit_of(customer);
+    const auto it = before.find(customer.name);
+    if (it == before.end() || !(it->second == limit)) {
+      Decision decision;
+      decision.event = "limit_changed";
+      decision.customer = customer.name;
+      decision.cause = std::to_string(customer.rate_per_second) +
+                       " a second, burst " + std::to_string(customer.burst);
+      decision.configuration_version = table.version;
+      hooks_.decided(decision);
+      holder_.SetLimit(customer.name, limit);
     }
+    if (it != before.end())
+      before.erase(it);
   }
+  for (const auto& [name, limit] : before)
+    holder_.SetLimit(name, std::nullopt);
+}
+
+void StatementProxy::OnRoutingTable(Time now, routing::RoutingTablePtr table) {
+  if (table_ && table->version <= table_->version)
+    return;
+  SetLimits(*table);
   hooks_.decided({"configuration_applied",
                   "",
                   "",
@@ -419,6 +436,8 @@
                   {},
                   table->version});
   table_ = std::move(table);
+  for (const WaitingStart& start : std::exchange(waiting_starts_, {}))
+    OnSessionStart(now, start.session, start.database, start.key);
   for (auto& [group, history] : positions_) {
     Duration longest{};
     for (const auto& [database, route] : table_->routes)
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -130,7 +130,8 @@
   const std::string primary = primaries_.PrimaryOf(now, session.route->group);
   for (const auto* member : directory_.MembersOf(session.route->group)) {
     const std::string& endpoint = member->record.endpoint;
-    if (member->record.draining || pool_.IsAvoided(now, endpoint))
+    if (member->record.draining || pool_.IsAvoided(now, endpoint) ||
+        pool_.IsBehind(now, endpoint))
       continue;
     const auto avoided = session.pending->avoid.find(endpoint);
     if (avoided != session.pending->avoid.end() && now < avoided->second)
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -12,6 +12,9 @@
 // report within a round trip, and the share's own rate yields the rest.
 constexpr Duration kTokenWait = std::chrono::milliseconds(300);
 
+// A caller gives up its session when it is not accepted within two seconds.
+constexpr Duration kConfigurationWait = std::chrono::milliseconds(1500);
+
 // A statement that has found no endpoint by this part of its timeout is
 // refused, so that the caller can still come back within its own deadline.
 constexpr int kGiveUpDivisor = 2;
@@ -39,6 +42,10 @@
                                     SessionId id,
                                     const std::string& database,
                                     const std::string& key) {
+  if (!table_ && !draining_) {
+    waiting_starts_.push_back({id, database, key, now + kConfigurationWait});
+    return;
+  }
   Session& session = sessions_[id];
   session.id = id;
   session.database = database;
@@ -64,6 +71,25 @@
   hooks_.answer(id, Completed());
 }
 
+// Answers callers for whom no configuration came in time.
+void StatementProxy::RefuseWaitingStarts(Time now) {
+  std::vector<WaitingStart> late;
+  std::erase_if(waiting_starts_, [&](WaitingStart& start) {
+    if (now < start.until)
+      return false;
+    late.push_back(std::move(start));
+    return true;
+  });
+  for (const WaitingStart& start : late) {
+    Answer answer;
+    answer.outcome = Outcome::kBusy;
+    answer.message = "no configuration yet; retry after 500 ms";
+    hooks_.decided({"session_refused", "", "", "", answer.message, {}, 0});
+    hooks_.answer(start.session, answer);
+    hooks_.close_session(start.session);
+  }
+}
+
 void StatementProxy::OnStatement(Time now, SessionId id, Statement statement) {
   const auto it = sessions_.find(id);
   if (it == sessions_.end())
@@ -78,6 +104,9 @@
 }
 
 void StatementProxy::OnSessionClosed(Time now, SessionId id) {
+  std::erase_if(waiting_starts_, [id](const WaitingStart& start) {
+    return start.session == id;
+  });
   const auto it = sessions_.find(id);
   if (it == sessions_.end())
     return;
@@ -412,6 +441,7 @@
   decision.endpoint = endpoint;
   decision.cause = cause;
   decision.configuration_version = Version();
+  decision.customer = session.customer;
   hooks_.decided(decision);
 }
 
