--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -128,7 +128,8 @@
   }
   if (registered)
     return leadership_->owner->OnReport(now, from, it->second.incarnation,
-                                        report.shares);
+                                        report.shares,
+                                        Duration(report.quiet_micros));
   // An entry gets shares once a successor of this leader would know of it.
   auto [pending, added] =
       leadership_->registering.emplace(from, report.process);
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -8660,6 +8660,10 @@
 void ProxyReport::__set_stopped(const bool val) {
   this->stopped = val;
 }
+
+void ProxyReport::__set_quiet_micros(const int64_t val) {
+  this->quiet_micros = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProxyReport& obj)
 {
   obj.printTo(out);
@@ -8768,6 +8772,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->quiet_micros);
+          this->__isset.quiet_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8829,6 +8841,10 @@
   xfer += oprot->writeBool(this->stopped);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quiet_micros", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->quiet_micros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8843,6 +8859,7 @@
   swap(a.shares, b.shares);
   swap(a.contacts, b.contacts);
   swap(a.stopped, b.stopped);
+  swap(a.quiet_micros, b.quiet_micros);
   swap(a.__isset, b.__isset);
 }
 
@@ -8854,6 +8871,7 @@
   shares = other297.shares;
   contacts = other297.contacts;
   stopped = other297.stopped;
+  quiet_micros = other297.quiet_micros;
   __isset = other297.__isset;
 }
 ProxyReport::ProxyReport(ProxyReport&& other298) noexcept {
@@ -8864,6 +8882,7 @@
   shares = std::move(other298.shares);
   contacts = std::move(other298.contacts);
   stopped = other298.stopped;
+  quiet_micros = other298.quiet_micros;
   __isset = other298.__isset;
 }
 ProxyReport& ProxyReport::operator=(const ProxyReport& other299) {
@@ -8874,6 +8893,7 @@
   shares = other299.shares;
   contacts = other299.contacts;
   stopped = other299.stopped;
+  quiet_micros = other299.quiet_micros;
   __isset = other299.__isset;
   return *this;
 }
@@ -8885,6 +8905,7 @@
   shares = std::move(other300.shares);
   contacts = std::move(other300.contacts);
   stopped = other300.stopped;
+  quiet_micros = other300.quiet_micros;
   __isset = other300.__isset;
   return *this;
 }
@@ -8898,6 +8919,7 @@
   out << ", " << "shares=" << to_string(shares);
   out << ", " << "contacts=" << to_string(contacts);
   out << ", " << "stopped=" << to_string(stopped);
+  out << ", " << "quiet_micros=" << to_string(quiet_micros);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -3235,7 +3235,7 @@
 std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj);
 
 typedef struct _ProxyReport__isset {
-  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false) {}
+  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false), quiet_micros(false) {}
   bool process :1;
   bool sent_micros :1;
   bool document_version :1;
@@ -3243,6 +3243,7 @@
   bool shares :1;
   bool contacts :1;
   bool stopped :1;
+  bool quiet_micros :1;
 } _ProxyReport__isset;
 
 class ProxyReport : public virtual ::apache::thrift::TBase {
@@ -3257,7 +3258,8 @@
                 sent_micros(0),
                 document_version(0),
                 wants_document(0),
-                stopped(0) {
+                stopped(0),
+                quiet_micros(0) {
   }
 
   virtual ~ProxyReport() noexcept;
@@ -3268,6 +3270,7 @@
   std::vector<ShareReport>  shares;
   std::vector<PrimaryContact>  contacts;
   bool stopped;
+  int64_t quiet_micros;
 
   _ProxyReport__isset __isset;
 
@@ -3285,6 +3288,8 @@
 
   void __set_stopped(const bool val);
 
+  void __set_quiet_micros(const int64_t val);
+
   bool operator == (const ProxyReport & rhs) const
   {
     if (!(process == rhs.process))
@@ -3301,6 +3306,8 @@
       return false;
     if (!(stopped == rhs.stopped))
       return false;
+    if (!(quiet_micros == rhs.quiet_micros))
+      return false;
     return true;
   }
   bool operator != (const ProxyReport &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -410,6 +410,7 @@
   5: list<ShareReport> shares,
   6: list<PrimaryContact> contacts,
   7: bool stopped,                       // last report: holds nothing
+  8: i64 quiet_micros,                   // since a token was taken, or the start
 }
 
 // Controller to entry.
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -50,6 +50,7 @@
       settings_(settings),
       log_(log),
       process_(RandomProcess()),
+      started_at_(SystemClock::Now()),
       scheduler_(context),
       acceptor_(context),
       proxy_({settings.zone, LimitWindowOf(settings)}, MakeHooks()) {
@@ -353,6 +354,7 @@
   report.wants_document = wants_document;
   if (controller == leader_)
     report.shares = proxy_.holder().Report(now);
+  report.quiet_micros = proxy_.holder().QuietFor(now, started_at_).count();
   report.contacts = proxy_.Contacts(now);
   controllers_[controller].reported_at = now;
   messages::PeerMessage message;
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -78,6 +78,7 @@
   platform::BootSettings settings_;
   PlatformLog& log_;
   std::int64_t process_;  // random, differs after a restart
+  Time started_at_;
   adapters::Counters counters_;
   adapters::Scheduler scheduler_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/quota/include/goldcrest/quota/holder.h
+++ b/quota/include/goldcrest/quota/holder.h
@@ -54,6 +54,9 @@
   //! which the answer echoes.
   std::vector<messages::ShareReport> Report(Time now);
 
+  //! How long ago a token was taken last; `now - started` if none was.
+  Duration QuietFor(Time now, Time started) const;
+
   //! Applies the answer to the report sent at `report_sent`. Repeated, late and
   //! reordered answers are recognised and do no harm.
   void OnUpdates(Time now,
@@ -98,6 +101,7 @@
   void RequestReport(Time at);
 
   std::map<std::string, Share> shares_;
+  std::optional<Time> last_taken_;
   std::int64_t newest_term_ = 0;
   Time first_report_ = kNever;
   Time last_report_;
--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -42,11 +42,13 @@
 
   //! Takes in a report and returns the answer, which must be sent with the
   //! report's sent time. The answer can be empty.
+  //! `quiet` is how long ago the entry's process took a token last, or started.
   std::vector<messages::ShareUpdate> OnReport(
       Time now,
       const std::string& instance,
       std::int64_t incarnation,
-      const std::vector<messages::ShareReport>& reports);
+      const std::vector<messages::ShareReport>& reports,
+      Duration quiet = Duration::zero());
 
   //! Takes back the shares of an instance whose Holder has been stopped, and
   //! removes it from the registered instances.
@@ -103,11 +105,14 @@
     std::int64_t incarnation = 0;
     bool known = false;      // what earlier owners gave it is known
     bool confirmed = false;  // this incarnation has reported under this term
+    std::optional<Time> quiet_since;
   };
 
   static Totals HeldBy(const Share& share);
   void DropShares(Time now, const std::string& instance);
   static void AddTotals(Bucket& bucket, const Share& share, int sign);
+  std::int64_t UsablePercent() const;
+  void CreditQuietTime(Time now);
   std::int64_t FreeRate(const Bucket& bucket) const;
   std::int64_t FreeCapacity(const Bucket& bucket) const;
   void Advance(Bucket& bucket, Time now);
--- a/quota/src/holder.cc
+++ b/quota/src/holder.cc
@@ -142,6 +142,10 @@
   }
 }
 
+Duration Holder::QuietFor(Time now, Time started) const {
+  return now - last_taken_.value_or(started);
+}
+
 void Holder::OnOwnerChange(Time now) {
   RequestReport(now);
 }
@@ -201,6 +205,7 @@
     RequestReport(now);
   }
   share.level_micros -= kRequestMicros;
+  last_taken_ = now;
   return true;
 }
 
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -30,6 +30,10 @@
 // a share lets the entry go on while there is no owner.
 constexpr std::int64_t kMinCapacityMicros = kRequestMicros;
 
+// Largest share of one entry. What it needs beyond it comes as single tokens.
+// An owner that took over and misses an entry's report holds back this much.
+constexpr std::int64_t kMaxSharePercent = 25;
+
 // Share changes below this part of the limit are not worth an update.
 constexpr std::int64_t kMinChangePercent = 2;
 
@@ -105,7 +109,8 @@
     Time now,
     const std::string& instance,
     std::int64_t incarnation,
-    const std::vector<messages::ShareReport>& reports) {
+    const std::vector<messages::ShareReport>& reports,
+    Duration quiet) {
   std::vector<messages::ShareUpdate> updates;
   const auto place = instances_.find(instance);
   if (place == instances_.end() || incarnation < place->second.incarnation) {
@@ -127,6 +132,7 @@
     updates.push_back(update);
     return updates;
   }
+  place->second.quiet_since = now - quiet;
   if (!place->second.confirmed) {
     Adopt(now, instance, place->second, reports);
   }
@@ -187,9 +193,38 @@
     Advance(bucket, now);
   }
   ready_ = true;
+  CreditQuietTime(now);
   return true;
 }
 
+// While no entry took a token, as after a restart of all of them, the limits
+// went on yielding tokens that nobody has.
+void Owner::CreditQuietTime(Time now) {
+  Time since;
+  for (const auto& [name, instance] : instances_) {
+    if (!instance.quiet_since)
+      return;
+    since = std::max(since, *instance.quiet_since);
+  }
+  if (instances_.empty() || since >= now)
+    return;
+  for (auto& [customer, bucket] : buckets_)
+    Refill(FreeRate(bucket), FreeCapacity(bucket), now - since,
+           bucket.level_micros, bucket.remainder);
+}
+
+// The part of each limit that is not with instances whose shares are unknown:
+// each of them holds kMaxSharePercent at most.
+std::int64_t Owner::UsablePercent() const {
+  if (ready_)
+    return 100;
+  if (wait_for_lapse_)
+    return 0;
+  const auto unknown = std::ranges::count_if(
+      instances_, [](const auto& item) { return !item.second.known; });
+  return std::max<std::int64_t>(0, 100 - unknown * kMaxSharePercent);
+}
+
 Owner::Totals Owner::HeldBy(const Share& share) {
   Totals held{share.confirmed.rate_micros,
               std::max(share.confirmed.capacity_micros, share.level_bound),
@@ -214,16 +249,20 @@
 }
 
 std::int64_t Owner::FreeRate(const Bucket& bucket) const {
-  return ready_ && bucket.limit
+  return bucket.limit
              ? std::max<std::int64_t>(
-                   bucket.limit->rate_micros - bucket.held.rate_micros, 0)
+                   Percent(bucket.limit->rate_micros, UsablePercent()) -
+                       bucket.held.rate_micros,
+                   0)
              : 0;
 }
 
 std::int64_t Owner::FreeCapacity(const Bucket& bucket) const {
-  return ready_ && bucket.limit
+  return bucket.limit
              ? std::max<std::int64_t>(
-                   bucket.limit->burst_micros - bucket.held.capacity_micros, 0)
+                   Percent(bucket.limit->burst_micros, UsablePercent()) -
+                       bucket.held.capacity_micros,
+                   0)
              : 0;
 }
 
@@ -376,7 +415,7 @@
                            const messages::ShareReport& report) const {
   Grant grant = share.confirmed;
   grant.added_micros = 0;
-  if (!ready_) {
+  if (UsablePercent() == 0) {
     return grant;
   }
   const Limit& limit = *bucket.limit;
@@ -394,6 +433,8 @@
                              kRateReservePercent));
   std::int64_t rate =
       Scale(limit.rate_micros - rate_reserve, report.demand_micros, demand);
+  capacity = std::min(capacity, Percent(limit.burst_micros, kMaxSharePercent));
+  rate = std::min(rate, Percent(limit.rate_micros, kMaxSharePercent));
   if (capacity < kMinCapacityMicros) {
     capacity = 0;
     rate = 0;
