--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -103,9 +103,19 @@
   //! The endpoint failed; it is left alone for a while, longer each time.
   void OnFailure(Time now, const std::string& endpoint);
 
-  //! The endpoint's log was behind what a read asked for.
-  void OnBehind(Time now, const std::string& endpoint);
-  bool IsBehind(Time now, const std::string& endpoint) const;
+  //! The endpoint's log was at `position`.
+  void OnPosition(const std::string& endpoint, LogPosition position);
+  //! The endpoint's log had not reached `asked`.
+  void OnBehind(Time now, const std::string& endpoint, LogPosition asked);
+  //! True when the endpoint would probably refuse to read after `position`.
+  bool IsBehind(Time now,
+                const std::string& endpoint,
+                LogPosition position) const;
+
+  //! The endpoint had no room for a statement: fewer are sent at a time.
+  void OnBusy(Time now, const std::string& endpoint);
+  //! True when another statement may be sent to the endpoint now.
+  bool HasRoom(const std::string& endpoint) const;
 
   //! Expected time for one more statement at the endpoint: its recent latency,
   //! or the age of its oldest unanswered statement, times what this entry has
@@ -132,7 +142,11 @@
     int failures = 0;
     Time avoid_until;
     Time open_after;  // the endpoint had too many connections
+    LogPosition seen;          // the highest position told
+    LogPosition behind;        // had not been reached
     Time behind_until;
+    double window = 0;         // statements at a time; 0: not set yet
+    Time narrowed_at;
     int refusals = 0;  // for too many connections, in a row
     int count = 0;
     int opening = 0;
@@ -141,6 +155,7 @@
   Connection* FindIdle(const std::string& endpoint,
                        const std::function<bool(const Connection&)>& matches);
   void Remove(ConnectionId id);
+  int OutstandingAt(const std::string& endpoint) const;
 
   ConnectionPoolHooks hooks_;
   ConnectionId next_id_ = 1;
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -108,6 +108,7 @@
     std::map<std::string, Time> avoid;  // endpoint: until
     bool primary_only = false;  // no replica may run it, as it turned out
     ConnectionId opening = 0;
+    std::optional<LogPosition> after;  // asked of the endpoint
     Time retry_at;
     std::string last_cause = "no endpoint";
   };
@@ -173,10 +174,18 @@
   bool NeedsPrimary(const Session& session) const;
   bool Writes(const Session& session, const Statement& statement) const;
   void DispatchGroup(Time now, const std::string& group);
-  void Dispatch(Time now, Session& session);
-  void DispatchToPrimary(Time now, Session& session);
-  void DispatchToAny(Time now, Session& session, LogPosition after);
-  bool Acquire(Time now, Session& session, const std::string& endpoint);
+  //! Whether a dispatch may open a connection, or uses an idle one only.
+  enum class Opening { kAllowed, kLater };
+  void Dispatch(Time now, Session& session, Opening opening);
+  void DispatchToPrimary(Time now, Session& session, Opening opening);
+  void DispatchToAny(Time now,
+                     Session& session,
+                     LogPosition after,
+                     Opening opening);
+  bool Acquire(Time now,
+               Session& session,
+               const std::string& endpoint,
+               Opening opening);
   std::optional<LogPosition> ReadPosition(Time now, Session& session);
   void Run(Time now,
            Session& session,
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -29,6 +29,13 @@
 // An endpoint whose log was behind is asked for other reads again after this.
 constexpr Duration kBehindPause = std::chrono::milliseconds(200);
 
+// Statements at a time to one endpoint: narrowed after a refusal for want of
+// room, at most once in a while, and widened with each answer.
+constexpr double kNarrowFactor = 0.7;
+constexpr Duration kNarrowInterval = std::chrono::milliseconds(60);
+constexpr double kWiden = 0.15;
+constexpr double kWidestWindow = 24;
+
 // Weight of the newest latency: 1 / kLatencyWeight.
 constexpr int kLatencyWeight = 5;
 
@@ -192,6 +199,8 @@
 void ConnectionPool::OnLatency(const std::string& endpoint, Duration latency) {
   Health& health = health_[endpoint];
   health.failures = 0;
+  if (health.window > 0)
+    health.window = health.window >= kWidestWindow ? 0 : health.window + kWiden;
   health.latency += (latency - health.latency) / kLatencyWeight;
 }
 
@@ -204,13 +213,53 @@
   health.avoid_until = now + kFailurePause * (1 << doublings);
 }
 
-void ConnectionPool::OnBehind(Time now, const std::string& endpoint) {
-  health_[endpoint].behind_until = now + kBehindPause;
+void ConnectionPool::OnPosition(const std::string& endpoint,
+                                LogPosition position) {
+  Health& health = health_[endpoint];
+  health.seen = std::max(health.seen, position);
+}
+
+void ConnectionPool::OnBehind(Time now,
+                              const std::string& endpoint,
+                              LogPosition asked) {
+  Health& health = health_[endpoint];
+  if (now >= health.behind_until || asked < health.behind)
+    health.behind = asked;
+  health.behind_until = now + kBehindPause;
+  // A promotion may have taken back what it had.
+  health.seen = LogPosition();
+}
+
+bool ConnectionPool::IsBehind(Time now,
+                              const std::string& endpoint,
+                              LogPosition position) const {
+  const auto it = health_.find(endpoint);
+  return it != health_.end() && now < it->second.behind_until &&
+         position >= it->second.behind && position > it->second.seen;
 }
 
-bool ConnectionPool::IsBehind(Time now, const std::string& endpoint) const {
+void ConnectionPool::OnBusy(Time now, const std::string& endpoint) {
+  Health& health = health_[endpoint];
+  if (now - health.narrowed_at < kNarrowInterval)
+    return;
+  health.narrowed_at = now;
+  const double used = std::max(1, OutstandingAt(endpoint));
+  const double window = health.window == 0 ? used : health.window;
+  health.window = std::max(1.0, std::min(window, used) * kNarrowFactor);
+}
+
+bool ConnectionPool::HasRoom(const std::string& endpoint) const {
   const auto it = health_.find(endpoint);
-  return it != health_.end() && now < it->second.behind_until;
+  return it == health_.end() || it->second.window == 0 ||
+         OutstandingAt(endpoint) < static_cast<int>(it->second.window);
+}
+
+int ConnectionPool::OutstandingAt(const std::string& endpoint) const {
+  return static_cast<int>(
+      std::ranges::count_if(connections_, [&](const auto& item) {
+        return item.second.endpoint == endpoint &&
+               !item.second.expected.empty();
+      }));
 }
 
 Duration ConnectionPool::ExpectedWait(Time now,
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -67,6 +67,8 @@
   if (!connection->expected.empty())
     connection->expected.front().worked_on_since = now;
   const std::string group = connection->group;
+  if (answer.position)
+    pool_.OnPosition(connection->endpoint, *answer.position);
   switch (expected.kind) {
     case Connection::Expected::Kind::kSetup:
       if (answer.outcome == Outcome::kDone)
@@ -225,8 +227,10 @@
     return false;
   pending.last_cause = endpoint + ": " + NameOf(outcome);
   const bool primary = NeedsPrimary(session);
-  if (outcome == Outcome::kBehind)
-    pool_.OnBehind(now, endpoint);
+  if (outcome == Outcome::kBehind && pending.after)
+    pool_.OnBehind(now, endpoint, *pending.after);
+  if (outcome == Outcome::kBusy)
+    pool_.OnBusy(now, endpoint);
   Duration pause = kOtherPause;
   if (outcome == Outcome::kBusy)
     pause = kBusyPause;
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -20,6 +20,10 @@
 // times while all that it has are in use.
 constexpr int kMaxOverEvenPart = 4;
 
+// A statement that has waited this long opens a connection before younger ones
+// take the idle ones.
+constexpr Duration kOpenAnywayAfter = std::chrono::milliseconds(80);
+
 // Connections of each endpoint left to the controllers, which probe it.
 constexpr int kReservedConnections = 1;
 
@@ -70,33 +74,46 @@
     return std::tie(left.priority, left.arrival) <
            std::tie(right.priority, right.arrival);
   });
+  // First those that can use an idle connection of their customer, then those
+  // that need a new one: opening takes a slot of the endpoint, and would close
+  // idle connections that others wait for. Who has waited long goes first.
   for (const Waiting& waiting : order) {
     waiting_[group].push_back(waiting.id);
-    Dispatch(now, sessions_.at(waiting.id));
+    const bool overdue = now - waiting.arrival >= kOpenAnywayAfter;
+    Dispatch(now, sessions_.at(waiting.id),
+             overdue ? Opening::kAllowed : Opening::kLater);
   }
+  for (const Waiting& waiting : order)
+    Dispatch(now, sessions_.at(waiting.id), Opening::kAllowed);
   // Those that now run are dropped with the next call.
 }
 
-void StatementProxy::Dispatch(Time now, Session& session) {
+void StatementProxy::Dispatch(Time now, Session& session, Opening opening) {
   if (!session.pending || session.pending->sent || session.connection != 0 ||
       now < session.pending->retry_at)
     return;
   if (NeedsPrimary(session))
-    return DispatchToPrimary(now, session);
+    return DispatchToPrimary(now, session, opening);
   const auto after = ReadPosition(now, session);
   if (!after)
-    return DispatchToPrimary(now, session);
-  DispatchToAny(now, session, *after);
+    return DispatchToPrimary(now, session, opening);
+  DispatchToAny(now, session, *after, opening);
 }
 
-void StatementProxy::DispatchToPrimary(Time now, Session& session) {
+void StatementProxy::DispatchToPrimary(Time now,
+                                       Session& session,
+                                       Opening opening) {
   const std::string primary = primaries_.PrimaryOf(now, session.route->group);
   if (primary.empty()) {
     session.pending->last_cause = "no primary known";
     return;
   }
+  if (!pool_.HasRoom(primary)) {
+    session.pending->last_cause = "primary " + primary + " is busy";
+    return;
+  }
   session.pending->last_cause = "no connection to primary " + primary;
-  if (!Acquire(now, session, primary))
+  if (!Acquire(now, session, primary, opening))
     return;
   Run(now, session, *pool_.Find(session.connection), std::nullopt);
 }
@@ -121,7 +138,8 @@
 
 void StatementProxy::DispatchToAny(Time now,
                                    Session& session,
-                                   LogPosition after) {
+                                   LogPosition after,
+                                   Opening opening) {
   struct Candidate {
     Duration cost;
     std::string endpoint;
@@ -131,7 +149,7 @@
   for (const auto* member : directory_.MembersOf(session.route->group)) {
     const std::string& endpoint = member->record.endpoint;
     if (member->record.draining || pool_.IsAvoided(now, endpoint) ||
-        pool_.IsBehind(now, endpoint))
+        pool_.IsBehind(now, endpoint, after))
       continue;
     const auto avoided = session.pending->avoid.find(endpoint);
     if (avoided != session.pending->avoid.end() && now < avoided->second)
@@ -148,13 +166,16 @@
   if (candidates.empty()) {
     session.pending->last_cause = "no endpoint can serve the read";
     // All replicas lag or fail; the primary has every commit.
-    return DispatchToPrimary(now, session);
+    return DispatchToPrimary(now, session, opening);
   }
   std::ranges::sort(candidates, {}, &Candidate::cost);
   session.pending->last_cause = "no free connection";
   for (const Candidate& candidate : candidates) {
-    if (!Acquire(now, session, candidate.endpoint)) {
-      if (pool_.IsOpening(session.pending->opening))
+    if (!pool_.HasRoom(candidate.endpoint))
+      continue;
+    if (!Acquire(now, session, candidate.endpoint, opening)) {
+      if (opening == Opening::kLater ||
+          pool_.IsOpening(session.pending->opening))
         return;
       continue;
     }
@@ -179,17 +200,18 @@
 // that is under way, and returns false.
 bool StatementProxy::Acquire(Time now,
                              Session& session,
-                             const std::string& endpoint) {
+                             const std::string& endpoint,
+                             Opening opening) {
   Connection* idle = pool_.Take(now, endpoint, session.customer, session.id);
   if (idle != nullptr) {
     session.connection = idle->id;
     return true;
   }
-  if (pool_.IsOpening(session.pending->opening)) {
-    const Connection* opening = pool_.Find(session.pending->opening);
-    if (opening->endpoint == endpoint)
-      return false;
-  }
+  if (opening == Opening::kLater)
+    return false;
+  if (pool_.IsOpening(session.pending->opening) &&
+      pool_.Find(session.pending->opening)->endpoint == endpoint)
+    return false;
   const int even = EvenPart(endpoint);
   const ConnectionTarget target{endpoint, session.route->group,
                                 session.customer};
@@ -212,6 +234,7 @@
                          Connection& connection,
                          std::optional<LogPosition> after) {
   ++session.pending->attempts;
+  session.pending->after = after;
   const bool primary = NeedsPrimary(session) || !after;
   const bool transaction = session.state == TransactionState::kOpen;
   const bool writes = Writes(session, session.pending->statement);
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -268,7 +268,7 @@
         NextFromInbox(now, id);
       } else {
         waiting_[session.route->group].push_back(id);
-        Dispatch(now, session);
+        Dispatch(now, session, Opening::kAllowed);
       }
       continue;
     }
@@ -366,7 +366,7 @@
       return SendStatement(now, session, *connection, std::nullopt);
   }
   waiting_[session.route->group].push_back(session.id);
-  Dispatch(now, session);
+  Dispatch(now, session, Opening::kAllowed);
 }
 
 void StatementProxy::ReplyLocally(Time now, Session& session, Answer answer) {
