--- a/cmake/GoldcrestPackage.cmake
+++ b/cmake/GoldcrestPackage.cmake
@@ -36,10 +36,13 @@
 find_package(docopt REQUIRED)
 
 add_library(goldcrest_warnings INTERFACE)
-# GCC 12 reports -Wrestrict for assignments of string literals (its bug 105329).
 target_compile_options(goldcrest_warnings INTERFACE -Wall -Wextra -Werror
-                                                    -Wno-missing-field-initializers
-                                                    -Wno-restrict)
+                                                    -Wno-missing-field-initializers)
+if(GOLDCREST_DEPLOY)
+  # GCC 12 at -O3 reports -Wrestrict for assignments of string literals (its
+  # bug 105329).
+  target_compile_options(goldcrest_warnings INTERFACE -Wno-restrict)
+endif()
 
 if(GOLDCREST_SANITIZE)
   add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all
--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -66,7 +66,7 @@
 
   Controller(Time now,
              ControllerOptions options,
-             consensus::RestoredState restored,
+             const consensus::RestoredState& restored,
              std::mt19937_64 generator,
              ControllerHooks hooks);
 
@@ -121,6 +121,7 @@
     std::unique_ptr<FailoverPlanner> failover;
     std::int64_t version = -1;  // of the limits and groups set
     std::map<std::string, std::int64_t> registering;  // instance: process
+    Time won_at;
   };
 
   void Process(Time now, consensus::Output output);
@@ -128,6 +129,8 @@
   void OnDocumentChanged(Time now);
   void UpdateLeadership(Time now);
   void SetLimits(Time now);
+  void LoadEndpoints(Time now);
+  void ReleaseSilentHolders(Time now);
   bool Leads(Time now) const;
   std::int64_t Propose(Time now, const messages::FleetCommand& command);
   void OnReport(Time now,
@@ -141,6 +144,7 @@
                 const std::string& from,
                 const messages::ControllerNotice& notice);
   void Merge(Time now, const messages::EndpointRecord& record);
+  void Record(Time now, const messages::EndpointRecord& record);
   void SendNotices(Time now);
   void ToEntries(const messages::ProxyUpdate& update);
   void LearnControllers(const std::vector<std::string>& names);
--- a/fleet/include/goldcrest/fleet/fleet_state.h
+++ b/fleet/include/goldcrest/fleet/fleet_state.h
@@ -9,8 +9,9 @@
 
 namespace goldcrest::fleet {
 
-//! What the controllers agree on: the newest configuration document, and the
-//! instances that may hold shares of customers' rates.
+//! What the controllers agree on: the newest configuration document, the
+//! instances that may hold shares of customers' rates, and the endpoints, so
+//! that a restart of all instances need not wait for heartbeats.
 class FleetState {
  public:
   //! Deterministic. A document replaces one of a lower version only.
@@ -25,6 +26,9 @@
   const std::map<std::string, messages::HolderState>& holders() const {
     return state_.holders;
   }
+  const std::map<std::string, messages::EndpointRecord>& endpoints() const {
+    return state_.endpoints;
+  }
 
  private:
   messages::FleetSnapshot state_;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -27,7 +27,7 @@
 
 Controller::Controller(Time now,
                        ControllerOptions options,
-                       consensus::RestoredState restored,
+                       const consensus::RestoredState& restored,
                        std::mt19937_64 generator,
                        ControllerHooks hooks)
     : options_(std::move(options)),
@@ -46,9 +46,15 @@
   }
   state_.Load(*std::move(snapshot));
   applied_index_ = restored.snapshot.last_index;
+  LoadEndpoints(now);
   OnDocumentChanged(now);
 }
 
+void Controller::LoadEndpoints(Time now) {
+  for (const auto& [name, record] : state_.endpoints())
+    Merge(now, record);
+}
+
 bool Controller::Leads(Time now) const {
   return leadership_ != nullptr && replica_.HoldsLeaderLease(now);
 }
@@ -60,6 +66,7 @@
   if (Leads(now)) {
     leadership_->failover->Tick(now);
     PlanMembership(now);
+    ReleaseSilentHolders(now);
   }
   FailPuts(now);
   if (now >= next_notice_) {
@@ -73,6 +80,7 @@
       messages::ProxyUpdate update;
       update.endpoints.push_back(record);
       ToEntries(update);
+      Record(now, record);
     }
   }
   if (log_bytes_ < kCompactBytes || applied_index_ <= replica_.SnapshotIndex())
@@ -113,7 +121,7 @@
   }
   for (consensus::Outbound& outbound : output.messages) {
     messages::PeerMessage message;
-    message.__set_consensus(std::move(outbound.message));
+    message.__set_consensus(outbound.message);
     hooks_.send(outbound.to, std::move(message));
   }
   if (output.installed) {
@@ -124,6 +132,7 @@
     }
     state_.Load(*std::move(snapshot));
     applied_index_ = output.installed->last_index;
+    LoadEndpoints(now);
     OnDocumentChanged(now);
   }
   for (const messages::LogEntry& entry : output.committed)
@@ -151,6 +160,8 @@
   state_.Apply(*command);
   if (state_.version() != before || first)
     OnDocumentChanged(now);
+  if (command->__isset.endpoint)
+    Merge(now, command->endpoint);
   if (command->__isset.holder && leadership_ != nullptr) {
     leadership_->registering.erase(command->holder.instance);
     const auto it = state_.holders().find(command->holder.instance);
@@ -196,6 +207,7 @@
     return;
   leadership_ = std::make_unique<Leadership>();
   leadership_->term = replica_.Term();
+  leadership_->won_at = now;
   hooks_.decided("leadership_won", std::to_string(leadership_->term), "");
   // Members that were silent for a long time count from now.
   for (const std::string& member : replica_.Members()) {
@@ -225,6 +237,8 @@
   leadership_->failover = std::make_unique<FailoverPlanner>(
       now, leadership_->term, &directory_, std::move(failover));
   SetLimits(now);
+  for (const messages::EndpointRecord& record : directory_.All())
+    Record(now, record);
 }
 
 void Controller::SetLimits(Time now) {
@@ -272,7 +286,7 @@
   messages::PutDocument put;
   put.version = version;
   put.text = std::move(text);
-  command.__set_put(std::move(put));
+  command.__set_put(put);
   WaitingPut waiting;
   waiting.version = version;
   waiting.term = replica_.Term();
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -9,6 +9,9 @@
 
 constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
 
+// Twice the time after which a share lapses.
+constexpr Duration kHolderExpiry = 2 * quota::kShareLapse;
+
 // An entry without a report for this long no longer counts as one.
 constexpr Duration kEntryFresh = std::chrono::seconds(5);
 
@@ -38,6 +41,25 @@
   messages::ProxyUpdate update;
   update.endpoints.push_back(record);
   ToEntries(update);
+  Record(now, record);
+}
+
+// Keeps a changed record in the log. What was recorded may be out of date: a
+// later heartbeat replaces it.
+void Controller::Record(Time now, const messages::EndpointRecord& record) {
+  if (!Leads(now))
+    return;
+  const auto it = state_.endpoints().find(record.endpoint);
+  const bool known = it != state_.endpoints().end();
+  if (record.gone ? !known
+                  : known && it->second.primary == record.primary &&
+                        it->second.draining == record.draining &&
+                        it->second.address == record.address &&
+                        it->second.started_ms == record.started_ms)
+    return;
+  messages::FleetCommand command;
+  command.__set_endpoint(record);
+  Propose(now, command);
 }
 
 void Controller::OnDeparture(Time now,
@@ -60,6 +82,7 @@
   messages::ProxyUpdate update;
   update.endpoints.push_back(record);
   ToEntries(update);
+  Record(now, record);
 }
 
 void Controller::ToEntries(const messages::ProxyUpdate& update) {
@@ -103,7 +126,7 @@
       update.primaries = leadership_->failover->Assignments();
   }
   messages::PeerMessage message;
-  message.__set_proxy_update(std::move(update));
+  message.__set_proxy_update(update);
   hooks_.send(from, std::move(message));
 }
 
@@ -146,6 +169,28 @@
   return {};
 }
 
+// An instance that has been silent far longer than a share lasts holds nothing
+// any more; while it counts as a holder, each new owner waits for it.
+void Controller::ReleaseSilentHolders(Time now) {
+  if (now - leadership_->won_at < kHolderExpiry)
+    return;
+  for (const auto& [instance, holder] : state_.holders()) {
+    const auto it = entries_.find(instance);
+    if (holder.process == 0 ||
+        (it != entries_.end() && now - it->second.reported_at < kHolderExpiry))
+      continue;
+    hooks_.decided("holder_released", instance, "silent");
+    leadership_->owner->Release(now, instance);
+    messages::FleetCommand command;
+    messages::RegisterHolder release;
+    release.instance = instance;
+    release.released = true;
+    command.__set_holder(release);
+    Propose(now, command);
+    return;  // The proposal may have changed the holders.
+  }
+}
+
 void Controller::OnNotice(Time now,
                           const std::string& from,
                           const messages::ControllerNotice& notice) {
@@ -181,7 +226,7 @@
     const auto peer = peers_.find(name);
     if (peer == peers_.end() || now - peer->second.heard_at > kLivePeer)
       sent.endpoints = directory_.All();
-    message.__set_controller_notice(std::move(sent));
+    message.__set_controller_notice(sent);
     hooks_.send(name, std::move(message));
   }
 }
--- a/fleet/src/fleet_state.cc
+++ b/fleet/src/fleet_state.cc
@@ -8,6 +8,12 @@
   if (command.__isset.put && (state_.document.text.empty() ||
                               command.put.version > state_.document.version))
     state_.document = command.put;
+  if (command.__isset.endpoint) {
+    if (command.endpoint.gone)
+      state_.endpoints.erase(command.endpoint.endpoint);
+    else
+      state_.endpoints[command.endpoint.endpoint] = command.endpoint;
+  }
   if (!command.__isset.holder)
     return;
   messages::HolderState& holder = state_.holders[command.holder.instance];
--- a/fleet/src/membership_planner.cc
+++ b/fleet/src/membership_planner.cc
@@ -36,7 +36,7 @@
     members.push_back(name);
     return members;
   }
-  const auto wanted = static_cast<std::size_t>(2 * view.tolerated_losses + 1);
+  const auto wanted = 2 * static_cast<std::size_t>(view.tolerated_losses) + 1;
   if (view.members.size() <= wanted)
     return std::nullopt;
   for (const std::string& name : view.members) {
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -9894,6 +9894,11 @@
   this->holder = val;
 __isset.holder = true;
 }
+
+void FleetCommand::__set_endpoint(const EndpointRecord& val) {
+  this->endpoint = val;
+__isset.endpoint = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj)
 {
   obj.printTo(out);
@@ -9938,6 +9943,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endpoint.read(iprot);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9965,6 +9978,11 @@
     xfer += this->holder.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.endpoint) {
+    xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->endpoint.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9974,28 +9992,33 @@
   using ::std::swap;
   swap(a.put, b.put);
   swap(a.holder, b.holder);
+  swap(a.endpoint, b.endpoint);
   swap(a.__isset, b.__isset);
 }
 
 FleetCommand::FleetCommand(const FleetCommand& other357) {
   put = other357.put;
   holder = other357.holder;
+  endpoint = other357.endpoint;
   __isset = other357.__isset;
 }
 FleetCommand::FleetCommand(FleetCommand&& other358) noexcept {
   put = std::move(other358.put);
   holder = std::move(other358.holder);
+  endpoint = std::move(other358.endpoint);
   __isset = other358.__isset;
 }
 FleetCommand& FleetCommand::operator=(const FleetCommand& other359) {
   put = other359.put;
   holder = other359.holder;
+  endpoint = other359.endpoint;
   __isset = other359.__isset;
   return *this;
 }
 FleetCommand& FleetCommand::operator=(FleetCommand&& other360) noexcept {
   put = std::move(other360.put);
   holder = std::move(other360.holder);
+  endpoint = std::move(other360.endpoint);
   __isset = other360.__isset;
   return *this;
 }
@@ -10004,6 +10027,7 @@
   out << "FleetCommand(";
   out << "put="; (__isset.put ? (out << to_string(put)) : (out << "<null>"));
   out << ", " << "holder="; (__isset.holder ? (out << to_string(holder)) : (out << "<null>"));
+  out << ", " << "endpoint="; (__isset.endpoint ? (out << to_string(endpoint)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10019,6 +10043,10 @@
 void FleetSnapshot::__set_holders(const std::map<std::string, HolderState> & val) {
   this->holders = val;
 }
+
+void FleetSnapshot::__set_endpoints(const std::map<std::string, EndpointRecord> & val) {
+  this->endpoints = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj)
 {
   obj.printTo(out);
@@ -10078,6 +10106,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->endpoints.clear();
+            uint32_t _size368;
+            ::apache::thrift::protocol::TType _ktype369;
+            ::apache::thrift::protocol::TType _vtype370;
+            xfer += iprot->readMapBegin(_ktype369, _vtype370, _size368);
+            uint32_t _i372;
+            for (_i372 = 0; _i372 < _size368; ++_i372)
+            {
+              std::string _key373;
+              xfer += iprot->readString(_key373);
+              EndpointRecord& _val374 = this->endpoints[_key373];
+              xfer += _val374.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.endpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10102,11 +10153,24 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::map<std::string, HolderState> ::const_iterator _iter368;
-    for (_iter368 = this->holders.begin(); _iter368 != this->holders.end(); ++_iter368)
+    std::map<std::string, HolderState> ::const_iterator _iter375;
+    for (_iter375 = this->holders.begin(); _iter375 != this->holders.end(); ++_iter375)
     {
-      xfer += oprot->writeString(_iter368->first);
-      xfer += _iter368->second.write(oprot);
+      xfer += oprot->writeString(_iter375->first);
+      xfer += _iter375->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+    std::map<std::string, EndpointRecord> ::const_iterator _iter376;
+    for (_iter376 = this->endpoints.begin(); _iter376 != this->endpoints.end(); ++_iter376)
+    {
+      xfer += oprot->writeString(_iter376->first);
+      xfer += _iter376->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10121,29 +10185,34 @@
   using ::std::swap;
   swap(a.document, b.document);
   swap(a.holders, b.holders);
+  swap(a.endpoints, b.endpoints);
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshot::FleetSnapshot(const FleetSnapshot& other369) {
-  document = other369.document;
-  holders = other369.holders;
-  __isset = other369.__isset;
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other377) {
+  document = other377.document;
+  holders = other377.holders;
+  endpoints = other377.endpoints;
+  __isset = other377.__isset;
 }
-FleetSnapshot::FleetSnapshot(FleetSnapshot&& other370) noexcept {
-  document = std::move(other370.document);
-  holders = std::move(other370.holders);
-  __isset = other370.__isset;
+FleetSnapshot::FleetSnapshot(FleetSnapshot&& other378) noexcept {
+  document = std::move(other378.document);
+  holders = std::move(other378.holders);
+  endpoints = std::move(other378.endpoints);
+  __isset = other378.__isset;
 }
-FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other371) {
-  document = other371.document;
-  holders = other371.holders;
-  __isset = other371.__isset;
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other379) {
+  document = other379.document;
+  holders = other379.holders;
+  endpoints = other379.endpoints;
+  __isset = other379.__isset;
   return *this;
 }
-FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other372) noexcept {
-  document = std::move(other372.document);
-  holders = std::move(other372.holders);
-  __isset = other372.__isset;
+FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other380) noexcept {
+  document = std::move(other380.document);
+  holders = std::move(other380.holders);
+  endpoints = std::move(other380.endpoints);
+  __isset = other380.__isset;
   return *this;
 }
 void FleetSnapshot::printTo(std::ostream& out) const {
@@ -10151,6 +10220,7 @@
   out << "FleetSnapshot(";
   out << "document=" << to_string(document);
   out << ", " << "holders=" << to_string(holders);
+  out << ", " << "endpoints=" << to_string(endpoints);
   out << ")";
 }
 
@@ -10517,82 +10587,82 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other373) {
-  hello = other373.hello;
-  ping = other373.ping;
-  pong = other373.pong;
-  consensus = other373.consensus;
-  report = other373.report;
-  update = other373.update;
-  forward = other373.forward;
-  forward_response = other373.forward_response;
-  propose = other373.propose;
-  propose_response = other373.propose_response;
-  query = other373.query;
-  query_response = other373.query_response;
-  drain = other373.drain;
-  proxy_report = other373.proxy_report;
-  proxy_update = other373.proxy_update;
-  controller_notice = other373.controller_notice;
-  __isset = other373.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other374) noexcept {
-  hello = std::move(other374.hello);
-  ping = other374.ping;
-  pong = other374.pong;
-  consensus = std::move(other374.consensus);
-  report = std::move(other374.report);
-  update = std::move(other374.update);
-  forward = std::move(other374.forward);
-  forward_response = std::move(other374.forward_response);
-  propose = std::move(other374.propose);
-  propose_response = std::move(other374.propose_response);
-  query = std::move(other374.query);
-  query_response = std::move(other374.query_response);
-  drain = other374.drain;
-  proxy_report = std::move(other374.proxy_report);
-  proxy_update = std::move(other374.proxy_update);
-  controller_notice = std::move(other374.controller_notice);
-  __isset = other374.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other375) {
-  hello = other375.hello;
-  ping = other375.ping;
-  pong = other375.pong;
-  consensus = other375.consensus;
-  report = other375.report;
-  update = other375.update;
-  forward = other375.forward;
-  forward_response = other375.forward_response;
-  propose = other375.propose;
-  propose_response = other375.propose_response;
-  query = other375.query;
-  query_response = other375.query_response;
-  drain = other375.drain;
-  proxy_report = other375.proxy_report;
-  proxy_update = other375.proxy_update;
-  controller_notice = other375.controller_notice;
-  __isset = other375.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other381) {
+  hello = other381.hello;
+  ping = other381.ping;
+  pong = other381.pong;
+  consensus = other381.consensus;
+  report = other381.report;
+  update = other381.update;
+  forward = other381.forward;
+  forward_response = other381.forward_response;
+  propose = other381.propose;
+  propose_response = other381.propose_response;
+  query = other381.query;
+  query_response = other381.query_response;
+  drain = other381.drain;
+  proxy_report = other381.proxy_report;
+  proxy_update = other381.proxy_update;
+  controller_notice = other381.controller_notice;
+  __isset = other381.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other382) noexcept {
+  hello = std::move(other382.hello);
+  ping = other382.ping;
+  pong = other382.pong;
+  consensus = std::move(other382.consensus);
+  report = std::move(other382.report);
+  update = std::move(other382.update);
+  forward = std::move(other382.forward);
+  forward_response = std::move(other382.forward_response);
+  propose = std::move(other382.propose);
+  propose_response = std::move(other382.propose_response);
+  query = std::move(other382.query);
+  query_response = std::move(other382.query_response);
+  drain = other382.drain;
+  proxy_report = std::move(other382.proxy_report);
+  proxy_update = std::move(other382.proxy_update);
+  controller_notice = std::move(other382.controller_notice);
+  __isset = other382.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other383) {
+  hello = other383.hello;
+  ping = other383.ping;
+  pong = other383.pong;
+  consensus = other383.consensus;
+  report = other383.report;
+  update = other383.update;
+  forward = other383.forward;
+  forward_response = other383.forward_response;
+  propose = other383.propose;
+  propose_response = other383.propose_response;
+  query = other383.query;
+  query_response = other383.query_response;
+  drain = other383.drain;
+  proxy_report = other383.proxy_report;
+  proxy_update = other383.proxy_update;
+  controller_notice = other383.controller_notice;
+  __isset = other383.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other376) noexcept {
-  hello = std::move(other376.hello);
-  ping = other376.ping;
-  pong = other376.pong;
-  consensus = std::move(other376.consensus);
-  report = std::move(other376.report);
-  update = std::move(other376.update);
-  forward = std::move(other376.forward);
-  forward_response = std::move(other376.forward_response);
-  propose = std::move(other376.propose);
-  propose_response = std::move(other376.propose_response);
-  query = std::move(other376.query);
-  query_response = std::move(other376.query_response);
-  drain = other376.drain;
-  proxy_report = std::move(other376.proxy_report);
-  proxy_update = std::move(other376.proxy_update);
-  controller_notice = std::move(other376.controller_notice);
-  __isset = other376.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other384) noexcept {
+  hello = std::move(other384.hello);
+  ping = other384.ping;
+  pong = other384.pong;
+  consensus = std::move(other384.consensus);
+  report = std::move(other384.report);
+  update = std::move(other384.update);
+  forward = std::move(other384.forward);
+  forward_response = std::move(other384.forward_response);
+  propose = std::move(other384.propose);
+  propose_response = std::move(other384.propose_response);
+  query = std::move(other384.query);
+  query_response = std::move(other384.query_response);
+  drain = other384.drain;
+  proxy_report = std::move(other384.proxy_report);
+  proxy_update = std::move(other384.proxy_update);
+  controller_notice = std::move(other384.controller_notice);
+  __isset = other384.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -10727,30 +10797,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other377) {
-  change_id = other377.change_id;
-  fingerprint = other377.fingerprint;
-  result = other377.result;
-  __isset = other377.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other385) {
+  change_id = other385.change_id;
+  fingerprint = other385.fingerprint;
+  result = other385.result;
+  __isset = other385.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other378) noexcept {
-  change_id = std::move(other378.change_id);
-  fingerprint = std::move(other378.fingerprint);
-  result = std::move(other378.result);
-  __isset = other378.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other386) noexcept {
+  change_id = std::move(other386.change_id);
+  fingerprint = std::move(other386.fingerprint);
+  result = std::move(other386.result);
+  __isset = other386.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other379) {
-  change_id = other379.change_id;
-  fingerprint = other379.fingerprint;
-  result = other379.result;
-  __isset = other379.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other387) {
+  change_id = other387.change_id;
+  fingerprint = other387.fingerprint;
+  result = other387.result;
+  __isset = other387.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other380) noexcept {
-  change_id = std::move(other380.change_id);
-  fingerprint = std::move(other380.fingerprint);
-  result = std::move(other380.result);
-  __isset = other380.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other388) noexcept {
+  change_id = std::move(other388.change_id);
+  fingerprint = std::move(other388.fingerprint);
+  result = std::move(other388.result);
+  __isset = other388.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -10842,14 +10912,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size381;
-            ::apache::thrift::protocol::TType _etype384;
-            xfer += iprot->readListBegin(_etype384, _size381);
-            this->objects.resize(_size381);
-            uint32_t _i385;
-            for (_i385 = 0; _i385 < _size381; ++_i385)
+            uint32_t _size389;
+            ::apache::thrift::protocol::TType _etype392;
+            xfer += iprot->readListBegin(_etype392, _size389);
+            this->objects.resize(_size389);
+            uint32_t _i393;
+            for (_i393 = 0; _i393 < _size389; ++_i393)
             {
-              xfer += this->objects[_i385].read(iprot);
+              xfer += this->objects[_i393].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10862,14 +10932,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size386;
-            ::apache::thrift::protocol::TType _etype389;
-            xfer += iprot->readListBegin(_etype389, _size386);
-            this->changes.resize(_size386);
-            uint32_t _i390;
-            for (_i390 = 0; _i390 < _size386; ++_i390)
+            uint32_t _size394;
+            ::apache::thrift::protocol::TType _etype397;
+            xfer += iprot->readListBegin(_etype397, _size394);
+            this->changes.resize(_size394);
+            uint32_t _i398;
+            for (_i398 = 0; _i398 < _size394; ++_i398)
             {
-              xfer += this->changes[_i390].read(iprot);
+              xfer += this->changes[_i398].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10890,14 +10960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size391;
-            ::apache::thrift::protocol::TType _etype394;
-            xfer += iprot->readListBegin(_etype394, _size391);
-            this->groups.resize(_size391);
-            uint32_t _i395;
-            for (_i395 = 0; _i395 < _size391; ++_i395)
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->groups.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
             {
-              xfer += this->groups[_i395].read(iprot);
+              xfer += this->groups[_i403].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10910,14 +10980,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size396;
-            ::apache::thrift::protocol::TType _etype399;
-            xfer += iprot->readListBegin(_etype399, _size396);
-            this->endpoints.resize(_size396);
-            uint32_t _i400;
-            for (_i400 = 0; _i400 < _size396; ++_i400)
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->endpoints.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
             {
-              xfer += this->endpoints[_i400].read(iprot);
+              xfer += this->endpoints[_i408].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10930,14 +11000,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size401;
-            ::apache::thrift::protocol::TType _etype404;
-            xfer += iprot->readListBegin(_etype404, _size401);
-            this->instances.resize(_size401);
-            uint32_t _i405;
-            for (_i405 = 0; _i405 < _size401; ++_i405)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->instances.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += this->instances[_i405].read(iprot);
+              xfer += this->instances[_i413].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10950,14 +11020,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size406;
-            ::apache::thrift::protocol::TType _etype409;
-            xfer += iprot->readListBegin(_etype409, _size406);
-            this->journal.resize(_size406);
-            uint32_t _i410;
-            for (_i410 = 0; _i410 < _size406; ++_i410)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->journal.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->journal[_i410].read(iprot);
+              xfer += this->journal[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10998,10 +11068,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter411;
-    for (_iter411 = this->objects.begin(); _iter411 != this->objects.end(); ++_iter411)
+    std::vector<Object> ::const_iterator _iter419;
+    for (_iter419 = this->objects.begin(); _iter419 != this->objects.end(); ++_iter419)
     {
-      xfer += (*_iter411).write(oprot);
+      xfer += (*_iter419).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11010,10 +11080,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter412;
-    for (_iter412 = this->changes.begin(); _iter412 != this->changes.end(); ++_iter412)
+    std::vector<AppliedChange> ::const_iterator _iter420;
+    for (_iter420 = this->changes.begin(); _iter420 != this->changes.end(); ++_iter420)
     {
-      xfer += (*_iter412).write(oprot);
+      xfer += (*_iter420).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11026,10 +11096,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter413;
-    for (_iter413 = this->groups.begin(); _iter413 != this->groups.end(); ++_iter413)
+    std::vector<GroupState> ::const_iterator _iter421;
+    for (_iter421 = this->groups.begin(); _iter421 != this->groups.end(); ++_iter421)
     {
-      xfer += (*_iter413).write(oprot);
+      xfer += (*_iter421).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11038,10 +11108,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter414;
-    for (_iter414 = this->endpoints.begin(); _iter414 != this->endpoints.end(); ++_iter414)
+    std::vector<EndpointInfo> ::const_iterator _iter422;
+    for (_iter422 = this->endpoints.begin(); _iter422 != this->endpoints.end(); ++_iter422)
     {
-      xfer += (*_iter414).write(oprot);
+      xfer += (*_iter422).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11050,10 +11120,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter415;
-    for (_iter415 = this->instances.begin(); _iter415 != this->instances.end(); ++_iter415)
+    std::vector<InstanceInfo> ::const_iterator _iter423;
+    for (_iter423 = this->instances.begin(); _iter423 != this->instances.end(); ++_iter423)
     {
-      xfer += (*_iter415).write(oprot);
+      xfer += (*_iter423).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11062,10 +11132,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter416;
-    for (_iter416 = this->journal.begin(); _iter416 != this->journal.end(); ++_iter416)
+    std::vector<JournalEntry> ::const_iterator _iter424;
+    for (_iter424 = this->journal.begin(); _iter424 != this->journal.end(); ++_iter424)
     {
-      xfer += (*_iter416).write(oprot);
+      xfer += (*_iter424).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11094,54 +11164,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other417) {
-  revision = other417.revision;
-  objects = other417.objects;
-  changes = other417.changes;
-  groups_revision = other417.groups_revision;
-  groups = other417.groups;
-  endpoints = other417.endpoints;
-  instances = other417.instances;
-  journal = other417.journal;
-  session_secret = other417.session_secret;
-  __isset = other417.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other418) noexcept {
-  revision = other418.revision;
-  objects = std::move(other418.objects);
-  changes = std::move(other418.changes);
-  groups_revision = other418.groups_revision;
-  groups = std::move(other418.groups);
-  endpoints = std::move(other418.endpoints);
-  instances = std::move(other418.instances);
-  journal = std::move(other418.journal);
-  session_secret = std::move(other418.session_secret);
-  __isset = other418.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other419) {
-  revision = other419.revision;
-  objects = other419.objects;
-  changes = other419.changes;
-  groups_revision = other419.groups_revision;
-  groups = other419.groups;
-  endpoints = other419.endpoints;
-  instances = other419.instances;
-  journal = other419.journal;
-  session_secret = other419.session_secret;
-  __isset = other419.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other425) {
+  revision = other425.revision;
+  objects = other425.objects;
+  changes = other425.changes;
+  groups_revision = other425.groups_revision;
+  groups = other425.groups;
+  endpoints = other425.endpoints;
+  instances = other425.instances;
+  journal = other425.journal;
+  session_secret = other425.session_secret;
+  __isset = other425.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other426) noexcept {
+  revision = other426.revision;
+  objects = std::move(other426.objects);
+  changes = std::move(other426.changes);
+  groups_revision = other426.groups_revision;
+  groups = std::move(other426.groups);
+  endpoints = std::move(other426.endpoints);
+  instances = std::move(other426.instances);
+  journal = std::move(other426.journal);
+  session_secret = std::move(other426.session_secret);
+  __isset = other426.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other427) {
+  revision = other427.revision;
+  objects = other427.objects;
+  changes = other427.changes;
+  groups_revision = other427.groups_revision;
+  groups = other427.groups;
+  endpoints = other427.endpoints;
+  instances = other427.instances;
+  journal = other427.journal;
+  session_secret = other427.session_secret;
+  __isset = other427.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other420) noexcept {
-  revision = other420.revision;
-  objects = std::move(other420.objects);
-  changes = std::move(other420.changes);
-  groups_revision = other420.groups_revision;
-  groups = std::move(other420.groups);
-  endpoints = std::move(other420.endpoints);
-  instances = std::move(other420.instances);
-  journal = std::move(other420.journal);
-  session_secret = std::move(other420.session_secret);
-  __isset = other420.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other428) noexcept {
+  revision = other428.revision;
+  objects = std::move(other428.objects);
+  changes = std::move(other428.changes);
+  groups_revision = other428.groups_revision;
+  groups = std::move(other428.groups);
+  endpoints = std::move(other428.endpoints);
+  instances = std::move(other428.instances);
+  journal = std::move(other428.journal);
+  session_secret = std::move(other428.session_secret);
+  __isset = other428.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -3653,9 +3653,10 @@
 std::ostream& operator<<(std::ostream& out, const PutDocument& obj);
 
 typedef struct _FleetCommand__isset {
-  _FleetCommand__isset() : put(false), holder(false) {}
+  _FleetCommand__isset() : put(false), holder(false), endpoint(false) {}
   bool put :1;
   bool holder :1;
+  bool endpoint :1;
 } _FleetCommand__isset;
 
 class FleetCommand : public virtual ::apache::thrift::TBase {
@@ -3671,6 +3672,7 @@
   virtual ~FleetCommand() noexcept;
   PutDocument put;
   RegisterHolder holder;
+  EndpointRecord endpoint;
 
   _FleetCommand__isset __isset;
 
@@ -3678,6 +3680,8 @@
 
   void __set_holder(const RegisterHolder& val);
 
+  void __set_endpoint(const EndpointRecord& val);
+
   bool operator == (const FleetCommand & rhs) const
   {
     if (__isset.put != rhs.__isset.put)
@@ -3688,6 +3692,10 @@
       return false;
     else if (__isset.holder && !(holder == rhs.holder))
       return false;
+    if (__isset.endpoint != rhs.__isset.endpoint)
+      return false;
+    else if (__isset.endpoint && !(endpoint == rhs.endpoint))
+      return false;
     return true;
   }
   bool operator != (const FleetCommand &rhs) const {
@@ -3707,9 +3715,10 @@
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj);
 
 typedef struct _FleetSnapshot__isset {
-  _FleetSnapshot__isset() : document(false), holders(false) {}
+  _FleetSnapshot__isset() : document(false), holders(false), endpoints(false) {}
   bool document :1;
   bool holders :1;
+  bool endpoints :1;
 } _FleetSnapshot__isset;
 
 class FleetSnapshot : public virtual ::apache::thrift::TBase {
@@ -3725,6 +3734,7 @@
   virtual ~FleetSnapshot() noexcept;
   PutDocument document;
   std::map<std::string, HolderState>  holders;
+  std::map<std::string, EndpointRecord>  endpoints;
 
   _FleetSnapshot__isset __isset;
 
@@ -3732,12 +3742,16 @@
 
   void __set_holders(const std::map<std::string, HolderState> & val);
 
+  void __set_endpoints(const std::map<std::string, EndpointRecord> & val);
+
   bool operator == (const FleetSnapshot & rhs) const
   {
     if (!(document == rhs.document))
       return false;
     if (!(holders == rhs.holders))
       return false;
+    if (!(endpoints == rhs.endpoints))
+      return false;
     return true;
   }
   bool operator != (const FleetSnapshot &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -455,11 +455,13 @@
 struct FleetCommand {
   1: optional PutDocument put,
   2: optional RegisterHolder holder,
+  3: optional EndpointRecord endpoint,   // as it was when it last changed
 }
 
 struct FleetSnapshot {
   1: PutDocument document,
   2: map<string, HolderState> holders,   // by instance
+  3: map<string, EndpointRecord> endpoints,  // by name; none that are gone
 }
 
 struct PeerMessage {
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -390,11 +390,9 @@
     const adapters::HttpRequest& request) {
   const auto call = platform::DecodeCall(request.method, request.path);
   adapters::HttpResponse response;
-  if (!call) {
-    response.status = 404;
-  } else if (call->call == platform::Call::kReadiness) {
+  if (call && call->call == platform::Call::kReadiness) {
     response.status = IsReady() ? 200 : 503;
-  } else if (call->call == platform::Call::kMetrics) {
+  } else if (call && call->call == platform::Call::kMetrics) {
     response.content_type = adapters::Counters::kContentType;
     response.body = counters_.Render();
   } else {
--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -112,6 +112,7 @@
   void DropShares(Time now, const std::string& instance);
   static void AddTotals(Bucket& bucket, const Share& share, int sign);
   std::int64_t UsablePercent() const;
+  std::int64_t MaxSharePercent() const;
   void CreditQuietTime(Time now);
   std::int64_t FreeRate(const Bucket& bucket) const;
   std::int64_t FreeCapacity(const Bucket& bucket) const;
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -30,9 +30,12 @@
 // a share lets the entry go on while there is no owner.
 constexpr std::int64_t kMinCapacityMicros = kRequestMicros;
 
-// Largest share of one entry. What it needs beyond it comes as single tokens.
-// An owner that took over and misses an entry's report holds back this much.
+// Largest share of one entry in a fleet of kCappedFleet instances or more. What
+// it needs beyond it comes as single tokens. An owner that took over and misses
+// an entry's report holds back this much instead of everything. A fleet grows
+// past that size before callers arrive, so that no larger share is about then.
 constexpr std::int64_t kMaxSharePercent = 25;
+constexpr std::size_t kCappedFleet = 8;
 
 // Share changes below this part of the limit are not worth an update.
 constexpr std::int64_t kMinChangePercent = 2;
@@ -222,7 +225,12 @@
     return 0;
   const auto unknown = std::ranges::count_if(
       instances_, [](const auto& item) { return !item.second.known; });
-  return std::max<std::int64_t>(0, 100 - unknown * kMaxSharePercent);
+  const std::int64_t unknown_percent = unknown * MaxSharePercent();
+  return std::max<std::int64_t>(0, 100 - unknown_percent);
+}
+
+std::int64_t Owner::MaxSharePercent() const {
+  return instances_.size() >= kCappedFleet ? kMaxSharePercent : 100;
 }
 
 Owner::Totals Owner::HeldBy(const Share& share) {
@@ -433,8 +441,8 @@
                              kRateReservePercent));
   std::int64_t rate =
       Scale(limit.rate_micros - rate_reserve, report.demand_micros, demand);
-  capacity = std::min(capacity, Percent(limit.burst_micros, kMaxSharePercent));
-  rate = std::min(rate, Percent(limit.rate_micros, kMaxSharePercent));
+  capacity = std::min(capacity, Percent(limit.burst_micros, MaxSharePercent()));
+  rate = std::min(rate, Percent(limit.rate_micros, MaxSharePercent()));
   if (capacity < kMinCapacityMicros) {
     capacity = 0;
     rate = 0;
--- a/statements/include/goldcrest/statements/log_position.h
+++ b/statements/include/goldcrest/statements/log_position.h
@@ -1,8 +1,8 @@
 #ifndef GOLDCREST_STATEMENTS_LOG_POSITION_H_
 #define GOLDCREST_STATEMENTS_LOG_POSITION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace goldcrest::statements {
 
@@ -11,7 +11,10 @@
   std::int64_t term = 0;
   std::int64_t number = 0;
 
-  auto operator<=>(const LogPosition&) const = default;
+  bool operator==(const LogPosition&) const = default;
+  bool operator<(const LogPosition& other) const {
+    return std::tie(term, number) < std::tie(other.term, other.number);
+  }
 };
 
 }  // namespace goldcrest::statements
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -235,7 +235,7 @@
                               LogPosition position) const {
   const auto it = health_.find(endpoint);
   return it != health_.end() && now < it->second.behind_until &&
-         position >= it->second.behind && position > it->second.seen;
+         !(position < it->second.behind) && it->second.seen < position;
 }
 
 void ConnectionPool::OnBusy(Time now, const std::string& endpoint) {
--- a/statements/src/primary_view.cc
+++ b/statements/src/primary_view.cc
@@ -77,8 +77,8 @@
 
 std::string PrimaryView::PrimaryOf(Time now, const std::string& group) const {
   const auto it = beliefs_.find(group);
-  static const Belief kNone;
-  const Belief& belief = it == beliefs_.end() ? kNone : it->second;
+  static const Belief none;
+  const Belief& belief = it == beliefs_.end() ? none : it->second;
   const auto usable = [&](const std::string& endpoint) {
     if (endpoint.empty() || IsDenied(now, belief, endpoint))
       return false;
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -340,13 +340,14 @@
     CloseIdleSessions(now);
   std::vector<SessionId> due;
   for (const auto& [id, session] : sessions_) {
-    const bool waits_for_token = session.pending && !session.pending->counted &&
-                                 session.state == TransactionState::kIdle;
-    if (session.pending && !waits_for_token &&
+    const bool waits_for_token =
+        session.pending && !session.pending->counted &&
+        session.state == TransactionState::kIdle;
+    const bool late =
+        session.pending && !waits_for_token &&
         (now >= session.pending->deadline ||
-         (!session.pending->sent && now >= session.pending->give_up)))
-      due.push_back(id);
-    else if (now >= session.idle_until)
+         (!session.pending->sent && now >= session.pending->give_up));
+    if (late || now >= session.idle_until)
       due.push_back(id);
   }
   for (const SessionId id : due) {
@@ -358,9 +359,9 @@
       Decide(now, session, "transaction_ended", "", "idle for too long");
       continue;
     }
-    if (session.pending->sent) {
-      OnStatementTimeout(now, session);
-    } else if (session.state == TransactionState::kOpen && session.ran) {
+    const bool ran =
+        session.state == TransactionState::kOpen && session.ran;
+    if (session.pending->sent || ran) {
       OnStatementTimeout(now, session);
     } else {
       Abandon(now, session);
