Send an entry all endpoints on each new link

Ruled out: the promotion (in force 0.3 s after the order). Conclusion: the entry now says that its link is new.

--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -101,7 +101,7 @@
                           const std::string& from,
                           const messages::ProxyReport& report) {
   Entry& entry = entries_[from];
-  const bool fresh = !entry.linked || entry.process != report.process;
+  const bool fresh = report.first || entry.process != report.process;
   entry.linked = !report.stopped;
   entry.process = report.process;
   entry.reported_at = now;
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -8664,6 +8664,10 @@
 void ProxyReport::__set_quiet_micros(const int64_t val) {
   this->quiet_micros = val;
 }
+
+void ProxyReport::__set_first(const bool val) {
+  this->first = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProxyReport& obj)
 {
   obj.printTo(out);
@@ -8780,6 +8784,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8845,6 +8857,10 @@
   xfer += oprot->writeI64(this->quiet_micros);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->first);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8860,6 +8876,7 @@
   swap(a.contacts, b.contacts);
   swap(a.stopped, b.stopped);
   swap(a.quiet_micros, b.quiet_micros);
+  swap(a.first, b.first);
   swap(a.__isset, b.__isset);
 }
 
@@ -8872,6 +8889,7 @@
   contacts = other297.contacts;
   stopped = other297.stopped;
   quiet_micros = other297.quiet_micros;
+  first = other297.first;
   __isset = other297.__isset;
 }
 ProxyReport::ProxyReport(ProxyReport&& other298) noexcept {
@@ -8883,6 +8901,7 @@
   contacts = std::move(other298.contacts);
   stopped = other298.stopped;
   quiet_micros = other298.quiet_micros;
+  first = other298.first;
   __isset = other298.__isset;
 }
 ProxyReport& ProxyReport::operator=(const ProxyReport& other299) {
@@ -8894,6 +8913,7 @@
   contacts = other299.contacts;
   stopped = other299.stopped;
   quiet_micros = other299.quiet_micros;
+  first = other299.first;
   __isset = other299.__isset;
   return *this;
 }
@@ -8906,6 +8926,7 @@
   contacts = std::move(other300.contacts);
   stopped = other300.stopped;
   quiet_micros = other300.quiet_micros;
+  first = other300.first;
   __isset = other300.__isset;
   return *this;
 }
@@ -8920,6 +8941,7 @@
   out << ", " << "contacts=" << to_string(contacts);
   out << ", " << "stopped=" << to_string(stopped);
   out << ", " << "quiet_micros=" << to_string(quiet_micros);
+  out << ", " << "first=" << to_string(first);
   out << ")";
 }
 
@@ -8964,6 +8986,10 @@
 void ProxyUpdate::__set_entries(const int32_t val) {
   this->entries = val;
 }
+
+void ProxyUpdate::__set_report_now(const bool val) {
+  this->report_now = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj)
 {
   obj.printTo(out);
@@ -9112,6 +9138,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->report_now);
+          this->__isset.report_now = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9198,6 +9232,10 @@
   xfer += oprot->writeI32(this->entries);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("report_now", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->report_now);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9214,6 +9252,7 @@
   swap(a.primaries, b.primaries);
   swap(a.controllers, b.controllers);
   swap(a.entries, b.entries);
+  swap(a.report_now, b.report_now);
   swap(a.__isset, b.__isset);
 }
 
@@ -9227,6 +9266,7 @@
   primaries = other325.primaries;
   controllers = other325.controllers;
   entries = other325.entries;
+  report_now = other325.report_now;
   __isset = other325.__isset;
 }
 ProxyUpdate::ProxyUpdate(ProxyUpdate&& other326) noexcept {
@@ -9239,6 +9279,7 @@
   primaries = std::move(other326.primaries);
   controllers = std::move(other326.controllers);
   entries = other326.entries;
+  report_now = other326.report_now;
   __isset = other326.__isset;
 }
 ProxyUpdate& ProxyUpdate::operator=(const ProxyUpdate& other327) {
@@ -9251,6 +9292,7 @@
   primaries = other327.primaries;
   controllers = other327.controllers;
   entries = other327.entries;
+  report_now = other327.report_now;
   __isset = other327.__isset;
   return *this;
 }
@@ -9264,6 +9306,7 @@
   primaries = std::move(other328.primaries);
   controllers = std::move(other328.controllers);
   entries = other328.entries;
+  report_now = other328.report_now;
   __isset = other328.__isset;
   return *this;
 }
@@ -9279,6 +9322,7 @@
   out << ", " << "primaries=" << to_string(primaries);
   out << ", " << "controllers=" << to_string(controllers);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "report_now=" << to_string(report_now);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -3235,7 +3235,7 @@
 std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj);
 
 typedef struct _ProxyReport__isset {
-  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false), quiet_micros(false) {}
+  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false), quiet_micros(false), first(false) {}
   bool process :1;
   bool sent_micros :1;
   bool document_version :1;
@@ -3244,6 +3244,7 @@
   bool contacts :1;
   bool stopped :1;
   bool quiet_micros :1;
+  bool first :1;
 } _ProxyReport__isset;
 
 class ProxyReport : public virtual ::apache::thrift::TBase {
@@ -3259,7 +3260,8 @@
                 document_version(0),
                 wants_document(0),
                 stopped(0),
-                quiet_micros(0) {
+                quiet_micros(0),
+                first(0) {
   }
 
   virtual ~ProxyReport() noexcept;
@@ -3271,6 +3273,7 @@
   std::vector<PrimaryContact>  contacts;
   bool stopped;
   int64_t quiet_micros;
+  bool first;
 
   _ProxyReport__isset __isset;
 
@@ -3290,6 +3293,8 @@
 
   void __set_quiet_micros(const int64_t val);
 
+  void __set_first(const bool val);
+
   bool operator == (const ProxyReport & rhs) const
   {
     if (!(process == rhs.process))
@@ -3308,6 +3313,8 @@
       return false;
     if (!(quiet_micros == rhs.quiet_micros))
       return false;
+    if (!(first == rhs.first))
+      return false;
     return true;
   }
   bool operator != (const ProxyReport &rhs) const {
@@ -3327,7 +3334,7 @@
 std::ostream& operator<<(std::ostream& out, const ProxyReport& obj);
 
 typedef struct _ProxyUpdate__isset {
-  _ProxyUpdate__isset() : report_sent_micros(false), leader(false), shares(false), document_version(false), document(false), endpoints(false), primaries(false), controllers(false), entries(false) {}
+  _ProxyUpdate__isset() : report_sent_micros(false), leader(false), shares(false), document_version(false), document(false), endpoints(false), primaries(false), controllers(false), entries(false), report_now(false) {}
   bool report_sent_micros :1;
   bool leader :1;
   bool shares :1;
@@ -3337,6 +3344,7 @@
   bool primaries :1;
   bool controllers :1;
   bool entries :1;
+  bool report_now :1;
 } _ProxyUpdate__isset;
 
 class ProxyUpdate : public virtual ::apache::thrift::TBase {
@@ -3351,7 +3359,8 @@
                 leader(0),
                 document_version(0),
                 document(),
-                entries(0) {
+                entries(0),
+                report_now(0) {
   }
 
   virtual ~ProxyUpdate() noexcept;
@@ -3364,6 +3373,7 @@
   std::vector<PrimaryAssignment>  primaries;
   std::vector<std::string>  controllers;
   int32_t entries;
+  bool report_now;
 
   _ProxyUpdate__isset __isset;
 
@@ -3385,6 +3395,8 @@
 
   void __set_entries(const int32_t val);
 
+  void __set_report_now(const bool val);
+
   bool operator == (const ProxyUpdate & rhs) const
   {
     if (!(report_sent_micros == rhs.report_sent_micros))
@@ -3407,6 +3419,8 @@
       return false;
     if (!(entries == rhs.entries))
       return false;
+    if (!(report_now == rhs.report_now))
+      return false;
     return true;
   }
   bool operator != (const ProxyUpdate &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -411,6 +411,7 @@
   6: list<PrimaryContact> contacts,
   7: bool stopped,                       // last report: holds nothing
   8: i64 quiet_micros,                   // since a token was taken, or the start
+  9: bool first,                         // on a new link: send all endpoints
 }
 
 // Controller to entry.
@@ -424,6 +425,7 @@
   7: list<PrimaryAssignment> primaries,
   8: list<string> controllers,           // known addresses, IP number and port
   9: i32 entries,                        // connected to the sender
+  10: bool report_now,                   // something waits for the next report
 }
 
 // Controller to controller.
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -269,6 +269,8 @@
   view.leads = false;
   log_.Event(up ? "controller_found" : "controller_lost",
              {{"controller", controller}});
+  // Changes that were sent while there was no link are lost.
+  view.reported_first = false;
   if (up)
     Report(SystemClock::Now(), controller, false);
   if (!up && leader_ == controller)
@@ -352,11 +354,13 @@
   report.sent_micros = ToMicros(now);
   report.document_version = proxy_.Version();
   report.wants_document = wants_document;
+  report.first = !controllers_[controller].reported_first;
   if (controller == leader_)
     report.shares = proxy_.holder().Report(now);
   report.quiet_micros = proxy_.holder().QuietFor(now, started_at_).count();
   report.contacts = proxy_.Contacts(now);
   controllers_[controller].reported_at = now;
+  controllers_[controller].reported_first = true;
   messages::PeerMessage message;
   message.__set_proxy_report(std::move(report));
   peers_->Send(controller, message);
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -48,6 +48,7 @@
   struct ControllerView {
     bool linked = false;
     bool leads = false;
+    bool reported_first = false;
     std::int64_t version = 0;
     Time heard_at;
     Time reported_at;
