Give up links to machines that are not up sooner, and ask for a first report

Cause: after a power loss entries spent a second on connection attempts to controllers that had not started yet. Ruled out: backoff between attempts (150 ms).

--- a/adapters/include/goldcrest/adapters/peer_transport.h
+++ b/adapters/include/goldcrest/adapters/peer_transport.h
@@ -33,6 +33,9 @@
   std::chrono::milliseconds ping_interval{250};
   //! A link without any received byte for this long is closed and replaced.
   std::chrono::milliseconds silence_timeout{1'000};
+  //! A link that is not up this long after it was begun is given up. Shorter
+  //! than a connection attempt to a machine that is about to start would wait.
+  std::chrono::milliseconds hello_timeout{1'000};
   std::chrono::milliseconds min_backoff{50};
   std::chrono::milliseconds max_backoff{500};
 };
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -170,6 +170,13 @@
       // ended.
       leadership_->owner->OnProcessEnded(now, it->first);
       leadership_->owner->Register(it->first, it->second.incarnation);
+      // Its customers' requests may wait for the first share.
+      messages::ProxyUpdate update;
+      update.document_version = state_.version();
+      update.report_now = true;
+      messages::PeerMessage message;
+      message.__set_proxy_update(update);
+      hooks_.send(it->first, std::move(message));
     }
   }
   std::vector<WaitingPut> done;
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -316,6 +316,8 @@
       proxy_.OnShares(now);
     }
   }
+  if (update.report_now)
+    Report(now, from, false);
   FetchDocument(now);
 }
 
--- a/programs/goldcrestd/platform_peers.cc
+++ b/programs/goldcrestd/platform_peers.cc
@@ -12,6 +12,9 @@
 constexpr std::chrono::milliseconds kPingInterval{400};
 constexpr std::chrono::milliseconds kSilenceTimeout{1'000};
 
+// Connecting and greeting takes two round trips of some 11 ms each.
+constexpr std::chrono::milliseconds kHelloTimeout{300};
+
 // After a restart of all instances, service waits for these links.
 constexpr std::chrono::milliseconds kMaxBackoff{150};
 
@@ -56,6 +59,7 @@
   options.port = settings.first_internal_port + offset;
   options.ping_interval = kPingInterval;
   options.silence_timeout = kSilenceTimeout;
+  options.hello_timeout = kHelloTimeout;
   options.max_backoff = kMaxBackoff;
   return options;
 }
