--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -125,10 +125,9 @@
   bool IsAvoided(Time now, const std::string& endpoint) const;
 
   //! Closes connections that have idled too long, or whose endpoint satisfies
-  //! `unwanted`; those above `even_part` of their endpoint go sooner.
+  //! `unwanted`.
   void CloseIdle(Time now,
-                 const std::function<bool(const std::string&)>& unwanted,
-                 const std::function<int(const std::string&)>& even_part);
+                 const std::function<bool(const std::string&)>& unwanted);
 
   //! Connections without an answer since before `oldest`, used by nobody.
   std::vector<ConnectionId> Stuck(Time oldest) const;
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -21,10 +21,11 @@
 constexpr Duration kFailurePause = std::chrono::milliseconds(100);
 constexpr int kMaxFailureDoublings = 3;
 
-// An idle connection within the even part is kept this long; it costs the
-// endpoint some milliseconds of a slot to open another.
-constexpr Duration kIdleKept = std::chrono::milliseconds(1000);
-constexpr Duration kExtraIdleKept = std::chrono::milliseconds(150);
+// An idle connection is given up soon: another entry or another customer may
+// need the place, and after a power loss an endpoint counts dead connections for
+// seconds. An endpoint that is short of slots is spared the cost of new ones.
+constexpr Duration kIdleKept = std::chrono::milliseconds(200);
+constexpr Duration kIdleKeptWhenBusy = std::chrono::milliseconds(1500);
 
 // An endpoint whose log was behind is asked for other reads again after this.
 constexpr Duration kBehindPause = std::chrono::milliseconds(200);
@@ -286,22 +287,15 @@
 
 void ConnectionPool::CloseIdle(
     Time now,
-    const std::function<bool(const std::string&)>& unwanted,
-    const std::function<int(const std::string&)>& even_part) {
+    const std::function<bool(const std::string&)>& unwanted) {
   std::vector<ConnectionId> closing;
-  std::map<std::string, int> left;
-  for (const auto& [id, connection] : connections_)
-    ++left[connection.endpoint];
   for (const auto& [id, connection] : connections_) {
     if (connection.state != Connection::State::kIdle)
       continue;
-    const bool extra =
-        left[connection.endpoint] > even_part(connection.endpoint);
-    const Duration kept = extra ? kExtraIdleKept : kIdleKept;
-    if (now - connection.since < kept && !unwanted(connection.endpoint))
-      continue;
-    closing.push_back(id);
-    --left[connection.endpoint];
+    const bool busy = health_.at(connection.endpoint).window > 0;
+    const Duration kept = busy ? kIdleKeptWhenBusy : kIdleKept;
+    if (now - connection.since >= kept || unwanted(connection.endpoint))
+      closing.push_back(id);
   }
   for (const ConnectionId id : closing)
     Close(id);
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -382,14 +382,11 @@
                     Version()});
     pool_.Close(id);
   }
-  pool_.CloseIdle(
-      now,
-      [this](const std::string& endpoint) {
-        const auto* entry = directory_.Find(endpoint);
-        return entry == nullptr || entry->record.gone ||
-               (entry->record.draining && !entry->record.primary);
-      },
-      [this](const std::string& endpoint) { return EvenPart(endpoint); });
+  pool_.CloseIdle(now, [this](const std::string& endpoint) {
+    const auto* entry = directory_.Find(endpoint);
+    return entry == nullptr || entry->record.gone ||
+           (entry->record.draining && !entry->record.primary);
+  });
   std::vector<std::string> groups;
   for (const auto& [group, ids] : waiting_) {
     if (!ids.empty())
