Lease shares of rates for 9 s

Ruled out: fixed shares for cut-off entries, which the sum of the others would have to leave free all the time.

--- a/quota/include/goldcrest/quota/limit.h
+++ b/quota/include/goldcrest/quota/limit.h
@@ -12,8 +12,8 @@
 inline constexpr std::int64_t kRequestMicros = 1'000'000;
 
 //! How long an entry may use a share after it sent the report that was
-//! answered.
-inline constexpr Duration kShareLease = std::chrono::seconds(3);
+//! answered. Longer than the partitions that entries are to bridge.
+inline constexpr Duration kShareLease = std::chrono::seconds(9);
 
 //! How long the owner counts a share as held after it answered a report. The
 //! margin of 10% covers clocks that run at different speeds.
