Test the statement path, the controllers and the adapter; mend what it showed

Cause: the tests of this path were missing. They showed two faults: the bound on log lines divided whole seconds and came to nothing, and the leader removed a member that had just been admitted, since its notice still said that it joins.

--- a/adapters/src/log_output.cc
+++ b/adapters/src/log_output.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Duration kLineCost =
-    std::chrono::seconds(1) / LogOutput::kLinesPerSecond;
+    Duration(std::chrono::seconds(1)) / LogOutput::kLinesPerSecond;
 
 }  // namespace
 
--- a/adapters/src/peer_link.cc
+++ b/adapters/src/peer_link.cc
@@ -273,9 +273,8 @@
 
 void PeerLink::Tick() {
   const auto now = SteadyClock::now();
-  const auto silent =
-      up_ ? last_received_ + shared_->options.silence_timeout
-          : started_ + shared_->options.hello_timeout;
+  const auto silent = up_ ? last_received_ + shared_->options.silence_timeout
+                          : started_ + shared_->options.hello_timeout;
   const auto ping = now + shared_->options.ping_interval;
   timer_.expires_at(silent > now ? std::min(silent, ping) : ping);
   timer_.async_wait([self = shared_from_this()](error_code error) {
--- /dev/null
+++ b/adapters/tests/line_socket_test.cc
@@ -0,0 +1,89 @@
+#include "goldcrest/adapters/line_socket.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace goldcrest::adapters {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// Two connected line sockets on loopback.
+struct Pair {
+  explicit Pair(std::size_t max_line = 64) {
+    tcp::acceptor acceptor(
+        context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    client = std::make_shared<LineSocket>(context, max_line);
+    server = std::make_shared<LineSocket>(context, max_line);
+    client->Connect("127.0.0.1", acceptor.local_endpoint().port(),
+                    milliseconds(5'000), "hello\r\n", HooksFor(client_lines));
+    acceptor.async_accept(
+        [this](boost::system::error_code, tcp::socket socket) {
+          server->Accept(std::move(socket), HooksFor(server_lines));
+        });
+    RunUntil([this] { return !server_lines.empty(); });
+  }
+
+  LineSocket::Hooks HooksFor(std::vector<std::string>& lines) {
+    return {[&lines](std::string_view line) { lines.emplace_back(line); },
+            [this](const std::string& cause) { causes.push_back(cause); }};
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!done() && std::chrono::steady_clock::now() < end)
+      context.run_one_for(milliseconds(50));
+    CHECK(done());
+  }
+
+  boost::asio::io_context context{1};
+  std::shared_ptr<LineSocket> client;
+  std::shared_ptr<LineSocket> server;
+  std::vector<std::string> client_lines;
+  std::vector<std::string> server_lines;
+  std::vector<std::string> causes;
+};
+
+}  // namespace
+
+TEST_CASE("Lines arrive whole, however they were cut", "[adapters]") {
+  Pair pair;
+  CHECK(pair.server_lines == std::vector<std::string>{"hello"});
+  pair.client->Write("one\r\ntw");
+  pair.RunUntil([&] { return pair.server_lines.size() == 2; });
+  pair.client->Write("o\r\n");
+  pair.RunUntil([&] { return pair.server_lines.size() == 3; });
+  CHECK(pair.server_lines.back() == "two");
+}
+
+TEST_CASE("A line without end closes the connection", "[adapters]") {
+  Pair pair;
+  pair.client->Write(std::string(200, 'x'));
+  pair.RunUntil([&] { return !pair.causes.empty(); });
+  CHECK(pair.causes.front() == "a line is too long");
+}
+
+TEST_CASE("What was written before a close arrives", "[adapters]") {
+  Pair pair;
+  pair.server->Write("last\r\n");
+  pair.server->CloseAfterWrites(milliseconds(500));
+  pair.RunUntil([&] { return !pair.causes.empty(); });
+  CHECK(pair.client_lines == std::vector<std::string>{"last"});
+}
+
+TEST_CASE("A connection that can't be opened tells so", "[adapters]") {
+  boost::asio::io_context context(1);
+  auto socket = std::make_shared<LineSocket>(context, 64);
+  std::string cause;
+  socket->Connect("127.0.0.1", 1, milliseconds(2'000), "",
+                  {[](std::string_view) {},
+                   [&](const std::string& told) { cause = told; }});
+  context.run_for(std::chrono::seconds(3));
+  CHECK_FALSE(cause.empty());
+}
+
+}  // namespace goldcrest::adapters
--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -165,6 +165,7 @@
   std::unique_ptr<Leadership> leadership_;
   Time next_notice_;
   Time next_membership_;
+  Time members_changed_at_;
   Time next_expiry_;
   std::size_t log_bytes_ = 0;  // since the last snapshot
   bool draining_ = false;
--- a/fleet/include/goldcrest/fleet/membership_planner.h
+++ b/fleet/include/goldcrest/fleet/membership_planner.h
@@ -21,6 +21,7 @@
 struct MembershipView {
   std::string self;
   std::vector<std::string> members;  //!< In force.
+  Time changed_at;                   //!< When `members` last changed.
   std::map<std::string, ControllerPeer> peers;
   int tolerated_losses = 1;
 };
@@ -39,6 +40,9 @@
 //! Longer than a restart and than the interruptions that a member survives.
 inline constexpr Duration kSilentMember = std::chrono::seconds(6);
 
+//! How long a member that was just admitted may still say that it joins.
+inline constexpr Duration kAdmissionNotice = std::chrono::milliseconds(1500);
+
 //! A peer heard within this time takes part.
 inline constexpr Duration kLivePeer = std::chrono::milliseconds(1500);
 
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -145,6 +145,7 @@
     std::string names;
     for (const std::string& member : entry.members)
       names += (names.empty() ? "" : ",") + member;
+    members_changed_at_ = now;
     hooks_.decided("members_changed", names, "");
   }
   if (entry.command.empty())
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -239,6 +239,7 @@
   view.self = options_.replica.self;
   view.members = replica_.Members();
   view.peers = peers_;
+  view.changed_at = members_changed_at_;
   view.tolerated_losses = options_.tolerated_losses;
   for (const std::string& member : view.members) {
     if (member != view.self)
--- a/fleet/src/membership_planner.cc
+++ b/fleet/src/membership_planner.cc
@@ -26,7 +26,7 @@
   };
   for (const auto& [name, peer] : view.peers) {
     if (is_member(name) && peer.joining && is_live(name) &&
-        view.members.size() > 1)
+        view.members.size() > 1 && now - view.changed_at >= kAdmissionNotice)
       return Without(view.members, name);
   }
   for (const auto& [name, peer] : view.peers) {
--- /dev/null
+++ b/fleet/tests/controller_test.cc
@@ -0,0 +1,272 @@
+#include "goldcrest/fleet/controller.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "goldcrest/messages/codec.h"
+
+namespace goldcrest::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Kind = ConfigurationResult::Kind;
+
+constexpr Duration kStep = milliseconds(10);
+
+// Controllers in virtual time. Messages take one step; a lost disk is an empty
+// log. Logs survive a restart as they were persisted.
+class Cluster {
+ public:
+  explicit Cluster(int size) {
+    for (int i = 0; i < size; ++i)
+      names_.insert(std::string(1, static_cast<char>('a' + i)));
+    for (const std::string& name : names_)
+      Start(name, true);
+  }
+
+  void Start(const std::string& name, bool first) {
+    ControllerOptions options;
+    options.replica.self = name;
+    if (first)
+      options.replica.bootstrap_members = {names_.begin(), names_.end()};
+    options.seeds = names_;
+    ControllerHooks hooks;
+    hooks.send = [this, name](const std::string& to,
+                              const messages::PeerMessage& message) {
+      if (cut.count(name) == 0 && cut.count(to) == 0)
+        mail_.push_back({name, to, message});
+    };
+    hooks.persist = [this, name](const auto& writes) {
+      Persist(disks[name], writes);
+      return true;
+    };
+    hooks.decode = [](const std::string& text) {
+      auto table = std::make_shared<routing::RoutingTable>();
+      table->version = std::stoll(text);
+      table->customers.push_back({"customer", {"key"}, 100, 100});
+      return table;
+    };
+    hooks.known_controllers = [](const auto&) {};
+    hooks.probe = [](const auto&, ProbePurpose) {};
+    hooks.promote = [](const auto&) {};
+    hooks.decided = [](const auto&, const auto&, const auto&) {};
+    nodes[name] = std::make_unique<Controller>(now, options, disks[name],
+                                               std::mt19937_64(name[0]), hooks);
+  }
+
+  void Stop(const std::string& name) { nodes.erase(name); }
+
+  void Run(Duration duration) {
+    for (const Time end = now + duration; now < end;) {
+      now += kStep;
+      for (Mail& mail : std::exchange(mail_, {})) {
+        const auto it = nodes.find(mail.to);
+        if (it != nodes.end())
+          it->second->OnMessage(now, mail.from, mail.message);
+        else if (mail.to.starts_with("entry") &&
+                 mail.message.__isset.proxy_update)
+          updates[mail.to].push_back(mail.message.proxy_update);
+      }
+      for (auto& [name, node] : nodes)
+        node->Tick(now);
+    }
+  }
+
+  std::string Leader() const {
+    for (const auto& [name, node] : nodes) {
+      if (cut.count(name) == 0 && node->Get(now).kind == Kind::kDone)
+        return name;
+    }
+    return "";
+  }
+
+  ConfigurationResult Put(const std::string& name, std::int64_t version) {
+    ConfigurationResult result;
+    result.leader = "none yet";
+    nodes.at(name)->Put(
+        now, version, std::to_string(version),
+        [&result](ConfigurationResult got) { result = std::move(got); });
+    Run(milliseconds(300));
+    return result;
+  }
+
+  void Report(const std::string& entry,
+              const std::string& controller,
+              const messages::ProxyReport& report) {
+    messages::PeerMessage message;
+    message.__set_proxy_report(report);
+    nodes.at(controller)->OnMessage(now, entry, message);
+    Run(milliseconds(50));
+  }
+
+  // Endpoints in what the entry was sent since the last call.
+  std::size_t TakeEndpoints(const std::string& entry) {
+    std::size_t count = 0;
+    for (const messages::ProxyUpdate& update :
+         std::exchange(updates[entry], {}))
+      count += update.endpoints.size();
+    return count;
+  }
+
+  Time now = TimeFromMicros(100'000'000);
+  std::map<std::string, std::unique_ptr<Controller>> nodes;
+  std::map<std::string, consensus::RestoredState> disks;
+  std::map<std::string, std::vector<messages::ProxyUpdate>> updates;
+  std::set<std::string> cut;
+
+ private:
+  struct Mail {
+    std::string from;
+    std::string to;
+    messages::PeerMessage message;
+  };
+
+  static void Persist(consensus::RestoredState& disk,
+                      const std::vector<consensus::LogWrite>& writes) {
+    disk.fresh = false;
+    for (const consensus::LogWrite& write : writes) {
+      if (const auto* state = std::get_if<consensus::HardState>(&write)) {
+        disk.hard_state = *state;
+      } else if (const auto* cut =
+                     std::get_if<consensus::TruncateLog>(&write)) {
+        std::erase_if(disk.entries, [&](const messages::LogEntry& entry) {
+          return entry.index >= cut->index;
+        });
+      } else if (const auto* add =
+                     std::get_if<consensus::AppendEntries>(&write)) {
+        disk.entries.insert(disk.entries.end(), add->entries.begin(),
+                            add->entries.end());
+      } else if (const auto* save =
+                     std::get_if<consensus::SaveSnapshot>(&write)) {
+        disk.snapshot = save->snapshot;
+        std::erase_if(disk.entries, [&](const messages::LogEntry& entry) {
+          return entry.index <= save->snapshot.last_index;
+        });
+      }
+    }
+  }
+
+  std::set<std::string> names_;
+  std::deque<Mail> mail_;
+};
+
+std::string OtherThan(const std::string& leader) {
+  return leader == "a" ? "b" : "a";
+}
+
+}  // namespace
+
+// Guards against an acknowledged configuration that is lost or goes back.
+TEST_CASE("The highest acknowledged configuration is read back",
+          "[fleet][guarantee]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(3));
+  const std::string leader = cluster.Leader();
+  REQUIRE_FALSE(leader.empty());
+  CHECK(cluster.Put(leader, 5).kind == Kind::kDone);
+
+  SECTION("An older version is acknowledged and changes nothing") {
+    CHECK(cluster.Put(leader, 4).kind == Kind::kDone);
+    CHECK(cluster.nodes.at(leader)->Get(cluster.now).text == "5");
+  }
+  SECTION("The same version is acknowledged and changes nothing") {
+    CHECK(cluster.Put(leader, 5).kind == Kind::kDone);
+  }
+  SECTION("Another controller names the leader") {
+    const auto result = cluster.Put(OtherThan(leader), 9);
+    CHECK(result.kind == Kind::kElsewhere);
+    CHECK(result.leader == leader);
+  }
+  SECTION("It survives the leader and its disk") {
+    cluster.Stop(leader);
+    cluster.disks[leader] = {};
+    cluster.Run(seconds(2));
+    REQUIRE_FALSE(cluster.Leader().empty());
+    cluster.Start(leader, false);
+    cluster.Run(seconds(6));
+    CHECK(cluster.nodes.at(cluster.Leader())->Get(cluster.now).text == "5");
+    CHECK(cluster.nodes.at(leader)->state().text() == "5");
+  }
+  SECTION("It survives a restart of all") {
+    for (const char* name : {"a", "b", "c"})
+      cluster.Stop(name);
+    for (const char* name : {"a", "b", "c"})
+      cluster.Start(name, false);
+    cluster.Run(seconds(2));
+    REQUIRE_FALSE(cluster.Leader().empty());
+    CHECK(cluster.nodes.at(cluster.Leader())->Get(cluster.now).text == "5");
+  }
+  SECTION("A leader that is cut off neither answers nor acknowledges") {
+    cluster.cut.insert(leader);
+    cluster.Run(seconds(2));
+    CHECK(cluster.nodes.at(leader)->Get(cluster.now).kind != Kind::kDone);
+    CHECK(cluster.Put(leader, 6).kind != Kind::kDone);
+    const std::string successor = cluster.Leader();
+    REQUIRE_FALSE(successor.empty());
+    CHECK(cluster.Put(successor, 7).kind == Kind::kDone);
+    cluster.cut.clear();
+    cluster.Run(seconds(2));
+    CHECK(cluster.nodes.at(leader)->state().text() == "7");
+  }
+}
+
+TEST_CASE("Entries are told of a configuration and get it on request",
+          "[fleet]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(3));
+  const std::string leader = cluster.Leader();
+  messages::ProxyReport report;
+  report.process = 1;
+  report.sent_micros = 1;
+  report.first = true;
+  cluster.Report("entry", leader, report);
+  REQUIRE(cluster.Put(leader, 5).kind == Kind::kDone);
+  CHECK(cluster.updates["entry"].back().document_version == 5);
+  report.first = false;
+  report.wants_document = true;
+  cluster.Report("entry", leader, report);
+  CHECK(cluster.updates["entry"].back().document == "5");
+}
+
+// Guards against an entry that took up its link again and missed a promotion.
+TEST_CASE("An entry on a new link gets all endpoints", "[fleet][guarantee]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(3));
+  const std::string leader = cluster.Leader();
+  messages::EndpointRecord record;
+  record.endpoint = "e1";
+  record.group = "g";
+  record.address = "10.0.0.1:1";
+  record.primary = true;
+  record.sequence = 1;
+  cluster.nodes.at(OtherThan(leader))->OnBeat(cluster.now, record);
+  cluster.Run(milliseconds(200));
+  messages::ProxyReport report;
+  report.process = 1;
+  report.sent_micros = 1;
+  report.first = true;
+  cluster.Report("entry", leader, report);
+  CHECK(cluster.TakeEndpoints("entry") == 1);
+  report.first = false;
+  cluster.Report("entry", leader, report);
+  CHECK(cluster.TakeEndpoints("entry") == 0);
+  report.first = true;
+  cluster.Report("entry", leader, report);
+  CHECK(cluster.TakeEndpoints("entry") == 1);
+
+  SECTION("Endpoints outlive a restart of all controllers") {
+    for (const char* name : {"a", "b", "c"})
+      cluster.Stop(name);
+    for (const char* name : {"a", "b", "c"})
+      cluster.Start(name, false);
+    cluster.Run(seconds(2));
+    CHECK(cluster.nodes.at("a")->directory().MembersOf("g").size() == 1);
+  }
+}
+
+}  // namespace goldcrest::fleet
--- /dev/null
+++ b/fleet/tests/planners_test.cc
@@ -0,0 +1,212 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "goldcrest/fleet/failover_planner.h"
+#include "goldcrest/fleet/membership_planner.h"
+
+namespace goldcrest::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Members = std::vector<std::string>;
+
+constexpr Time kStart = TimeFromMicros(100'000'000);
+
+// A group of primary `p` and replicas `r1`, `r2`, and a planner that watches
+// it.
+struct Group {
+  Time now = kStart;
+  routing::EndpointDirectory directory;
+  std::vector<std::pair<std::string, ProbePurpose>> probes;
+  std::vector<messages::PrimaryAssignment> orders;
+  std::vector<messages::PrimaryAssignment> assigned;
+  std::int64_t sequence = 0;
+  std::unique_ptr<FailoverPlanner> planner;
+
+  Group() {
+    SetRole("p", true);
+    SetRole("r1", false);
+    SetRole("r2", false);
+    FailoverHooks hooks;
+    hooks.probe = [this](const auto& entry, ProbePurpose purpose) {
+      probes.emplace_back(entry.record.endpoint, purpose);
+    };
+    hooks.promote = [this](const auto& order) { orders.push_back(order); };
+    hooks.assigned = [this](const auto& order) { assigned.push_back(order); };
+    hooks.decided = [](const auto&, const auto&, const auto&, const auto&) {};
+    planner = std::make_unique<FailoverPlanner>(now, 3, &directory, hooks);
+    planner->SetGroups(now, {"g"});
+    planner->Tick(now);
+  }
+
+  void SetRole(const std::string& endpoint,
+               bool primary,
+               bool draining = false) {
+    messages::EndpointRecord record;
+    record.endpoint = endpoint;
+    record.group = "g";
+    record.primary = primary;
+    record.draining = draining;
+    record.sequence = ++sequence;
+    directory.Apply(now, record);
+  }
+
+  void Answer(const std::string& endpoint,
+              ProbeResult::Kind kind,
+              std::int64_t number = 0) {
+    planner->OnProbe(now, "g", endpoint, {kind, 1, number});
+  }
+
+  void Advance(Duration duration) {
+    now += duration;
+    planner->Tick(now);
+  }
+
+  void FailFor(Duration duration) {
+    for (const Time end = now + duration; now < end;) {
+      Answer("p", ProbeResult::Kind::kUnreachable);
+      Advance(milliseconds(50));
+    }
+  }
+
+  void Report(const std::string& entry, int success_age, int failing) {
+    messages::PrimaryContact contact;
+    contact.group = "g";
+    contact.endpoint = "p";
+    contact.success_age_ms = success_age;
+    contact.failing_ms = failing;
+    planner->OnContacts(now, entry, {contact});
+  }
+};
+
+}  // namespace
+
+TEST_CASE("A lost primary is replaced by the replica that has received most",
+          "[fleet][guarantee]") {
+  Group group;
+  group.FailFor(milliseconds(500));
+  REQUIRE(group.orders.empty());
+  group.Answer("r1", ProbeResult::Kind::kFollows, 7);
+  group.Answer("r2", ProbeResult::Kind::kFollows, 9);
+  REQUIRE(group.orders.size() == 1);
+  CHECK(group.orders[0].endpoint == "r2");
+
+  SECTION("An order without an answer is sent again under its number") {
+    group.planner->OnPromotion(group.now, group.orders[0],
+                               PromotionResult::kUnanswered);
+    group.Advance(milliseconds(400));
+    REQUIRE(group.orders.size() == 2);
+    CHECK(group.orders[1].order == group.orders[0].order);
+  }
+  SECTION("A refused order leads to another one under a higher number") {
+    group.planner->OnPromotion(group.now, group.orders[0],
+                               PromotionResult::kRefused);
+    group.Answer("r1", ProbeResult::Kind::kFollows, 7);
+    group.Answer("r2", ProbeResult::Kind::kFollows, 9);
+    REQUIRE(group.orders.size() == 2);
+    CHECK(group.orders[1].endpoint == "r1");
+    CHECK(group.orders[1].order > group.orders[0].order);
+  }
+  SECTION("Entries are told once the platform has taken it") {
+    group.planner->OnPromotion(group.now, group.orders[0],
+                               PromotionResult::kAccepted);
+    REQUIRE(group.assigned.size() == 1);
+    CHECK(group.planner->Assignments().size() == 1);
+    group.Answer("r2", ProbeResult::Kind::kLeads, 9);
+    group.Advance(seconds(1));
+    CHECK(group.orders.size() == 1);
+  }
+}
+
+// Guards against a promotion because the controller alone lost its link.
+TEST_CASE("A primary that entries reach is not replaced",
+          "[fleet][guarantee]") {
+  Group group;
+  for (int i = 0; i < 20; ++i) {
+    group.Report("e1", 10, 0);
+    group.FailFor(milliseconds(100));
+  }
+  CHECK(group.orders.empty());
+  CHECK(std::ranges::none_of(group.probes, [](const auto& probe) {
+    return probe.second == ProbePurpose::kPosition;
+  }));
+}
+
+TEST_CASE("A primary that most entries lost is replaced", "[fleet]") {
+  Group group;
+  for (int i = 0; i < 15; ++i) {
+    group.Report("e1", 10, 0);
+    for (const char* entry : {"e2", "e3", "e4", "e5", "e6"})
+      group.Report(entry, 2000 + 100 * i, 1 + 100 * i);
+    group.Answer("p", ProbeResult::Kind::kLeads);
+    group.Advance(milliseconds(100));
+  }
+  CHECK(std::ranges::any_of(group.probes, [](const auto& probe) {
+    return probe.second == ProbePurpose::kPosition;
+  }));
+}
+
+TEST_CASE("A primary that leaves hands over", "[fleet]") {
+  Group group;
+  group.SetRole("p", true, true);
+  group.Advance(milliseconds(20));
+  group.Answer("r1", ProbeResult::Kind::kFollows, 9);
+  group.Answer("r2", ProbeResult::Kind::kUnreachable);
+  REQUIRE(group.orders.size() == 1);
+  CHECK(group.orders[0].endpoint == "r1");
+  CHECK(group.orders[0].order > 3 * 100'000);
+}
+
+TEST_CASE("A slow answer is no lost primary", "[fleet]") {
+  Group group;
+  group.Answer("p", ProbeResult::Kind::kUnreachable);
+  group.Advance(milliseconds(300));
+  group.Answer("p", ProbeResult::Kind::kLeads);
+  group.FailFor(milliseconds(400));
+  CHECK(std::ranges::none_of(group.probes, [](const auto& probe) {
+    return probe.second == ProbePurpose::kPosition;
+  }));
+}
+
+// Guards against a member that forgot its vote and still counts.
+TEST_CASE("The membership follows lost disks and new controllers",
+          "[fleet][guarantee]") {
+  MembershipView view;
+  view.self = "a";
+  view.members = {"a", "b", "c"};
+  view.peers["b"] = {kStart, true, false};
+  view.peers["c"] = {kStart, true, false};
+  CHECK_FALSE(NextMembership(kStart, view));
+
+  SECTION("A member without its log is removed, then added") {
+    view.peers["c"].joining = true;
+    CHECK(NextMembership(kStart, view) == Members{"a", "b"});
+    view.members = {"a", "b"};
+    CHECK(NextMembership(kStart, view) == Members{"a", "b", "c"});
+  }
+  SECTION("A new controller is added, and the silent one removed after it") {
+    view.peers["d"] = {kStart + seconds(10), true, true};
+    view.peers["b"].heard_at = kStart + seconds(10);
+    const Time now = kStart + seconds(10);
+    CHECK(NextMembership(now, view) == Members{"a", "b", "c", "d"});
+    view.members = {"a", "b", "c", "d"};
+    // Its next notice may still be the one sent before it was admitted.
+    view.changed_at = now;
+    CHECK(NextMembership(now, view) == Members{"a", "b", "d"});
+    view.peers["d"].joining = false;
+    CHECK(NextMembership(now, view) == Members{"a", "b", "d"});
+  }
+  SECTION("A silent member stays while nobody replaces it") {
+    view.peers["b"].heard_at = kStart + seconds(60);
+    CHECK_FALSE(NextMembership(kStart + seconds(60), view));
+  }
+  SECTION("A controller without a disk is never a member") {
+    view.peers["d"] = {kStart, false, true};
+    CHECK_FALSE(NextMembership(kStart, view));
+  }
+}
+
+}  // namespace goldcrest::fleet
--- a/quota/src/limit.cc
+++ b/quota/src/limit.cc
@@ -17,8 +17,7 @@
 Limit LimitFor(std::int64_t rate,
                std::int64_t burst,
                const LimitWindow& window) {
-  const double seconds =
-      std::chrono::duration<double>(window.length).count();
+  const double seconds = std::chrono::duration<double>(window.length).count();
   const double allowed =
       (static_cast<double>(rate) * seconds + static_cast<double>(burst)) *
           (1 + window.tolerance * kToleranceUsed) +
--- /dev/null
+++ b/routing/tests/endpoint_directory_test.cc
@@ -0,0 +1,66 @@
+#include "goldcrest/routing/endpoint_directory.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace goldcrest::routing {
+namespace {
+
+using Merge = EndpointDirectory::Merge;
+
+messages::EndpointRecord Record(std::int64_t started, std::int64_t sequence) {
+  messages::EndpointRecord record;
+  record.endpoint = "e1";
+  record.group = "g";
+  record.address = "10.0.0.1:1";
+  record.zone = "z";
+  record.started_ms = started;
+  record.sequence = sequence;
+  return record;
+}
+
+constexpr Time kStart = TimeFromMicros(1'000'000);
+
+}  // namespace
+
+// Guards against a heartbeat that was delayed by a partition and takes effect
+// over a newer one.
+TEST_CASE("A late record does not replace a newer one", "[routing]") {
+  EndpointDirectory directory;
+  auto primary = Record(100, 5);
+  primary.primary = true;
+  CHECK(directory.Apply(kStart, primary) == Merge::kChanged);
+  CHECK(directory.Apply(kStart, Record(100, 4)) == Merge::kStale);
+  CHECK(directory.Find("e1")->record.primary);
+
+  SECTION("A restart under the same name begins a new sequence") {
+    CHECK(directory.Apply(kStart, Record(200, 1)) == Merge::kChanged);
+    CHECK_FALSE(directory.Find("e1")->record.primary);
+    CHECK(directory.Apply(kStart, Record(100, 9)) == Merge::kStale);
+  }
+  SECTION("A record that only shows life changes nothing") {
+    auto again = primary;
+    again.sequence = 6;
+    CHECK(directory.Apply(kStart, again) == Merge::kRefreshed);
+  }
+  SECTION("An endpoint that left does not come back by an old heartbeat") {
+    auto gone = Record(100, 6);
+    gone.gone = true;
+    CHECK(directory.Apply(kStart, gone) == Merge::kChanged);
+    CHECK(directory.Apply(kStart, Record(100, 6)) == Merge::kStale);
+    CHECK(directory.MembersOf("g").empty());
+  }
+}
+
+// Guards against endpoints that crashed and are offered for ever.
+TEST_CASE("An endpoint that was not heard for long is gone", "[routing]") {
+  EndpointDirectory directory;
+  directory.Apply(kStart, Record(100, 1));
+  CHECK(directory.Expire(kStart).empty());
+  CHECK(directory.Expire(kStart + Duration(1)).size() == 1);
+  CHECK(directory.MembersOf("g").empty());
+  CHECK(directory.Apply(kStart, Record(100, 2)) == Merge::kChanged);
+  CHECK(directory.MembersOf("g").size() == 1);
+}
+
+}  // namespace goldcrest::routing
--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -140,11 +140,11 @@
     Duration latency{};
     int failures = 0;
     Time avoid_until;
-    Time open_after;  // the endpoint had too many connections
-    LogPosition seen;          // the highest position told
-    LogPosition behind;        // had not been reached
+    Time open_after;     // the endpoint had too many connections
+    LogPosition seen;    // the highest position told
+    LogPosition behind;  // had not been reached
     Time behind_until;
-    double window = 0;         // statements at a time; 0: not set yet
+    double window = 0;  // statements at a time; 0: not set yet
     Time narrowed_at;
     int refusals = 0;  // for too many connections, in a row
     int count = 0;
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -22,8 +22,9 @@
 constexpr int kMaxFailureDoublings = 3;
 
 // An idle connection is given up soon: another entry or another customer may
-// need the place, and after a power loss an endpoint counts dead connections for
-// seconds. An endpoint that is short of slots is spared the cost of new ones.
+// need the place, and after a power loss an endpoint counts dead connections
+// for seconds. An endpoint that is short of slots is spared the cost of new
+// ones.
 constexpr Duration kIdleKept = std::chrono::milliseconds(200);
 constexpr Duration kIdleKeptWhenBusy = std::chrono::milliseconds(1500);
 
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -340,9 +340,8 @@
     CloseIdleSessions(now);
   std::vector<SessionId> due;
   for (const auto& [id, session] : sessions_) {
-    const bool waits_for_token =
-        session.pending && !session.pending->counted &&
-        session.state == TransactionState::kIdle;
+    const bool waits_for_token = session.pending && !session.pending->counted &&
+                                 session.state == TransactionState::kIdle;
     const bool late =
         session.pending && !waits_for_token &&
         (now >= session.pending->deadline ||
@@ -359,8 +358,7 @@
       Decide(now, session, "transaction_ended", "", "idle for too long");
       continue;
     }
-    const bool ran =
-        session.state == TransactionState::kOpen && session.ran;
+    const bool ran = session.state == TransactionState::kOpen && session.ran;
     if (session.pending->sent || ran) {
       OnStatementTimeout(now, session);
     } else {
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -113,8 +113,7 @@
   Session& session = it->second;
   if (session.pending && session.route != nullptr)
     Decide(now, session, "caller_left", "", "session closed");
-  if (session.pending &&
-      std::ranges::count(token_waiters_, id) > 0)
+  if (session.pending && std::ranges::count(token_waiters_, id) > 0)
     holder_.StopWaiting(session.customer);
   std::erase(token_waiters_, id);
   Abandon(now, session);
--- /dev/null
+++ b/statements/tests/proxy_fixture.cc
@@ -0,0 +1,147 @@
+#include "proxy_fixture.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace goldcrest::statements {
+
+using std::chrono::milliseconds;
+
+ProxyFixture::ProxyFixture() {
+  ProxyHooks hooks;
+  hooks.answer = [this](SessionId id, const Answer& answer) {
+    answers[id].push_back(answer);
+  };
+  hooks.close_session = [this](SessionId id) { closed_sessions.push_back(id); };
+  hooks.open = [this](ConnectionId id, const ConnectionTarget& target) {
+    opening.emplace_back(id, target);
+    endpoint_of[id] = target.endpoint;
+  };
+  hooks.send = [this](ConnectionId id,
+                      const std::vector<EndpointCommand>& commands) {
+    sent[id].insert(sent[id].end(), commands.begin(), commands.end());
+  };
+  hooks.close = [this](ConnectionId id) { closed.push_back(id); };
+  hooks.decided = [](const Decision&) {};
+  hooks.completed = [](const routing::Route&, Outcome, Duration) {};
+  ProxyOptions options;
+  options.zone = "z1";
+  options.entries = 2;
+  proxy = std::make_unique<StatementProxy>(options, hooks);
+
+  const auto add = [this](const std::string& database,
+                          routing::Consistency consistency) {
+    routing::Route route;
+    route.name = database;
+    route.database = database;
+    route.group = "g";
+    route.consistency = consistency;
+    route.statement_timeout = milliseconds(1000);
+    route.target_latency = milliseconds(400);
+    route.max_staleness = milliseconds(1500);
+    table.routes[database] = route;
+  };
+  add("strict", routing::Consistency::kPrimary);
+  add("stale", routing::Consistency::kBoundedStaleness);
+  add("own", routing::Consistency::kReadYourWrites);
+  table.groups["g"] = {"g", 20, 0};
+  table.customers.push_back({"customer", {"key"}, 1000, 1000});
+  table.keys["key"] = 0;
+  table.transaction_idle = milliseconds(3000);
+  ApplyTable(1);
+  proxy->holder().SetLimit("customer", std::nullopt);
+  SetRole("p", true);
+  SetRole("r1", false);
+  SetRole("r2", false);
+}
+
+void ProxyFixture::ApplyTable(std::int64_t version) {
+  table.version = version;
+  proxy->OnRoutingTable(now, std::make_shared<routing::RoutingTable>(table));
+}
+
+void ProxyFixture::SetRole(const std::string& endpoint,
+                           bool primary,
+                           bool draining) {
+  messages::EndpointRecord record;
+  record.endpoint = endpoint;
+  record.group = "g";
+  record.address = "10.0.0.1:1";
+  record.zone = "z1";
+  record.primary = primary;
+  record.draining = draining;
+  record.sequence = ++sequence_;
+  proxy->OnEndpoint(now, record);
+}
+
+void ProxyFixture::OpenSession(SessionId id,
+                               const std::string& database,
+                               const std::string& key) {
+  proxy->OnSessionStart(now, id, database, key);
+}
+
+void ProxyFixture::Say(SessionId id,
+                       StatementKind kind,
+                       const std::string& text) {
+  Statement statement;
+  statement.kind = kind;
+  statement.id = "id" + std::to_string(++statements_);
+  statement.text = text;
+  statement.writes = kind == StatementKind::kWrite;
+  if (kind == StatementKind::kSet || kind == StatementKind::kPrepare ||
+      kind == StatementKind::kExecute) {
+    const std::size_t blank = text.find(' ');
+    statement.name = text.substr(0, blank);
+    statement.value = text.substr(blank + 1);
+  }
+  proxy->OnStatement(now, id, statement);
+}
+
+ConnectionId ProxyFixture::AcceptOpening() {
+  REQUIRE_FALSE(opening.empty());
+  const ConnectionId id = opening.back().first;
+  opening.pop_back();
+  proxy->OnOpened(now, id);
+  return id;
+}
+
+void ProxyFixture::Reply(ConnectionId id,
+                         LogPosition position,
+                         Outcome outcome) {
+  Answer answer;
+  answer.outcome = outcome;
+  answer.signature = "signature";
+  answer.position = position;
+  proxy->OnAnswer(now, id, answer);
+}
+
+void ProxyFixture::Advance(Duration duration) {
+  now += duration;
+  proxy->Tick(now);
+}
+
+void ProxyFixture::ConfirmPosition(LogPosition position) {
+  constexpr SessionId kWriter = 1000;
+  OpenSession(kWriter, "strict");
+  Say(kWriter, StatementKind::kWrite, "WRITE a b");
+  const ConnectionId id = AcceptOpening();
+  Reply(id, position);
+  proxy->OnSessionClosed(now, kWriter);
+}
+
+const Answer& ProxyFixture::Last(SessionId id) const {
+  REQUIRE(answers.count(id) == 1);
+  return answers.at(id).back();
+}
+
+std::size_t ProxyFixture::AnswerCount(SessionId id) const {
+  const auto it = answers.find(id);
+  return it == answers.end() ? 0 : it->second.size();
+}
+
+const std::vector<EndpointCommand>& ProxyFixture::Sent(ConnectionId id) const {
+  REQUIRE(sent.count(id) == 1);
+  return sent.at(id);
+}
+
+}  // namespace goldcrest::statements
--- /dev/null
+++ b/statements/tests/proxy_fixture.h
@@ -0,0 +1,59 @@
+#ifndef GOLDCREST_STATEMENTS_TESTS_PROXY_FIXTURE_H_
+#define GOLDCREST_STATEMENTS_TESTS_PROXY_FIXTURE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "goldcrest/statements/statement_proxy.h"
+
+namespace goldcrest::statements {
+
+//! A proxy with one group `g` of primary `p` and replicas `r1` and `r2`, whose
+//! endpoints are played by the test.
+class ProxyFixture {
+ public:
+  ProxyFixture();
+
+  void OpenSession(SessionId id,
+                   const std::string& database,
+                   const std::string& key = "key");
+  void Say(SessionId id, StatementKind kind, const std::string& text);
+  //! Accepts the newest connection that is being opened.
+  ConnectionId AcceptOpening();
+  //! Answers on a connection, at `position`.
+  void Reply(ConnectionId id,
+             LogPosition position,
+             Outcome outcome = Outcome::kDone);
+  void Advance(Duration duration);
+  //! Makes a confirmed position of the primary known, by a write.
+  void ConfirmPosition(LogPosition position);
+  void SetRole(const std::string& endpoint,
+               bool primary,
+               bool draining = false);
+  void ApplyTable(std::int64_t version);
+
+  //! The last answer to a session; fails the test when there is none.
+  const Answer& Last(SessionId id) const;
+  std::size_t AnswerCount(SessionId id) const;
+  const std::vector<EndpointCommand>& Sent(ConnectionId id) const;
+
+  Time now = TimeFromMicros(100'000'000);
+  routing::RoutingTable table;
+  std::vector<std::pair<ConnectionId, ConnectionTarget>> opening;
+  std::map<ConnectionId, std::string> endpoint_of;
+  std::map<ConnectionId, std::vector<EndpointCommand>> sent;
+  std::vector<ConnectionId> closed;
+  std::vector<SessionId> closed_sessions;
+  std::map<SessionId, std::vector<Answer>> answers;
+  std::unique_ptr<StatementProxy> proxy;
+
+ private:
+  std::int64_t sequence_ = 0;
+  int statements_ = 0;
+};
+
+}  // namespace goldcrest::statements
+
+#endif  // GOLDCREST_STATEMENTS_TESTS_PROXY_FIXTURE_H_
