--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -257,7 +257,6 @@
   for (const auto& [name, group] : table_->groups)
     groups.insert(name);
   leadership_->failover->SetGroups(now, groups);
-  constexpr std::int64_t kMicros = quota::kRequestMicros;
   for (const routing::Customer& customer : table_->customers)
     leadership_->owner->SetLimit(
         now, customer.name,
