Give the owner of rate shares the same bucket as the entries

Cause: entries computed a customer's bucket from the limit's window, the owner still from rate and burst alone, so that the window's tolerance was never used.

--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -260,7 +260,8 @@
   for (const routing::Customer& customer : table_->customers)
     leadership_->owner->SetLimit(
         now, customer.name,
-        {customer.rate_per_second * kMicros, customer.burst * kMicros});
+        quota::LimitFor(customer.rate_per_second, customer.burst,
+                        options_.limit_window));
 }
 
 std::int64_t Controller::Propose(Time now,
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -269,4 +269,40 @@
   }
 }
 
+// Guards against an owner that gives out less than entries are told to allow.
+TEST_CASE("Shares come from the bucket of the limit's window", "[fleet]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(3));
+  const std::string leader = cluster.Leader();
+  REQUIRE(cluster.Put(leader, 5).kind == Kind::kDone);
+  messages::ProxyReport report;
+  report.process = 1;
+  messages::ShareReport hello;
+  messages::ShareReport share;
+  share.customer = "customer";
+  share.demand_micros = 50 * quota::kRequestMicros;
+  for (int i = 0; i < 20; ++i) {
+    report.sent_micros = ToMicros(cluster.now);
+    report.shares = {hello, share};
+    cluster.Report("entry", leader, report);
+    cluster.Run(milliseconds(200));
+    for (const messages::ProxyUpdate& update :
+         std::exchange(cluster.updates["entry"], {})) {
+      for (const messages::ShareUpdate& told : update.shares) {
+        hello.owner_term = told.owner_term;
+        if (told.customer.empty())
+          continue;
+        share.owner_term = told.owner_term;
+        share.share_sequence = told.share_sequence;
+        share.rate_micros = told.rate_micros;
+        share.capacity_micros = told.capacity_micros;
+      }
+    }
+  }
+  const quota::Limit limit = quota::LimitFor(100, 100, {});
+  CHECK(share.rate_micros > 100 * quota::kRequestMicros);
+  CHECK(share.rate_micros <= limit.rate_micros);
+  CHECK(share.capacity_micros <= limit.burst_micros);
+}
+
 }  // namespace goldcrest::fleet
