--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -2,6 +2,7 @@
 #define GOLDCREST_FLEET_CONTROLLER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -107,6 +108,10 @@
     Time reported_at;
     bool linked = false;
     std::int64_t process = 0;
+    // The last reports: when they came, and when they were sent by the entry's
+    // clock.
+    std::deque<std::pair<Time, std::int64_t>> reports;
+    std::map<std::string, Time> positions_told;  // by group: asked_at
   };
   struct WaitingPut {
     std::int64_t version = 0;
@@ -121,6 +126,7 @@
     std::unique_ptr<FailoverPlanner> failover;
     std::int64_t version = -1;  // of the limits and groups set
     std::map<std::string, std::int64_t> registering;  // instance: process
+    std::map<std::string, ProbeResult> confirmed;     // by group: kLeads
     Time won_at;
   };
 
@@ -143,6 +149,7 @@
   void OnNotice(Time now,
                 const std::string& from,
                 const messages::ControllerNotice& notice);
+  void AddPositions(Entry& entry, messages::ProxyUpdate& update) const;
   void Merge(Time now, const messages::EndpointRecord& record);
   void Record(Time now, const messages::EndpointRecord& record);
   void SendNotices(Time now);
--- a/fleet/include/goldcrest/fleet/failover_planner.h
+++ b/fleet/include/goldcrest/fleet/failover_planner.h
@@ -27,6 +27,7 @@
   Kind kind = Kind::kUnreachable;
   std::int64_t term = 0;    //!< Of the position.
   std::int64_t number = 0;  //!< Received by the endpoint's log.
+  Time asked_at;            //!< Before the question was sent.
 };
 
 enum class ProbePurpose {
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -333,8 +333,11 @@
                          const std::string& group,
                          const std::string& endpoint,
                          const ProbeResult& result) {
-  if (Leads(now))
-    leadership_->failover->OnProbe(now, group, endpoint, result);
+  if (!Leads(now))
+    return;
+  if (result.kind == ProbeResult::Kind::kLeads)
+    leadership_->confirmed[group] = result;
+  leadership_->failover->OnProbe(now, group, endpoint, result);
 }
 
 void Controller::OnPromotion(Time now,
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -9,6 +9,9 @@
 
 constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
 
+// Reports of an entry come every 250 ms, probes as well.
+constexpr std::size_t kReportsKept = 8;
+
 // Twice the time after which a share lapses.
 constexpr Duration kHolderExpiry = 2 * quota::kShareLapse;
 
@@ -103,8 +106,15 @@
   Entry& entry = entries_[from];
   const bool fresh = report.first || entry.process != report.process;
   entry.linked = !report.stopped;
+  if (entry.process != report.process) {
+    entry.reports.clear();
+    entry.positions_told.clear();
+  }
   entry.process = report.process;
   entry.reported_at = now;
+  entry.reports.emplace_back(now, report.sent_micros);
+  if (entry.reports.size() > kReportsKept)
+    entry.reports.pop_front();
   messages::ProxyUpdate update;
   update.report_sent_micros = report.sent_micros;
   update.leader = Leads(now);
@@ -121,6 +131,7 @@
       }));
   if (update.leader) {
     update.shares = AnswerShares(now, from, report);
+    AddPositions(entry, update);
     leadership_->failover->OnContacts(now, from, report.contacts);
     if (fresh)
       update.primaries = leadership_->failover->Assignments();
@@ -130,6 +141,30 @@
   hooks_.send(from, std::move(message));
 }
 
+// Tells an entry what primaries have confirmed, dated by its own clock: the
+// question left after a report of the entry had arrived here, and therefore
+// after that report was sent.
+void Controller::AddPositions(Entry& entry,
+                              messages::ProxyUpdate& update) const {
+  for (const auto& [group, confirmed] : leadership_->confirmed) {
+    Time& told = entry.positions_told[group];
+    if (told >= confirmed.asked_at)
+      continue;
+    for (auto it = entry.reports.rbegin(); it != entry.reports.rend(); ++it) {
+      if (it->first >= confirmed.asked_at)
+        continue;
+      messages::ConfirmedPosition position;
+      position.group = group;
+      position.term = confirmed.term;
+      position.number = confirmed.number;
+      position.report_sent_micros = it->second;
+      update.positions.push_back(position);
+      told = confirmed.asked_at;
+      break;
+    }
+  }
+}
+
 std::vector<messages::ShareUpdate> Controller::AnswerShares(
     Time now,
     const std::string& from,
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -305,4 +305,36 @@
   CHECK(share.capacity_micros <= limit.burst_micros);
 }
 
+// Guards against a position that claims to cover commits acknowledged after the
+// primary was asked.
+TEST_CASE("A position is dated by a report that came before the question",
+          "[fleet][guarantee]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(3));
+  const std::string leader = cluster.Leader();
+  REQUIRE(cluster.Put(leader, 5).kind == Kind::kDone);
+  messages::ProxyReport report;
+  report.process = 1;
+  const auto say = [&](std::int64_t sent) {
+    report.sent_micros = sent;
+    cluster.updates["entry"].clear();
+    cluster.Report("entry", leader, report);
+    std::vector<messages::ConfirmedPosition> positions;
+    for (const auto& update : cluster.updates["entry"])
+      positions.insert(positions.end(), update.positions.begin(),
+                       update.positions.end());
+    return positions;
+  };
+  say(100);
+  const Time asked_at = cluster.now;
+  cluster.Run(milliseconds(20));
+  cluster.nodes.at(leader)->OnProbe(
+      cluster.now, "g", "p", {ProbeResult::Kind::kLeads, 3, 77, asked_at});
+  const auto positions = say(200);
+  REQUIRE(positions.size() == 1);
+  CHECK(positions[0].report_sent_micros == 100);
+  CHECK(positions[0].number == 77);
+  CHECK(say(300).empty());
+}
+
 }  // namespace goldcrest::fleet
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -8946,6 +8946,173 @@
 }
 
 
+ConfirmedPosition::~ConfirmedPosition() noexcept {
+}
+
+
+void ConfirmedPosition::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void ConfirmedPosition::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void ConfirmedPosition::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ConfirmedPosition::__set_report_sent_micros(const int64_t val) {
+  this->report_sent_micros = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfirmedPosition& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfirmedPosition::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->report_sent_micros);
+          this->__isset.report_sent_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfirmedPosition::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfirmedPosition");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("report_sent_micros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->report_sent_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfirmedPosition &a, ConfirmedPosition &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.term, b.term);
+  swap(a.number, b.number);
+  swap(a.report_sent_micros, b.report_sent_micros);
+  swap(a.__isset, b.__isset);
+}
+
+ConfirmedPosition::ConfirmedPosition(const ConfirmedPosition& other301) {
+  group = other301.group;
+  term = other301.term;
+  number = other301.number;
+  report_sent_micros = other301.report_sent_micros;
+  __isset = other301.__isset;
+}
+ConfirmedPosition::ConfirmedPosition(ConfirmedPosition&& other302) noexcept {
+  group = std::move(other302.group);
+  term = other302.term;
+  number = other302.number;
+  report_sent_micros = other302.report_sent_micros;
+  __isset = other302.__isset;
+}
+ConfirmedPosition& ConfirmedPosition::operator=(const ConfirmedPosition& other303) {
+  group = other303.group;
+  term = other303.term;
+  number = other303.number;
+  report_sent_micros = other303.report_sent_micros;
+  __isset = other303.__isset;
+  return *this;
+}
+ConfirmedPosition& ConfirmedPosition::operator=(ConfirmedPosition&& other304) noexcept {
+  group = std::move(other304.group);
+  term = other304.term;
+  number = other304.number;
+  report_sent_micros = other304.report_sent_micros;
+  __isset = other304.__isset;
+  return *this;
+}
+void ConfirmedPosition::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfirmedPosition(";
+  out << "group=" << to_string(group);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "report_sent_micros=" << to_string(report_sent_micros);
+  out << ")";
+}
+
+
 ProxyUpdate::~ProxyUpdate() noexcept {
 }
 
@@ -8990,6 +9157,10 @@
 void ProxyUpdate::__set_report_now(const bool val) {
   this->report_now = val;
 }
+
+void ProxyUpdate::__set_positions(const std::vector<ConfirmedPosition> & val) {
+  this->positions = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj)
 {
   obj.printTo(out);
@@ -9038,14 +9209,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size301;
-            ::apache::thrift::protocol::TType _etype304;
-            xfer += iprot->readListBegin(_etype304, _size301);
-            this->shares.resize(_size301);
-            uint32_t _i305;
-            for (_i305 = 0; _i305 < _size301; ++_i305)
+            uint32_t _size305;
+            ::apache::thrift::protocol::TType _etype308;
+            xfer += iprot->readListBegin(_etype308, _size305);
+            this->shares.resize(_size305);
+            uint32_t _i309;
+            for (_i309 = 0; _i309 < _size305; ++_i309)
             {
-              xfer += this->shares[_i305].read(iprot);
+              xfer += this->shares[_i309].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9074,14 +9245,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->endpoints.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size310;
+            ::apache::thrift::protocol::TType _etype313;
+            xfer += iprot->readListBegin(_etype313, _size310);
+            this->endpoints.resize(_size310);
+            uint32_t _i314;
+            for (_i314 = 0; _i314 < _size310; ++_i314)
             {
-              xfer += this->endpoints[_i310].read(iprot);
+              xfer += this->endpoints[_i314].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9094,14 +9265,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->primaries.clear();
-            uint32_t _size311;
-            ::apache::thrift::protocol::TType _etype314;
-            xfer += iprot->readListBegin(_etype314, _size311);
-            this->primaries.resize(_size311);
-            uint32_t _i315;
-            for (_i315 = 0; _i315 < _size311; ++_i315)
+            uint32_t _size315;
+            ::apache::thrift::protocol::TType _etype318;
+            xfer += iprot->readListBegin(_etype318, _size315);
+            this->primaries.resize(_size315);
+            uint32_t _i319;
+            for (_i319 = 0; _i319 < _size315; ++_i319)
             {
-              xfer += this->primaries[_i315].read(iprot);
+              xfer += this->primaries[_i319].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9114,14 +9285,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controllers.clear();
-            uint32_t _size316;
-            ::apache::thrift::protocol::TType _etype319;
-            xfer += iprot->readListBegin(_etype319, _size316);
-            this->controllers.resize(_size316);
-            uint32_t _i320;
-            for (_i320 = 0; _i320 < _size316; ++_i320)
+            uint32_t _size320;
+            ::apache::thrift::protocol::TType _etype323;
+            xfer += iprot->readListBegin(_etype323, _size320);
+            this->controllers.resize(_size320);
+            uint32_t _i324;
+            for (_i324 = 0; _i324 < _size320; ++_i324)
             {
-              xfer += iprot->readString(this->controllers[_i320]);
+              xfer += iprot->readString(this->controllers[_i324]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9146,6 +9317,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->positions.clear();
+            uint32_t _size325;
+            ::apache::thrift::protocol::TType _etype328;
+            xfer += iprot->readListBegin(_etype328, _size325);
+            this->positions.resize(_size325);
+            uint32_t _i329;
+            for (_i329 = 0; _i329 < _size325; ++_i329)
+            {
+              xfer += this->positions[_i329].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.positions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9174,10 +9365,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareUpdate> ::const_iterator _iter321;
-    for (_iter321 = this->shares.begin(); _iter321 != this->shares.end(); ++_iter321)
+    std::vector<ShareUpdate> ::const_iterator _iter330;
+    for (_iter330 = this->shares.begin(); _iter330 != this->shares.end(); ++_iter330)
     {
-      xfer += (*_iter321).write(oprot);
+      xfer += (*_iter330).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9195,10 +9386,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter322;
-    for (_iter322 = this->endpoints.begin(); _iter322 != this->endpoints.end(); ++_iter322)
+    std::vector<EndpointRecord> ::const_iterator _iter331;
+    for (_iter331 = this->endpoints.begin(); _iter331 != this->endpoints.end(); ++_iter331)
     {
-      xfer += (*_iter322).write(oprot);
+      xfer += (*_iter331).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9207,10 +9398,10 @@
   xfer += oprot->writeFieldBegin("primaries", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->primaries.size()));
-    std::vector<PrimaryAssignment> ::const_iterator _iter323;
-    for (_iter323 = this->primaries.begin(); _iter323 != this->primaries.end(); ++_iter323)
+    std::vector<PrimaryAssignment> ::const_iterator _iter332;
+    for (_iter332 = this->primaries.begin(); _iter332 != this->primaries.end(); ++_iter332)
     {
-      xfer += (*_iter323).write(oprot);
+      xfer += (*_iter332).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9219,10 +9410,10 @@
   xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
-    std::vector<std::string> ::const_iterator _iter324;
-    for (_iter324 = this->controllers.begin(); _iter324 != this->controllers.end(); ++_iter324)
+    std::vector<std::string> ::const_iterator _iter333;
+    for (_iter333 = this->controllers.begin(); _iter333 != this->controllers.end(); ++_iter333)
     {
-      xfer += oprot->writeString((*_iter324));
+      xfer += oprot->writeString((*_iter333));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9236,6 +9427,18 @@
   xfer += oprot->writeBool(this->report_now);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->positions.size()));
+    std::vector<ConfirmedPosition> ::const_iterator _iter334;
+    for (_iter334 = this->positions.begin(); _iter334 != this->positions.end(); ++_iter334)
+    {
+      xfer += (*_iter334).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9253,61 +9456,66 @@
   swap(a.controllers, b.controllers);
   swap(a.entries, b.entries);
   swap(a.report_now, b.report_now);
+  swap(a.positions, b.positions);
   swap(a.__isset, b.__isset);
 }
 
-ProxyUpdate::ProxyUpdate(const ProxyUpdate& other325) {
-  report_sent_micros = other325.report_sent_micros;
-  leader = other325.leader;
-  shares = other325.shares;
-  document_version = other325.document_version;
-  document = other325.document;
-  endpoints = other325.endpoints;
-  primaries = other325.primaries;
-  controllers = other325.controllers;
-  entries = other325.entries;
-  report_now = other325.report_now;
-  __isset = other325.__isset;
-}
-ProxyUpdate::ProxyUpdate(ProxyUpdate&& other326) noexcept {
-  report_sent_micros = other326.report_sent_micros;
-  leader = other326.leader;
-  shares = std::move(other326.shares);
-  document_version = other326.document_version;
-  document = std::move(other326.document);
-  endpoints = std::move(other326.endpoints);
-  primaries = std::move(other326.primaries);
-  controllers = std::move(other326.controllers);
-  entries = other326.entries;
-  report_now = other326.report_now;
-  __isset = other326.__isset;
-}
-ProxyUpdate& ProxyUpdate::operator=(const ProxyUpdate& other327) {
-  report_sent_micros = other327.report_sent_micros;
-  leader = other327.leader;
-  shares = other327.shares;
-  document_version = other327.document_version;
-  document = other327.document;
-  endpoints = other327.endpoints;
-  primaries = other327.primaries;
-  controllers = other327.controllers;
-  entries = other327.entries;
-  report_now = other327.report_now;
-  __isset = other327.__isset;
+ProxyUpdate::ProxyUpdate(const ProxyUpdate& other335) {
+  report_sent_micros = other335.report_sent_micros;
+  leader = other335.leader;
+  shares = other335.shares;
+  document_version = other335.document_version;
+  document = other335.document;
+  endpoints = other335.endpoints;
+  primaries = other335.primaries;
+  controllers = other335.controllers;
+  entries = other335.entries;
+  report_now = other335.report_now;
+  positions = other335.positions;
+  __isset = other335.__isset;
+}
+ProxyUpdate::ProxyUpdate(ProxyUpdate&& other336) noexcept {
+  report_sent_micros = other336.report_sent_micros;
+  leader = other336.leader;
+  shares = std::move(other336.shares);
+  document_version = other336.document_version;
+  document = std::move(other336.document);
+  endpoints = std::move(other336.endpoints);
+  primaries = std::move(other336.primaries);
+  controllers = std::move(other336.controllers);
+  entries = other336.entries;
+  report_now = other336.report_now;
+  positions = std::move(other336.positions);
+  __isset = other336.__isset;
+}
+ProxyUpdate& ProxyUpdate::operator=(const ProxyUpdate& other337) {
+  report_sent_micros = other337.report_sent_micros;
+  leader = other337.leader;
+  shares = other337.shares;
+  document_version = other337.document_version;
+  document = other337.document;
+  endpoints = other337.endpoints;
+  primaries = other337.primaries;
+  controllers = other337.controllers;
+  entries = other337.entries;
+  report_now = other337.report_now;
+  positions = other337.positions;
+  __isset = other337.__isset;
   return *this;
 }
-ProxyUpdate& ProxyUpdate::operator=(ProxyUpdate&& other328) noexcept {
-  report_sent_micros = other328.report_sent_micros;
-  leader = other328.leader;
-  shares = std::move(other328.shares);
-  document_version = other328.document_version;
-  document = std::move(other328.document);
-  endpoints = std::move(other328.endpoints);
-  primaries = std::move(other328.primaries);
-  controllers = std::move(other328.controllers);
-  entries = other328.entries;
-  report_now = other328.report_now;
-  __isset = other328.__isset;
+ProxyUpdate& ProxyUpdate::operator=(ProxyUpdate&& other338) noexcept {
+  report_sent_micros = other338.report_sent_micros;
+  leader = other338.leader;
+  shares = std::move(other338.shares);
+  document_version = other338.document_version;
+  document = std::move(other338.document);
+  endpoints = std::move(other338.endpoints);
+  primaries = std::move(other338.primaries);
+  controllers = std::move(other338.controllers);
+  entries = other338.entries;
+  report_now = other338.report_now;
+  positions = std::move(other338.positions);
+  __isset = other338.__isset;
   return *this;
 }
 void ProxyUpdate::printTo(std::ostream& out) const {
@@ -9323,6 +9531,7 @@
   out << ", " << "controllers=" << to_string(controllers);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "report_now=" << to_string(report_now);
+  out << ", " << "positions=" << to_string(positions);
   out << ")";
 }
 
@@ -9394,14 +9603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controllers.clear();
-            uint32_t _size329;
-            ::apache::thrift::protocol::TType _etype332;
-            xfer += iprot->readListBegin(_etype332, _size329);
-            this->controllers.resize(_size329);
-            uint32_t _i333;
-            for (_i333 = 0; _i333 < _size329; ++_i333)
+            uint32_t _size339;
+            ::apache::thrift::protocol::TType _etype342;
+            xfer += iprot->readListBegin(_etype342, _size339);
+            this->controllers.resize(_size339);
+            uint32_t _i343;
+            for (_i343 = 0; _i343 < _size339; ++_i343)
             {
-              xfer += iprot->readString(this->controllers[_i333]);
+              xfer += iprot->readString(this->controllers[_i343]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9414,14 +9623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size334;
-            ::apache::thrift::protocol::TType _etype337;
-            xfer += iprot->readListBegin(_etype337, _size334);
-            this->endpoints.resize(_size334);
-            uint32_t _i338;
-            for (_i338 = 0; _i338 < _size334; ++_i338)
+            uint32_t _size344;
+            ::apache::thrift::protocol::TType _etype347;
+            xfer += iprot->readListBegin(_etype347, _size344);
+            this->endpoints.resize(_size344);
+            uint32_t _i348;
+            for (_i348 = 0; _i348 < _size344; ++_i348)
             {
-              xfer += this->endpoints[_i338].read(iprot);
+              xfer += this->endpoints[_i348].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9458,10 +9667,10 @@
   xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
-    std::vector<std::string> ::const_iterator _iter339;
-    for (_iter339 = this->controllers.begin(); _iter339 != this->controllers.end(); ++_iter339)
+    std::vector<std::string> ::const_iterator _iter349;
+    for (_iter349 = this->controllers.begin(); _iter349 != this->controllers.end(); ++_iter349)
     {
-      xfer += oprot->writeString((*_iter339));
+      xfer += oprot->writeString((*_iter349));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9470,10 +9679,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter340;
-    for (_iter340 = this->endpoints.begin(); _iter340 != this->endpoints.end(); ++_iter340)
+    std::vector<EndpointRecord> ::const_iterator _iter350;
+    for (_iter350 = this->endpoints.begin(); _iter350 != this->endpoints.end(); ++_iter350)
     {
-      xfer += (*_iter340).write(oprot);
+      xfer += (*_iter350).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9493,34 +9702,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerNotice::ControllerNotice(const ControllerNotice& other341) {
-  has_disk = other341.has_disk;
-  joining = other341.joining;
-  controllers = other341.controllers;
-  endpoints = other341.endpoints;
-  __isset = other341.__isset;
-}
-ControllerNotice::ControllerNotice(ControllerNotice&& other342) noexcept {
-  has_disk = other342.has_disk;
-  joining = other342.joining;
-  controllers = std::move(other342.controllers);
-  endpoints = std::move(other342.endpoints);
-  __isset = other342.__isset;
-}
-ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other343) {
-  has_disk = other343.has_disk;
-  joining = other343.joining;
-  controllers = other343.controllers;
-  endpoints = other343.endpoints;
-  __isset = other343.__isset;
+ControllerNotice::ControllerNotice(const ControllerNotice& other351) {
+  has_disk = other351.has_disk;
+  joining = other351.joining;
+  controllers = other351.controllers;
+  endpoints = other351.endpoints;
+  __isset = other351.__isset;
+}
+ControllerNotice::ControllerNotice(ControllerNotice&& other352) noexcept {
+  has_disk = other352.has_disk;
+  joining = other352.joining;
+  controllers = std::move(other352.controllers);
+  endpoints = std::move(other352.endpoints);
+  __isset = other352.__isset;
+}
+ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other353) {
+  has_disk = other353.has_disk;
+  joining = other353.joining;
+  controllers = other353.controllers;
+  endpoints = other353.endpoints;
+  __isset = other353.__isset;
   return *this;
 }
-ControllerNotice& ControllerNotice::operator=(ControllerNotice&& other344) noexcept {
-  has_disk = other344.has_disk;
-  joining = other344.joining;
-  controllers = std::move(other344.controllers);
-  endpoints = std::move(other344.endpoints);
-  __isset = other344.__isset;
+ControllerNotice& ControllerNotice::operator=(ControllerNotice&& other354) noexcept {
+  has_disk = other354.has_disk;
+  joining = other354.joining;
+  controllers = std::move(other354.controllers);
+  endpoints = std::move(other354.endpoints);
+  __isset = other354.__isset;
   return *this;
 }
 void ControllerNotice::printTo(std::ostream& out) const {
@@ -9643,30 +9852,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisterHolder::RegisterHolder(const RegisterHolder& other345) {
-  instance = other345.instance;
-  process = other345.process;
-  released = other345.released;
-  __isset = other345.__isset;
+RegisterHolder::RegisterHolder(const RegisterHolder& other355) {
+  instance = other355.instance;
+  process = other355.process;
+  released = other355.released;
+  __isset = other355.__isset;
 }
-RegisterHolder::RegisterHolder(RegisterHolder&& other346) noexcept {
-  instance = std::move(other346.instance);
-  process = other346.process;
-  released = other346.released;
-  __isset = other346.__isset;
+RegisterHolder::RegisterHolder(RegisterHolder&& other356) noexcept {
+  instance = std::move(other356.instance);
+  process = other356.process;
+  released = other356.released;
+  __isset = other356.__isset;
 }
-RegisterHolder& RegisterHolder::operator=(const RegisterHolder& other347) {
-  instance = other347.instance;
-  process = other347.process;
-  released = other347.released;
-  __isset = other347.__isset;
+RegisterHolder& RegisterHolder::operator=(const RegisterHolder& other357) {
+  instance = other357.instance;
+  process = other357.process;
+  released = other357.released;
+  __isset = other357.__isset;
   return *this;
 }
-RegisterHolder& RegisterHolder::operator=(RegisterHolder&& other348) noexcept {
-  instance = std::move(other348.instance);
-  process = other348.process;
-  released = other348.released;
-  __isset = other348.__isset;
+RegisterHolder& RegisterHolder::operator=(RegisterHolder&& other358) noexcept {
+  instance = std::move(other358.instance);
+  process = other358.process;
+  released = other358.released;
+  __isset = other358.__isset;
   return *this;
 }
 void RegisterHolder::printTo(std::ostream& out) const {
@@ -9771,26 +9980,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderState::HolderState(const HolderState& other349) noexcept {
-  process = other349.process;
-  incarnation = other349.incarnation;
-  __isset = other349.__isset;
+HolderState::HolderState(const HolderState& other359) noexcept {
+  process = other359.process;
+  incarnation = other359.incarnation;
+  __isset = other359.__isset;
 }
-HolderState::HolderState(HolderState&& other350) noexcept {
-  process = other350.process;
-  incarnation = other350.incarnation;
-  __isset = other350.__isset;
+HolderState::HolderState(HolderState&& other360) noexcept {
+  process = other360.process;
+  incarnation = other360.incarnation;
+  __isset = other360.__isset;
 }
-HolderState& HolderState::operator=(const HolderState& other351) noexcept {
-  process = other351.process;
-  incarnation = other351.incarnation;
-  __isset = other351.__isset;
+HolderState& HolderState::operator=(const HolderState& other361) noexcept {
+  process = other361.process;
+  incarnation = other361.incarnation;
+  __isset = other361.__isset;
   return *this;
 }
-HolderState& HolderState::operator=(HolderState&& other352) noexcept {
-  process = other352.process;
-  incarnation = other352.incarnation;
-  __isset = other352.__isset;
+HolderState& HolderState::operator=(HolderState&& other362) noexcept {
+  process = other362.process;
+  incarnation = other362.incarnation;
+  __isset = other362.__isset;
   return *this;
 }
 void HolderState::printTo(std::ostream& out) const {
@@ -9894,26 +10103,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PutDocument::PutDocument(const PutDocument& other353) {
-  version = other353.version;
-  text = other353.text;
-  __isset = other353.__isset;
+PutDocument::PutDocument(const PutDocument& other363) {
+  version = other363.version;
+  text = other363.text;
+  __isset = other363.__isset;
 }
-PutDocument::PutDocument(PutDocument&& other354) noexcept {
-  version = other354.version;
-  text = std::move(other354.text);
-  __isset = other354.__isset;
+PutDocument::PutDocument(PutDocument&& other364) noexcept {
+  version = other364.version;
+  text = std::move(other364.text);
+  __isset = other364.__isset;
 }
-PutDocument& PutDocument::operator=(const PutDocument& other355) {
-  version = other355.version;
-  text = other355.text;
-  __isset = other355.__isset;
+PutDocument& PutDocument::operator=(const PutDocument& other365) {
+  version = other365.version;
+  text = other365.text;
+  __isset = other365.__isset;
   return *this;
 }
-PutDocument& PutDocument::operator=(PutDocument&& other356) noexcept {
-  version = other356.version;
-  text = std::move(other356.text);
-  __isset = other356.__isset;
+PutDocument& PutDocument::operator=(PutDocument&& other366) noexcept {
+  version = other366.version;
+  text = std::move(other366.text);
+  __isset = other366.__isset;
   return *this;
 }
 void PutDocument::printTo(std::ostream& out) const {
@@ -10040,30 +10249,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetCommand::FleetCommand(const FleetCommand& other357) {
-  put = other357.put;
-  holder = other357.holder;
-  endpoint = other357.endpoint;
-  __isset = other357.__isset;
+FleetCommand::FleetCommand(const FleetCommand& other367) {
+  put = other367.put;
+  holder = other367.holder;
+  endpoint = other367.endpoint;
+  __isset = other367.__isset;
 }
-FleetCommand::FleetCommand(FleetCommand&& other358) noexcept {
-  put = std::move(other358.put);
-  holder = std::move(other358.holder);
-  endpoint = std::move(other358.endpoint);
-  __isset = other358.__isset;
+FleetCommand::FleetCommand(FleetCommand&& other368) noexcept {
+  put = std::move(other368.put);
+  holder = std::move(other368.holder);
+  endpoint = std::move(other368.endpoint);
+  __isset = other368.__isset;
 }
-FleetCommand& FleetCommand::operator=(const FleetCommand& other359) {
-  put = other359.put;
-  holder = other359.holder;
-  endpoint = other359.endpoint;
-  __isset = other359.__isset;
+FleetCommand& FleetCommand::operator=(const FleetCommand& other369) {
+  put = other369.put;
+  holder = other369.holder;
+  endpoint = other369.endpoint;
+  __isset = other369.__isset;
   return *this;
 }
-FleetCommand& FleetCommand::operator=(FleetCommand&& other360) noexcept {
-  put = std::move(other360.put);
-  holder = std::move(other360.holder);
-  endpoint = std::move(other360.endpoint);
-  __isset = other360.__isset;
+FleetCommand& FleetCommand::operator=(FleetCommand&& other370) noexcept {
+  put = std::move(other370.put);
+  holder = std::move(other370.holder);
+  endpoint = std::move(other370.endpoint);
+  __isset = other370.__isset;
   return *this;
 }
 void FleetCommand::printTo(std::ostream& out) const {
@@ -10131,17 +10340,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->holders.clear();
-            uint32_t _size361;
-            ::apache::thrift::protocol::TType _ktype362;
-            ::apache::thrift::protocol::TType _vtype363;
-            xfer += iprot->readMapBegin(_ktype362, _vtype363, _size361);
-            uint32_t _i365;
-            for (_i365 = 0; _i365 < _size361; ++_i365)
+            uint32_t _size371;
+            ::apache::thrift::protocol::TType _ktype372;
+            ::apache::thrift::protocol::TType _vtype373;
+            xfer += iprot->readMapBegin(_ktype372, _vtype373, _size371);
+            uint32_t _i375;
+            for (_i375 = 0; _i375 < _size371; ++_i375)
             {
-              std::string _key366;
-              xfer += iprot->readString(_key366);
-              HolderState& _val367 = this->holders[_key366];
-              xfer += _val367.read(iprot);
+              std::string _key376;
+              xfer += iprot->readString(_key376);
+              HolderState& _val377 = this->holders[_key376];
+              xfer += _val377.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10154,17 +10363,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->endpoints.clear();
-            uint32_t _size368;
-            ::apache::thrift::protocol::TType _ktype369;
-            ::apache::thrift::protocol::TType _vtype370;
-            xfer += iprot->readMapBegin(_ktype369, _vtype370, _size368);
-            uint32_t _i372;
-            for (_i372 = 0; _i372 < _size368; ++_i372)
+            uint32_t _size378;
+            ::apache::thrift::protocol::TType _ktype379;
+            ::apache::thrift::protocol::TType _vtype380;
+            xfer += iprot->readMapBegin(_ktype379, _vtype380, _size378);
+            uint32_t _i382;
+            for (_i382 = 0; _i382 < _size378; ++_i382)
             {
-              std::string _key373;
-              xfer += iprot->readString(_key373);
-              EndpointRecord& _val374 = this->endpoints[_key373];
-              xfer += _val374.read(iprot);
+              std::string _key383;
+              xfer += iprot->readString(_key383);
+              EndpointRecord& _val384 = this->endpoints[_key383];
+              xfer += _val384.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10197,11 +10406,11 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::map<std::string, HolderState> ::const_iterator _iter375;
-    for (_iter375 = this->holders.begin(); _iter375 != this->holders.end(); ++_iter375)
+    std::map<std::string, HolderState> ::const_iterator _iter385;
+    for (_iter385 = this->holders.begin(); _iter385 != this->holders.end(); ++_iter385)
     {
-      xfer += oprot->writeString(_iter375->first);
-      xfer += _iter375->second.write(oprot);
+      xfer += oprot->writeString(_iter385->first);
+      xfer += _iter385->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10210,11 +10419,11 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::map<std::string, EndpointRecord> ::const_iterator _iter376;
-    for (_iter376 = this->endpoints.begin(); _iter376 != this->endpoints.end(); ++_iter376)
+    std::map<std::string, EndpointRecord> ::const_iterator _iter386;
+    for (_iter386 = this->endpoints.begin(); _iter386 != this->endpoints.end(); ++_iter386)
     {
-      xfer += oprot->writeString(_iter376->first);
-      xfer += _iter376->second.write(oprot);
+      xfer += oprot->writeString(_iter386->first);
+      xfer += _iter386->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10233,30 +10442,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshot::FleetSnapshot(const FleetSnapshot& other377) {
-  document = other377.document;
-  holders = other377.holders;
-  endpoints = other377.endpoints;
-  __isset = other377.__isset;
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other387) {
+  document = other387.document;
+  holders = other387.holders;
+  endpoints = other387.endpoints;
+  __isset = other387.__isset;
 }
-FleetSnapshot::FleetSnapshot(FleetSnapshot&& other378) noexcept {
-  document = std::move(other378.document);
-  holders = std::move(other378.holders);
-  endpoints = std::move(other378.endpoints);
-  __isset = other378.__isset;
+FleetSnapshot::FleetSnapshot(FleetSnapshot&& other388) noexcept {
+  document = std::move(other388.document);
+  holders = std::move(other388.holders);
+  endpoints = std::move(other388.endpoints);
+  __isset = other388.__isset;
 }
-FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other379) {
-  document = other379.document;
-  holders = other379.holders;
-  endpoints = other379.endpoints;
-  __isset = other379.__isset;
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other389) {
+  document = other389.document;
+  holders = other389.holders;
+  endpoints = other389.endpoints;
+  __isset = other389.__isset;
   return *this;
 }
-FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other380) noexcept {
-  document = std::move(other380.document);
-  holders = std::move(other380.holders);
-  endpoints = std::move(other380.endpoints);
-  __isset = other380.__isset;
+FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other390) noexcept {
+  document = std::move(other390.document);
+  holders = std::move(other390.holders);
+  endpoints = std::move(other390.endpoints);
+  __isset = other390.__isset;
   return *this;
 }
 void FleetSnapshot::printTo(std::ostream& out) const {
@@ -10631,82 +10840,82 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other381) {
-  hello = other381.hello;
-  ping = other381.ping;
-  pong = other381.pong;
-  consensus = other381.consensus;
-  report = other381.report;
-  update = other381.update;
-  forward = other381.forward;
-  forward_response = other381.forward_response;
-  propose = other381.propose;
-  propose_response = other381.propose_response;
-  query = other381.query;
-  query_response = other381.query_response;
-  drain = other381.drain;
-  proxy_report = other381.proxy_report;
-  proxy_update = other381.proxy_update;
-  controller_notice = other381.controller_notice;
-  __isset = other381.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other382) noexcept {
-  hello = std::move(other382.hello);
-  ping = other382.ping;
-  pong = other382.pong;
-  consensus = std::move(other382.consensus);
-  report = std::move(other382.report);
-  update = std::move(other382.update);
-  forward = std::move(other382.forward);
-  forward_response = std::move(other382.forward_response);
-  propose = std::move(other382.propose);
-  propose_response = std::move(other382.propose_response);
-  query = std::move(other382.query);
-  query_response = std::move(other382.query_response);
-  drain = other382.drain;
-  proxy_report = std::move(other382.proxy_report);
-  proxy_update = std::move(other382.proxy_update);
-  controller_notice = std::move(other382.controller_notice);
-  __isset = other382.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other383) {
-  hello = other383.hello;
-  ping = other383.ping;
-  pong = other383.pong;
-  consensus = other383.consensus;
-  report = other383.report;
-  update = other383.update;
-  forward = other383.forward;
-  forward_response = other383.forward_response;
-  propose = other383.propose;
-  propose_response = other383.propose_response;
-  query = other383.query;
-  query_response = other383.query_response;
-  drain = other383.drain;
-  proxy_report = other383.proxy_report;
-  proxy_update = other383.proxy_update;
-  controller_notice = other383.controller_notice;
-  __isset = other383.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other391) {
+  hello = other391.hello;
+  ping = other391.ping;
+  pong = other391.pong;
+  consensus = other391.consensus;
+  report = other391.report;
+  update = other391.update;
+  forward = other391.forward;
+  forward_response = other391.forward_response;
+  propose = other391.propose;
+  propose_response = other391.propose_response;
+  query = other391.query;
+  query_response = other391.query_response;
+  drain = other391.drain;
+  proxy_report = other391.proxy_report;
+  proxy_update = other391.proxy_update;
+  controller_notice = other391.controller_notice;
+  __isset = other391.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other392) noexcept {
+  hello = std::move(other392.hello);
+  ping = other392.ping;
+  pong = other392.pong;
+  consensus = std::move(other392.consensus);
+  report = std::move(other392.report);
+  update = std::move(other392.update);
+  forward = std::move(other392.forward);
+  forward_response = std::move(other392.forward_response);
+  propose = std::move(other392.propose);
+  propose_response = std::move(other392.propose_response);
+  query = std::move(other392.query);
+  query_response = std::move(other392.query_response);
+  drain = other392.drain;
+  proxy_report = std::move(other392.proxy_report);
+  proxy_update = std::move(other392.proxy_update);
+  controller_notice = std::move(other392.controller_notice);
+  __isset = other392.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other393) {
+  hello = other393.hello;
+  ping = other393.ping;
+  pong = other393.pong;
+  consensus = other393.consensus;
+  report = other393.report;
+  update = other393.update;
+  forward = other393.forward;
+  forward_response = other393.forward_response;
+  propose = other393.propose;
+  propose_response = other393.propose_response;
+  query = other393.query;
+  query_response = other393.query_response;
+  drain = other393.drain;
+  proxy_report = other393.proxy_report;
+  proxy_update = other393.proxy_update;
+  controller_notice = other393.controller_notice;
+  __isset = other393.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other384) noexcept {
-  hello = std::move(other384.hello);
-  ping = other384.ping;
-  pong = other384.pong;
-  consensus = std::move(other384.consensus);
-  report = std::move(other384.report);
-  update = std::move(other384.update);
-  forward = std::move(other384.forward);
-  forward_response = std::move(other384.forward_response);
-  propose = std::move(other384.propose);
-  propose_response = std::move(other384.propose_response);
-  query = std::move(other384.query);
-  query_response = std::move(other384.query_response);
-  drain = other384.drain;
-  proxy_report = std::move(other384.proxy_report);
-  proxy_update = std::move(other384.proxy_update);
-  controller_notice = std::move(other384.controller_notice);
-  __isset = other384.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other394) noexcept {
+  hello = std::move(other394.hello);
+  ping = other394.ping;
+  pong = other394.pong;
+  consensus = std::move(other394.consensus);
+  report = std::move(other394.report);
+  update = std::move(other394.update);
+  forward = std::move(other394.forward);
+  forward_response = std::move(other394.forward_response);
+  propose = std::move(other394.propose);
+  propose_response = std::move(other394.propose_response);
+  query = std::move(other394.query);
+  query_response = std::move(other394.query_response);
+  drain = other394.drain;
+  proxy_report = std::move(other394.proxy_report);
+  proxy_update = std::move(other394.proxy_update);
+  controller_notice = std::move(other394.controller_notice);
+  __isset = other394.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -10841,30 +11050,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other385) {
-  change_id = other385.change_id;
-  fingerprint = other385.fingerprint;
-  result = other385.result;
-  __isset = other385.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other395) {
+  change_id = other395.change_id;
+  fingerprint = other395.fingerprint;
+  result = other395.result;
+  __isset = other395.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other386) noexcept {
-  change_id = std::move(other386.change_id);
-  fingerprint = std::move(other386.fingerprint);
-  result = std::move(other386.result);
-  __isset = other386.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other396) noexcept {
+  change_id = std::move(other396.change_id);
+  fingerprint = std::move(other396.fingerprint);
+  result = std::move(other396.result);
+  __isset = other396.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other387) {
-  change_id = other387.change_id;
-  fingerprint = other387.fingerprint;
-  result = other387.result;
-  __isset = other387.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other397) {
+  change_id = other397.change_id;
+  fingerprint = other397.fingerprint;
+  result = other397.result;
+  __isset = other397.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other388) noexcept {
-  change_id = std::move(other388.change_id);
-  fingerprint = std::move(other388.fingerprint);
-  result = std::move(other388.result);
-  __isset = other388.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other398) noexcept {
+  change_id = std::move(other398.change_id);
+  fingerprint = std::move(other398.fingerprint);
+  result = std::move(other398.result);
+  __isset = other398.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -10956,14 +11165,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size389;
-            ::apache::thrift::protocol::TType _etype392;
-            xfer += iprot->readListBegin(_etype392, _size389);
-            this->objects.resize(_size389);
-            uint32_t _i393;
-            for (_i393 = 0; _i393 < _size389; ++_i393)
+            uint32_t _size399;
+            ::apache::thrift::protocol::TType _etype402;
+            xfer += iprot->readListBegin(_etype402, _size399);
+            this->objects.resize(_size399);
+            uint32_t _i403;
+            for (_i403 = 0; _i403 < _size399; ++_i403)
             {
-              xfer += this->objects[_i393].read(iprot);
+              xfer += this->objects[_i403].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -10976,14 +11185,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size394;
-            ::apache::thrift::protocol::TType _etype397;
-            xfer += iprot->readListBegin(_etype397, _size394);
-            this->changes.resize(_size394);
-            uint32_t _i398;
-            for (_i398 = 0; _i398 < _size394; ++_i398)
+            uint32_t _size404;
+            ::apache::thrift::protocol::TType _etype407;
+            xfer += iprot->readListBegin(_etype407, _size404);
+            this->changes.resize(_size404);
+            uint32_t _i408;
+            for (_i408 = 0; _i408 < _size404; ++_i408)
             {
-              xfer += this->changes[_i398].read(iprot);
+              xfer += this->changes[_i408].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11004,14 +11213,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size399;
-            ::apache::thrift::protocol::TType _etype402;
-            xfer += iprot->readListBegin(_etype402, _size399);
-            this->groups.resize(_size399);
-            uint32_t _i403;
-            for (_i403 = 0; _i403 < _size399; ++_i403)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->groups.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += this->groups[_i403].read(iprot);
+              xfer += this->groups[_i413].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11024,14 +11233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->endpoints.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->endpoints.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->endpoints[_i408].read(iprot);
+              xfer += this->endpoints[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11044,14 +11253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->instances.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->instances.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += this->instances[_i413].read(iprot);
+              xfer += this->instances[_i423].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11064,14 +11273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->journal.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->journal.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += this->journal[_i418].read(iprot);
+              xfer += this->journal[_i428].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11112,10 +11321,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter419;
-    for (_iter419 = this->objects.begin(); _iter419 != this->objects.end(); ++_iter419)
+    std::vector<Object> ::const_iterator _iter429;
+    for (_iter429 = this->objects.begin(); _iter429 != this->objects.end(); ++_iter429)
     {
-      xfer += (*_iter419).write(oprot);
+      xfer += (*_iter429).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11124,10 +11333,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter420;
-    for (_iter420 = this->changes.begin(); _iter420 != this->changes.end(); ++_iter420)
+    std::vector<AppliedChange> ::const_iterator _iter430;
+    for (_iter430 = this->changes.begin(); _iter430 != this->changes.end(); ++_iter430)
     {
-      xfer += (*_iter420).write(oprot);
+      xfer += (*_iter430).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11140,10 +11349,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter421;
-    for (_iter421 = this->groups.begin(); _iter421 != this->groups.end(); ++_iter421)
+    std::vector<GroupState> ::const_iterator _iter431;
+    for (_iter431 = this->groups.begin(); _iter431 != this->groups.end(); ++_iter431)
     {
-      xfer += (*_iter421).write(oprot);
+      xfer += (*_iter431).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11152,10 +11361,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter422;
-    for (_iter422 = this->endpoints.begin(); _iter422 != this->endpoints.end(); ++_iter422)
+    std::vector<EndpointInfo> ::const_iterator _iter432;
+    for (_iter432 = this->endpoints.begin(); _iter432 != this->endpoints.end(); ++_iter432)
     {
-      xfer += (*_iter422).write(oprot);
+      xfer += (*_iter432).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11164,10 +11373,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter423;
-    for (_iter423 = this->instances.begin(); _iter423 != this->instances.end(); ++_iter423)
+    std::vector<InstanceInfo> ::const_iterator _iter433;
+    for (_iter433 = this->instances.begin(); _iter433 != this->instances.end(); ++_iter433)
     {
-      xfer += (*_iter423).write(oprot);
+      xfer += (*_iter433).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11176,10 +11385,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter424;
-    for (_iter424 = this->journal.begin(); _iter424 != this->journal.end(); ++_iter424)
+    std::vector<JournalEntry> ::const_iterator _iter434;
+    for (_iter434 = this->journal.begin(); _iter434 != this->journal.end(); ++_iter434)
     {
-      xfer += (*_iter424).write(oprot);
+      xfer += (*_iter434).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11208,54 +11417,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other425) {
-  revision = other425.revision;
-  objects = other425.objects;
-  changes = other425.changes;
-  groups_revision = other425.groups_revision;
-  groups = other425.groups;
-  endpoints = other425.endpoints;
-  instances = other425.instances;
-  journal = other425.journal;
-  session_secret = other425.session_secret;
-  __isset = other425.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other426) noexcept {
-  revision = other426.revision;
-  objects = std::move(other426.objects);
-  changes = std::move(other426.changes);
-  groups_revision = other426.groups_revision;
-  groups = std::move(other426.groups);
-  endpoints = std::move(other426.endpoints);
-  instances = std::move(other426.instances);
-  journal = std::move(other426.journal);
-  session_secret = std::move(other426.session_secret);
-  __isset = other426.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other427) {
-  revision = other427.revision;
-  objects = other427.objects;
-  changes = other427.changes;
-  groups_revision = other427.groups_revision;
-  groups = other427.groups;
-  endpoints = other427.endpoints;
-  instances = other427.instances;
-  journal = other427.journal;
-  session_secret = other427.session_secret;
-  __isset = other427.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other435) {
+  revision = other435.revision;
+  objects = other435.objects;
+  changes = other435.changes;
+  groups_revision = other435.groups_revision;
+  groups = other435.groups;
+  endpoints = other435.endpoints;
+  instances = other435.instances;
+  journal = other435.journal;
+  session_secret = other435.session_secret;
+  __isset = other435.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other436) noexcept {
+  revision = other436.revision;
+  objects = std::move(other436.objects);
+  changes = std::move(other436.changes);
+  groups_revision = other436.groups_revision;
+  groups = std::move(other436.groups);
+  endpoints = std::move(other436.endpoints);
+  instances = std::move(other436.instances);
+  journal = std::move(other436.journal);
+  session_secret = std::move(other436.session_secret);
+  __isset = other436.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other437) {
+  revision = other437.revision;
+  objects = other437.objects;
+  changes = other437.changes;
+  groups_revision = other437.groups_revision;
+  groups = other437.groups;
+  endpoints = other437.endpoints;
+  instances = other437.instances;
+  journal = other437.journal;
+  session_secret = other437.session_secret;
+  __isset = other437.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other428) noexcept {
-  revision = other428.revision;
-  objects = std::move(other428.objects);
-  changes = std::move(other428.changes);
-  groups_revision = other428.groups_revision;
-  groups = std::move(other428.groups);
-  endpoints = std::move(other428.endpoints);
-  instances = std::move(other428.instances);
-  journal = std::move(other428.journal);
-  session_secret = std::move(other428.session_secret);
-  __isset = other428.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other438) noexcept {
+  revision = other438.revision;
+  objects = std::move(other438.objects);
+  changes = std::move(other438.changes);
+  groups_revision = other438.groups_revision;
+  groups = std::move(other438.groups);
+  endpoints = std::move(other438.endpoints);
+  instances = std::move(other438.instances);
+  journal = std::move(other438.journal);
+  session_secret = std::move(other438.session_secret);
+  __isset = other438.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -156,6 +156,8 @@
 
 class ProxyReport;
 
+class ConfirmedPosition;
+
 class ProxyUpdate;
 
 class ControllerNotice;
@@ -3333,8 +3335,74 @@
 
 std::ostream& operator<<(std::ostream& out, const ProxyReport& obj);
 
+typedef struct _ConfirmedPosition__isset {
+  _ConfirmedPosition__isset() : group(false), term(false), number(false), report_sent_micros(false) {}
+  bool group :1;
+  bool term :1;
+  bool number :1;
+  bool report_sent_micros :1;
+} _ConfirmedPosition__isset;
+
+class ConfirmedPosition : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfirmedPosition(const ConfirmedPosition&);
+  ConfirmedPosition(ConfirmedPosition&&) noexcept;
+  ConfirmedPosition& operator=(const ConfirmedPosition&);
+  ConfirmedPosition& operator=(ConfirmedPosition&&) noexcept;
+  ConfirmedPosition() noexcept
+                    : group(),
+                      term(0),
+                      number(0),
+                      report_sent_micros(0) {
+  }
+
+  virtual ~ConfirmedPosition() noexcept;
+  std::string group;
+  int64_t term;
+  int64_t number;
+  int64_t report_sent_micros;
+
+  _ConfirmedPosition__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_term(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_report_sent_micros(const int64_t val);
+
+  bool operator == (const ConfirmedPosition & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(report_sent_micros == rhs.report_sent_micros))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfirmedPosition &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfirmedPosition & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfirmedPosition &a, ConfirmedPosition &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfirmedPosition& obj);
+
 typedef struct _ProxyUpdate__isset {
-  _ProxyUpdate__isset() : report_sent_micros(false), leader(false), shares(false), document_version(false), document(false), endpoints(false), primaries(false), controllers(false), entries(false), report_now(false) {}
+  _ProxyUpdate__isset() : report_sent_micros(false), leader(false), shares(false), document_version(false), document(false), endpoints(false), primaries(false), controllers(false), entries(false), report_now(false), positions(false) {}
   bool report_sent_micros :1;
   bool leader :1;
   bool shares :1;
@@ -3345,6 +3413,7 @@
   bool controllers :1;
   bool entries :1;
   bool report_now :1;
+  bool positions :1;
 } _ProxyUpdate__isset;
 
 class ProxyUpdate : public virtual ::apache::thrift::TBase {
@@ -3374,6 +3443,7 @@
   std::vector<std::string>  controllers;
   int32_t entries;
   bool report_now;
+  std::vector<ConfirmedPosition>  positions;
 
   _ProxyUpdate__isset __isset;
 
@@ -3397,6 +3467,8 @@
 
   void __set_report_now(const bool val);
 
+  void __set_positions(const std::vector<ConfirmedPosition> & val);
+
   bool operator == (const ProxyUpdate & rhs) const
   {
     if (!(report_sent_micros == rhs.report_sent_micros))
@@ -3421,6 +3493,8 @@
       return false;
     if (!(report_now == rhs.report_now))
       return false;
+    if (!(positions == rhs.positions))
+      return false;
     return true;
   }
   bool operator != (const ProxyUpdate &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -414,6 +414,15 @@
   9: bool first,                         // on a new link: send all endpoints
 }
 
+// A position that the primary of a group confirmed after the leader had
+// received the entry's report that was sent at `report_sent_micros`.
+struct ConfirmedPosition {
+  1: string group,
+  2: i64 term,
+  3: i64 number,
+  4: i64 report_sent_micros,             // entry's clock
+}
+
 // Controller to entry.
 struct ProxyUpdate {
   1: i64 report_sent_micros,             // 0: not an answer to a report
@@ -426,6 +435,7 @@
   8: list<string> controllers,           // known addresses, IP number and port
   9: i32 entries,                        // connected to the sender
   10: bool report_now,                   // something waits for the next report
+  11: list<ConfirmedPosition> positions,
 }
 
 // Controller to controller.
--- a/programs/goldcrestd/endpoint_prober.cc
+++ b/programs/goldcrestd/endpoint_prober.cc
@@ -83,6 +83,7 @@
 
 void EndpointProber::Ask(Connection& connection) {
   connection.asked = true;
+  connection.asked_at = SystemClock::Now();
   EndpointCommand command;
   command.kind = connection.purpose == ProbePurpose::kLead
                      ? EndpointCommand::Kind::kBegin
@@ -120,6 +121,7 @@
     return Fail(connection.endpoint);
   ProbeResult result;
   result.kind = ProbeResult::Kind::kFollows;
+  result.asked_at = connection.asked_at;
   if (answer.position) {
     result.term = answer.position->term;
     result.number = answer.position->number;
--- a/programs/goldcrestd/endpoint_prober.h
+++ b/programs/goldcrestd/endpoint_prober.h
@@ -47,6 +47,7 @@
     bool cleaning = false;  // the answer to the rollback is due
     std::uint64_t attempt = 0;
     Time used_at;
+    Time asked_at;
   };
 
   void Ask(Connection& connection);
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -299,6 +299,10 @@
     proxy_.OnEndpoint(now, record);
   for (const messages::PrimaryAssignment& assignment : update.primaries)
     proxy_.OnAssignment(now, assignment);
+  for (const messages::ConfirmedPosition& position : update.positions)
+    proxy_.OnConfirmedPosition(position.group,
+                               TimeFromMicros(position.report_sent_micros),
+                               {position.term, position.number});
   if (update.report_sent_micros != 0) {
     endpoints_known_ = true;
     view.leads = update.leader;
--- a/statements/include/goldcrest/statements/position_history.h
+++ b/statements/include/goldcrest/statements/position_history.h
@@ -23,9 +23,6 @@
   //! before `bound`; nullopt when none is known.
   std::optional<LogPosition> Covering(Time bound) const;
 
-  //! Drops what no later call of Covering() with `bound` or more would return.
-  void Forget(Time bound);
-
   //! The newest term seen; 0 before the first.
   std::int64_t Term() const { return term_; }
 
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -74,6 +74,11 @@
   void OnRoutingTable(Time now, routing::RoutingTablePtr table);
   void OnEndpoint(Time now, const messages::EndpointRecord& record);
   void OnAssignment(Time now, const messages::PrimaryAssignment& assignment);
+  //! A primary confirmed `position` after this entry's clock showed
+  //! `asked_at`.
+  void OnConfirmedPosition(const std::string& group,
+                           Time asked_at,
+                           LogPosition position);
   void OnEntryCount(int entries);
   //! After the holder's shares have changed.
   void OnShares(Time now);
--- a/statements/src/position_history.cc
+++ b/statements/src/position_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 
 namespace goldcrest::statements {
 namespace {
@@ -10,6 +11,9 @@
 // and the list stays short.
 constexpr Duration kSpacing = std::chrono::milliseconds(50);
 
+// Longer bounds on the age of reads are served as if they were this long.
+constexpr Duration kKept = std::chrono::seconds(5);
+
 }  // namespace
 
 void PositionHistory::Confirm(Time asked_at, LogPosition position) {
@@ -19,13 +23,22 @@
     confirmed_.clear();
     term_ = position.term;
   }
-  if (!confirmed_.empty() && asked_at < confirmed_.back().asked_at)
+  const auto next = std::ranges::lower_bound(confirmed_, asked_at, {},
+                                             &Confirmed::asked_at);
+  // A later question with a lower answer covers more and is easier to reach.
+  if (next != confirmed_.end() && !(position < next->position))
+    return;
+  // Between two that are close, it adds nothing.
+  if (next != confirmed_.end() && next != confirmed_.begin() &&
+      next->asked_at - std::prev(next)->asked_at < kSpacing)
     return;
-  // The second to last is kept apart from its neighbour; the last one moves.
-  if (confirmed_.size() > 1 &&
+  if (next == confirmed_.end() && confirmed_.size() > 1 &&
       asked_at - confirmed_[confirmed_.size() - 2].asked_at < kSpacing)
-    confirmed_.pop_back();
-  confirmed_.push_back({asked_at, position});
+    confirmed_.back() = {asked_at, position};
+  else
+    confirmed_.insert(next, {asked_at, position});
+  while (confirmed_.front().asked_at + kKept < confirmed_.back().asked_at)
+    confirmed_.pop_front();
 }
 
 std::optional<LogPosition> PositionHistory::Covering(Time bound) const {
@@ -36,9 +49,4 @@
   return it->position;
 }
 
-void PositionHistory::Forget(Time bound) {
-  while (!confirmed_.empty() && confirmed_.front().asked_at < bound)
-    confirmed_.pop_front();
-}
-
 }  // namespace goldcrest::statements
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -438,12 +438,6 @@
   table_ = std::move(table);
   for (const WaitingStart& start : std::exchange(waiting_starts_, {}))
     OnSessionStart(now, start.session, start.database, start.key);
-  for (auto& [group, history] : positions_) {
-    Duration longest{};
-    for (const auto& [database, route] : table_->routes)
-      longest = std::max(longest, route.max_staleness);
-    history.Forget(now - longest);
-  }
 }
 
 void StatementProxy::OnEndpoint(Time now,
@@ -473,6 +467,12 @@
   DispatchGroup(now, assignment.group);
 }
 
+void StatementProxy::OnConfirmedPosition(const std::string& group,
+                                         Time asked_at,
+                                         LogPosition position) {
+  positions_[group].Confirm(asked_at, position);
+}
+
 void StatementProxy::OnEntryCount(int entries) {
   options_.entries = std::max(1, entries);
 }
--- a/statements/tests/position_history_test.cc
+++ b/statements/tests/position_history_test.cc
@@ -25,6 +25,16 @@
   SECTION("A late answer to an earlier statement adds nothing") {
     history.Confirm(kStart + milliseconds(100), {1, 30});
     CHECK(history.Covering(kStart + milliseconds(150)) == LogPosition{1, 20});
+    CHECK(history.Covering(kStart + milliseconds(50)) == LogPosition{1, 20});
+  }
+  SECTION("One that comes late but was lower fills the gap") {
+    history.Confirm(kStart + milliseconds(100), {1, 15});
+    CHECK(history.Covering(kStart + milliseconds(50)) == LogPosition{1, 15});
+    CHECK(history.Covering(kStart + milliseconds(150)) == LogPosition{1, 20});
+  }
+  SECTION("Old ones are forgotten") {
+    history.Confirm(kStart + std::chrono::seconds(6), {1, 40});
+    CHECK(history.Covering(kStart - milliseconds(1)) == LogPosition{1, 40});
   }
   SECTION("Close confirmations replace each other by the later one") {
     history.Confirm(kStart + milliseconds(210), {1, 21});
