Split the statement proxy and the entry service by topic

Ruled out: other behaviour; the tests of statements, fleet and platform pass. After: updates, admission and the controllers' links have files of their own. Conclusion: no change in what runs.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -75,7 +75,7 @@
   void OnMessage(Time now,
                  const std::string& from,
                  const messages::PeerMessage& message);
-  void OnLink(Time now, const std::string& peer, bool up);
+  void OnLink(const std::string& peer, bool up);
 
   //! An endpoint reported here.
   void OnBeat(Time now, const messages::EndpointRecord& record);
@@ -156,7 +156,7 @@
   void ToEntries(const messages::ProxyUpdate& update);
   void LearnControllers(const std::vector<std::string>& names);
   void PlanMembership(Time now);
-  void FailPuts(Time now);
+  void FailPuts();
 
   ControllerOptions options_;
   ControllerHooks hooks_;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -68,7 +68,7 @@
     PlanMembership(now);
     ReleaseSilentHolders(now);
   }
-  FailPuts(now);
+  FailPuts();
   if (now >= next_notice_) {
     next_notice_ = now + kNoticeInterval;
     SendNotices(now);
@@ -104,8 +104,7 @@
     OnNotice(now, from, message.controller_notice);
 }
 
-void Controller::OnLink(Time now, const std::string& peer, bool up) {
-  (void)now;
+void Controller::OnLink(const std::string& peer, bool up) {
   hooks_.decided(up ? "link_up" : "link_down", peer, "");
   const auto it = entries_.find(peer);
   if (it != entries_.end())
@@ -303,12 +302,11 @@
   puts_.push_back(std::move(waiting));
   if (Propose(now, command) == 0)
     puts_.back().term = -1;  // Answered by FailPuts().
-  FailPuts(now);
+  FailPuts();
 }
 
 // Answers the calls whose entry may be lost with the leadership.
-void Controller::FailPuts(Time now) {
-  (void)now;
+void Controller::FailPuts() {
   std::vector<WaitingPut> lost;
   std::erase_if(puts_, [&](WaitingPut& put) {
     if (replica_.IsLeader() && put.term == replica_.Term())
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -251,7 +251,6 @@
   notice.has_disk = options_.has_disk;
   notice.joining = replica_.IsJoining();
   notice.controllers.assign(known_.begin(), known_.end());
-  (void)now;
   for (const std::string& name : known_) {
     if (name == options_.replica.self)
       continue;
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -91,7 +91,7 @@
         controller_->OnMessage(SystemClock::Now(), from, message);
       },
       [this](const std::string& peer, bool up) {
-        controller_->OnLink(SystemClock::Now(), peer, up);
+        controller_->OnLink(peer, up);
       });
   adapters::HttpServerOptions http;
   http.host = settings_.controller_listen.host;
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -6,7 +6,6 @@
 
 #include "goldcrest/adapters/system_clock.h"
 #include "goldcrest/platform/calls.h"
-#include "goldcrest/platform/routing_document.h"
 #include "programs/goldcrestd/platform_peers.h"
 
 namespace goldcrest {
@@ -28,9 +27,6 @@
 // Reports without shares, which tell a controller that this entry lives.
 constexpr Duration kPresenceInterval = milliseconds(900);
 
-// A controller that does not send the document is given up for another one.
-constexpr Duration kFetchTimeout = milliseconds(400);
-
 // How long new callers still arrive after readiness was withdrawn: two probes a
 // second apart have to fail.
 constexpr Duration kRotationTime = milliseconds(2'300);
@@ -257,121 +253,6 @@
                           : refusal.outcome);
 }
 
-void EntryService::OnPeerMessage(const std::string& from,
-                                 const messages::PeerMessage& message) {
-  if (message.__isset.proxy_update)
-    OnUpdate(from, message.proxy_update);
-}
-
-void EntryService::OnLink(const std::string& controller, bool up) {
-  ControllerView& view = controllers_[controller];
-  view.linked = up;
-  view.leads = false;
-  log_.Event(up ? "controller_found" : "controller_lost",
-             {{"controller", controller}});
-  // Changes that were sent while there was no link are lost.
-  view.reported_first = false;
-  if (up)
-    Report(SystemClock::Now(), controller, false);
-  if (!up && leader_ == controller)
-    leader_.clear();
-}
-
-void EntryService::OnUpdate(const std::string& from,
-                            const messages::ProxyUpdate& update) {
-  const Time now = SystemClock::Now();
-  ControllerView& view = controllers_[from];
-  view.heard_at = now;
-  view.version = std::max(view.version, update.document_version);
-  for (const std::string& name : update.controllers) {
-    if (known_controllers_.insert(name).second)
-      UpdatePeers();
-  }
-  if (update.__isset.document) {
-    fetching_from_.clear();
-    auto decoded = platform::DecodeRoutingDocument(update.document);
-    if (decoded.table)
-      proxy_.OnRoutingTable(now, decoded.table);
-    else
-      log_.Event("configuration_unreadable", {{"cause", decoded.problem}});
-  }
-  for (const messages::EndpointRecord& record : update.endpoints)
-    proxy_.OnEndpoint(now, record);
-  for (const messages::PrimaryAssignment& assignment : update.primaries)
-    proxy_.OnAssignment(now, assignment);
-  for (const messages::ConfirmedPosition& position : update.positions)
-    proxy_.OnConfirmedPosition(position.group,
-                               TimeFromMicros(position.report_sent_micros),
-                               {position.term, position.number});
-  if (update.report_sent_micros != 0) {
-    endpoints_known_ = true;
-    view.leads = update.leader;
-    if (update.leader && leader_ != from) {
-      log_.Event("controller_leads", {{"controller", from}});
-      leader_ = from;
-      proxy_.holder().OnOwnerChange(now);
-    } else if (!update.leader && leader_ == from) {
-      leader_.clear();
-    }
-    proxy_.OnEntryCount(update.entries);
-    if (update.leader) {
-      proxy_.holder().OnUpdates(now, TimeFromMicros(update.report_sent_micros),
-                                update.shares);
-      proxy_.OnShares(now);
-    }
-  }
-  if (update.report_now)
-    Report(now, from, false);
-  FetchDocument(now);
-}
-
-// Asks one controller at a time for a document newer than the one in force.
-void EntryService::FetchDocument(Time now) {
-  if (!fetching_from_.empty() && now < fetch_until_)
-    return;
-  std::string best;
-  for (const auto& [name, view] : controllers_) {
-    if (!view.linked || view.version <= proxy_.Version() ||
-        name == fetching_from_)
-      continue;
-    if (best.empty() || view.version > controllers_[best].version)
-      best = name;
-  }
-  if (best.empty() && !fetching_from_.empty() &&
-      controllers_[fetching_from_].linked &&
-      controllers_[fetching_from_].version > proxy_.Version())
-    best = fetching_from_;
-  fetching_from_ = best;
-  if (best.empty())
-    return;
-  fetch_until_ = now + kFetchTimeout;
-  Report(now, best, true);
-}
-
-void EntryService::UpdatePeers() {
-  peers_->SetPeers(PeerAddresses(known_controllers_));
-}
-
-void EntryService::Report(Time now,
-                          const std::string& controller,
-                          bool wants_document) {
-  messages::ProxyReport report;
-  report.process = process_;
-  report.sent_micros = ToMicros(now);
-  report.document_version = proxy_.Version();
-  report.wants_document = wants_document;
-  report.first = !controllers_[controller].reported_first;
-  if (controller == leader_)
-    report.shares = proxy_.holder().Report(now);
-  report.quiet_micros = proxy_.holder().QuietFor(now, started_at_).count();
-  report.contacts = proxy_.Contacts(now);
-  controllers_[controller].reported_at = now;
-  controllers_[controller].reported_first = true;
-  messages::PeerMessage message;
-  message.__set_proxy_report(std::move(report));
-  peers_->Send(controller, message);
-}
-
 void EntryService::Tick() {
   const Time now = SystemClock::Now();
   proxy_.Tick(now);
--- a/programs/goldcrestd/main.cc
+++ b/programs/goldcrestd/main.cc
@@ -40,7 +40,8 @@
   --version      Show the version.
 
 entry and controller are the two processes of an instance on a platform that
-writes their settings; GOLDCRESTCROSS_BOOT names the file. See docs/platform.md.
+writes their settings; an environment variable names the file. See
+docs/platform.md.
 
 SIGTERM or SIGINT starts a planned stop, which cuts no request; a second one
 stops at once.
--- a/statements/include/goldcrest/statements/primary_view.h
+++ b/statements/include/goldcrest/statements/primary_view.h
@@ -19,7 +19,7 @@
   explicit PrimaryView(const routing::EndpointDirectory* directory);
 
   //! A controller has promoted an endpoint. Older orders are ignored.
-  void OnAssignment(Time now, const messages::PrimaryAssignment& assignment);
+  void OnAssignment(const messages::PrimaryAssignment& assignment);
 
   //! The endpoint has run something that only a primary runs.
   void OnConfirmed(Time now,
--- a/statements/include/goldcrest/statements/statement.h
+++ b/statements/include/goldcrest/statements/statement.h
@@ -90,6 +90,9 @@
 
 //! The answer to one statement, from an endpoint or to a caller.
 struct Answer {
+  //! What an entry answers itself when a statement is done.
+  static Answer Completed();
+
   Outcome outcome = Outcome::kDone;
   std::vector<std::string> rows;
   std::string signature;  //!< kDone: of the endpoint, "-" for none.
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -191,7 +191,7 @@
                Session& session,
                const std::string& endpoint,
                Opening opening);
-  std::optional<LogPosition> ReadPosition(Time now, Session& session);
+  std::optional<LogPosition> ReadPosition(const Session& session);
   void Run(Time now,
            Session& session,
            Connection& connection,
@@ -203,8 +203,7 @@
   void AppendSetup(const Session& session,
                    Connection& connection,
                    std::vector<EndpointCommand>& commands) const;
-  void Send(Time now,
-            Connection& connection,
+  void Send(const Connection& connection,
             const std::vector<EndpointCommand>& commands);
   int EvenPart(const std::string& endpoint) const;
   int ConnectionLimit(const std::string& endpoint) const;
--- a/statements/src/position_history.cc
+++ b/statements/src/position_history.cc
@@ -23,8 +23,8 @@
     confirmed_.clear();
     term_ = position.term;
   }
-  const auto next = std::ranges::lower_bound(confirmed_, asked_at, {},
-                                             &Confirmed::asked_at);
+  const auto next =
+      std::ranges::lower_bound(confirmed_, asked_at, {}, &Confirmed::asked_at);
   // A later question with a lower answer covers more and is easier to reach.
   if (next != confirmed_.end() && !(position < next->position))
     return;
--- a/statements/src/primary_view.cc
+++ b/statements/src/primary_view.cc
@@ -14,8 +14,7 @@
 PrimaryView::PrimaryView(const routing::EndpointDirectory* directory)
     : directory_(directory) {}
 
-void PrimaryView::OnAssignment(Time now,
-                               const messages::PrimaryAssignment& assignment) {
+void PrimaryView::OnAssignment(const messages::PrimaryAssignment& assignment) {
   Belief& belief = beliefs_[assignment.group];
   if (assignment.order <= belief.order)
     return;
@@ -26,7 +25,6 @@
     belief.confirmed.clear();
     belief.failing_since.reset();
   }
-  (void)now;
 }
 
 void PrimaryView::OnConfirmed(Time now,
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -256,7 +256,7 @@
     rollback.kind = EndpointCommand::Kind::kRollback;
     connection.expected.push_back(
         {Connection::Expected::Kind::kCleanup, now, now});
-    Send(now, connection, {rollback});
+    Send(connection, {rollback});
   }
   pool_.Release(now, connection);
 }
@@ -394,93 +394,6 @@
     DispatchGroup(now, group);
 }
 
-void StatementProxy::SetLimits(const routing::RoutingTable& table) {
-  std::map<std::string, quota::Limit> before;
-  const auto limit_of = [this](const routing::Customer& customer) {
-    return quota::LimitFor(customer.rate_per_second, customer.burst,
-                           options_.limit_window);
-  };
-  if (table_) {
-    for (const routing::Customer& customer : table_->customers)
-      before[customer.name] = limit_of(customer);
-  }
-  for (const routing::Customer& customer : table.customers) {
-    const quota::Limit limit = limit_of(customer);
-    const auto it = before.find(customer.name);
-    if (it == before.end() || !(it->second == limit)) {
-      Decision decision;
-      decision.event = "limit_changed";
-      decision.customer = customer.name;
-      decision.cause = std::to_string(customer.rate_per_second) +
-                       " a second, burst " + std::to_string(customer.burst);
-      decision.configuration_version = table.version;
-      hooks_.decided(decision);
-      holder_.SetLimit(customer.name, limit);
-    }
-    if (it != before.end())
-      before.erase(it);
-  }
-  for (const auto& [name, limit] : before)
-    holder_.SetLimit(name, std::nullopt);
-}
-
-void StatementProxy::OnRoutingTable(Time now, routing::RoutingTablePtr table) {
-  if (table_ && table->version <= table_->version)
-    return;
-  SetLimits(*table);
-  hooks_.decided({"configuration_applied",
-                  "",
-                  "",
-                  "",
-                  "was version " + std::to_string(Version()),
-                  {},
-                  table->version});
-  table_ = std::move(table);
-  for (const WaitingStart& start : std::exchange(waiting_starts_, {}))
-    OnSessionStart(now, start.session, start.database, start.key);
-}
-
-void StatementProxy::OnEndpoint(Time now,
-                                const messages::EndpointRecord& record) {
-  if (directory_.Apply(now, record) !=
-      routing::EndpointDirectory::Merge::kChanged)
-    return;
-  std::string state = record.primary ? "primary" : "replica";
-  if (record.draining)
-    state += " draining";
-  if (record.gone)
-    state += " gone";
-  hooks_.decided({"endpoint_changed",
-                  "",
-                  record.group,
-                  record.endpoint,
-                  state,
-                  {},
-                  Version()});
-  DispatchGroup(now, record.group);
-}
-
-void StatementProxy::OnAssignment(
-    Time now,
-    const messages::PrimaryAssignment& assignment) {
-  primaries_.OnAssignment(now, assignment);
-  DispatchGroup(now, assignment.group);
-}
-
-void StatementProxy::OnConfirmedPosition(const std::string& group,
-                                         Time asked_at,
-                                         LogPosition position) {
-  positions_[group].Confirm(asked_at, position);
-}
-
-void StatementProxy::OnEntryCount(int entries) {
-  options_.entries = std::max(1, entries);
-}
-
-void StatementProxy::OnShares(Time now) {
-  ServeWaitingForTokens(now);
-}
-
 void StatementProxy::BeginDrain(Time now) {
   draining_ = true;
   CloseIdleSessions(now);
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -94,7 +94,7 @@
     return;
   if (NeedsPrimary(session))
     return DispatchToPrimary(now, session, opening);
-  const auto after = ReadPosition(now, session);
+  const auto after = ReadPosition(session);
   if (!after)
     return DispatchToPrimary(now, session, opening);
   DispatchToAny(now, session, *after, opening);
@@ -120,9 +120,8 @@
 
 // The position that an endpoint must have reached for a read of the session;
 // nullopt when only the primary can serve it.
-std::optional<LogPosition> StatementProxy::ReadPosition(Time now,
-                                                        Session& session) {
-  (void)now;
+std::optional<LogPosition> StatementProxy::ReadPosition(
+    const Session& session) {
   PositionHistory& history = positions_[session.route->group];
   const auto covering =
       history.Covering(session.pending->arrival - session.route->max_staleness);
@@ -248,7 +247,7 @@
   connection.in_transaction = true;
   connection.leads_checked = primary;
   connection.expected.push_back({Connection::Expected::Kind::kBegin, now, now});
-  Send(now, connection, {begin});
+  Send(connection, {begin});
 }
 
 void StatementProxy::SendStatement(Time now,
@@ -278,7 +277,7 @@
       {Connection::Expected::Kind::kStatement, now, now});
   pending.sent = true;
   pending.sent_at = now;
-  Send(now, connection, commands);
+  Send(connection, commands);
 }
 
 // Gives the connection the session's values and the prepared statement that it
@@ -323,10 +322,8 @@
   commands.push_back(prepare);
 }
 
-void StatementProxy::Send(Time now,
-                          Connection& connection,
+void StatementProxy::Send(const Connection& connection,
                           const std::vector<EndpointCommand>& commands) {
-  (void)now;
   hooks_.send(connection.id, commands);
 }
 
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -25,12 +25,6 @@
 
 constexpr const char* kRetryHint = "not run; retry after 100 ms";
 
-Answer Completed() {
-  Answer answer;
-  answer.signature = "-";
-  return answer;
-}
-
 }  // namespace
 
 StatementProxy::StatementProxy(ProxyOptions options, ProxyHooks hooks)
@@ -68,7 +62,7 @@
     return refuse(Outcome::kUnknownDatabase, "no such database");
   if (!route->open && table_->FindCustomer(key) == nullptr)
     return refuse(Outcome::kUnknownKey, "unknown key");
-  hooks_.answer(id, Completed());
+  hooks_.answer(id, Answer::Completed());
 }
 
 // Answers callers for whom no configuration came in time.
@@ -170,7 +164,7 @@
       return HandleRollback(now, session);
     case StatementKind::kSet:
       session.values[statement.name] = statement.value;
-      return ReplyLocally(now, session, Completed());
+      return ReplyLocally(now, session, Answer::Completed());
     case StatementKind::kPrepare:
     case StatementKind::kDeallocate:
       return HandlePrepare(now, session, statement);
@@ -211,74 +205,7 @@
   if (Admit(now, session)) {
     session.pending.reset();
     session.state = TransactionState::kOpen;
-    ReplyLocally(now, session, Completed());
-  }
-}
-
-// Looks up the route and the customer of an operation that begins. Answers and
-// returns false when it may not run.
-bool StatementProxy::StartOperation(Time now, Session& session) {
-  session.table = table_;
-  session.route = table_->FindRoute(session.database);
-  session.started_at = now;
-  session.ran = false;
-  session.aborted = false;
-  session.connection = 0;
-  if (session.route == nullptr) {
-    Refuse(now, session, Outcome::kUnknownDatabase, "no such database");
-    return false;
-  }
-  const routing::Customer* customer = table_->FindCustomer(session.key);
-  if (customer == nullptr && !session.route->open) {
-    Refuse(now, session, Outcome::kUnknownKey, "unknown key");
-    return false;
-  }
-  session.customer = customer == nullptr ? "-" : customer->name;
-  return true;
-}
-
-// Takes a token of the customer's rate; false when the operation has to wait
-// for one.
-bool StatementProxy::Admit(Time now, Session& session) {
-  if (holder_.TryTake(now, session.customer)) {
-    session.pending->counted = true;
-    return true;
-  }
-  holder_.Wait(now, session.customer);
-  token_waiters_.push_back(session.id);
-  return false;
-}
-
-void StatementProxy::ServeWaitingForTokens(Time now) {
-  const std::vector<SessionId> waiters = std::exchange(token_waiters_, {});
-  for (const SessionId id : waiters) {
-    const auto it = sessions_.find(id);
-    if (it == sessions_.end() || !it->second.pending)
-      continue;
-    Session& session = it->second;
-    if (holder_.TryTakeWaiting(now, session.customer)) {
-      session.pending->counted = true;
-      const StatementKind kind = session.pending->statement.kind;
-      if (kind == StatementKind::kBegin ||
-          kind == StatementKind::kBeginReadOnly) {
-        session.pending.reset();
-        session.state = TransactionState::kOpen;
-        ReplyLocally(now, session, Completed());
-        NextFromInbox(now, id);
-      } else {
-        waiting_[session.route->group].push_back(id);
-        Dispatch(now, session, Opening::kAllowed);
-      }
-      continue;
-    }
-    if (now >= session.pending->give_up) {
-      holder_.StopWaiting(session.customer);
-      Refuse(now, session, Outcome::kBusy,
-             "customer's rate exceeded; retry after 500 ms");
-      NextFromInbox(now, id);
-      continue;
-    }
-    token_waiters_.push_back(id);
+    ReplyLocally(now, session, Answer::Completed());
   }
 }
 
@@ -293,7 +220,7 @@
   const bool failed = session.state == TransactionState::kFailed;
   session.state = TransactionState::kIdle;
   EndOperation(now, session, failed ? Outcome::kAborted : Outcome::kDone);
-  ReplyLocally(now, session, Completed());
+  ReplyLocally(now, session, Answer::Completed());
 }
 
 void StatementProxy::HandlePrepare(Time now,
@@ -301,10 +228,10 @@
                                    const Statement& statement) {
   if (statement.kind == StatementKind::kPrepare) {
     session.prepared[statement.name] = {statement.writes, statement.value};
-    return ReplyLocally(now, session, Completed());
+    return ReplyLocally(now, session, Answer::Completed());
   }
   if (session.prepared.erase(statement.name) > 0)
-    return ReplyLocally(now, session, Completed());
+    return ReplyLocally(now, session, Answer::Completed());
   Answer answer;
   answer.outcome = Outcome::kUnknownPrepared;
   answer.message = "no such prepared statement";
--- a/statements/src/statement.cc
+++ b/statements/src/statement.cc
@@ -26,6 +26,12 @@
   return false;
 }
 
+Answer Answer::Completed() {
+  Answer answer;
+  answer.signature.push_back('-');
+  return answer;
+}
+
 const char* NameOf(Outcome outcome) {
   switch (outcome) {
     case Outcome::kDone:
