Make the new files clean for the linter

Cause: a move into a reference and a constant's name. Before: two findings. Conclusion: no change in what runs.

--- a/programs/goldcrestd/entry_service_peers.cc
+++ b/programs/goldcrestd/entry_service_peers.cc
@@ -130,7 +130,7 @@
   controllers_[controller].reported_at = now;
   controllers_[controller].reported_first = true;
   messages::PeerMessage message;
-  message.__set_proxy_report(std::move(report));
+  message.__set_proxy_report(report);
   peers_->Send(controller, message);
 }
 
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -121,12 +121,12 @@
 }
 
 void ProxyFixture::ConfirmPosition(LogPosition position) {
-  constexpr SessionId kWriter = 1000;
-  OpenSession(kWriter, "strict");
-  Say(kWriter, StatementKind::kWrite, "WRITE a b");
+  constexpr SessionId writer = 1000;
+  OpenSession(writer, "strict");
+  Say(writer, StatementKind::kWrite, "WRITE a b");
   const ConnectionId id = AcceptOpening();
   Reply(id, position);
-  proxy->OnSessionClosed(now, kWriter);
+  proxy->OnSessionClosed(now, writer);
   Advance(milliseconds(200));  // The idle connection is closed.
 }
 
