Join twins in the statement proxy and drop what nothing reads

Cause: a read of the whole change found error answers, connection log lines and shared names of prepared statements built in several places, and members that were written or declared but never read. Before: twelve hand-built error answers and lines. After: ReplyError, DecideOnConnection, NoteUnreachable, SharedName, DescribeState. Conclusion: no change in what runs.

--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -47,10 +47,8 @@
   };
   struct ControllerView {
     bool linked = false;
-    bool leads = false;
     bool reported_first = false;
     std::int64_t version = 0;
-    Time heard_at;
     Time reported_at;
   };
 
--- a/programs/goldcrestd/entry_service_peers.cc
+++ b/programs/goldcrestd/entry_service_peers.cc
@@ -28,7 +28,6 @@
 void EntryService::OnLink(const std::string& controller, bool up) {
   ControllerView& view = controllers_[controller];
   view.linked = up;
-  view.leads = false;
   log_.Event(up ? "controller_found" : "controller_lost",
              {{"controller", controller}});
   // Changes that were sent while there was no link are lost.
@@ -43,7 +42,6 @@
                             const messages::ProxyUpdate& update) {
   const Time now = SystemClock::Now();
   ControllerView& view = controllers_[from];
-  view.heard_at = now;
   view.version = std::max(view.version, update.document_version);
   for (const std::string& name : update.controllers) {
     if (known_controllers_.insert(name).second)
@@ -67,7 +65,6 @@
                                {position.term, position.number});
   if (update.report_sent_micros != 0) {
     endpoints_known_ = true;
-    view.leads = update.leader;
     if (update.leader && leader_ != from) {
       log_.Event("controller_leads", {{"controller", from}});
       leader_ = from;
--- a/routing/include/goldcrest/routing/endpoint_directory.h
+++ b/routing/include/goldcrest/routing/endpoint_directory.h
@@ -10,6 +10,9 @@
 
 namespace goldcrest::routing {
 
+//! What a record tells of its endpoint, for logs: "primary draining".
+std::string DescribeState(const messages::EndpointRecord& record);
+
 //! What endpoints have said of themselves, merged from any number of sources in
 //! any order: of two records of an endpoint the one with the later start, then
 //! the higher sequence, holds.
--- a/routing/src/endpoint_directory.cc
+++ b/routing/src/endpoint_directory.cc
@@ -19,6 +19,15 @@
 
 }  // namespace
 
+std::string DescribeState(const messages::EndpointRecord& record) {
+  std::string state = record.primary ? "primary" : "replica";
+  if (record.draining)
+    state += " draining";
+  if (record.gone)
+    state += " gone";
+  return state;
+}
+
 EndpointDirectory::Merge EndpointDirectory::Apply(
     Time now,
     const messages::EndpointRecord& record) {
--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -132,7 +132,6 @@
   //! Connections without an answer since before `oldest`, used by nobody.
   std::vector<ConnectionId> Stuck(Time oldest) const;
 
-  int CountOf(const std::string& endpoint) const;
   std::size_t Size() const { return connections_.size(); }
 
  private:
@@ -151,9 +150,6 @@
     int opening = 0;
   };
 
-  Connection* FindIdle(const std::string& endpoint,
-                       const std::function<bool(const Connection&)>& matches);
-  void Remove(ConnectionId id);
   int OutstandingAt(const std::string& endpoint) const;
 
   ConnectionPoolHooks hooks_;
--- a/statements/include/goldcrest/statements/position_history.h
+++ b/statements/include/goldcrest/statements/position_history.h
@@ -26,8 +26,6 @@
   //! The newest term seen; 0 before the first.
   std::int64_t Term() const { return term_; }
 
-  bool IsEmpty() const { return confirmed_.empty(); }
-
  private:
   struct Confirmed {
     Time asked_at;
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -108,16 +108,17 @@
     Time give_up;          // unless it has been sent by then
     bool counted = false;  // a token was taken for its operation
     bool sent = false;     // it may have reached an endpoint
-    Time sent_at;
     int attempts = 0;
     std::map<std::string, Time> avoid;  // endpoint: until
-    bool primary_only = false;  // no replica may run it, as it turned out
     ConnectionId opening = 0;
     std::optional<LogPosition> after;  // asked of the endpoint
     Time retry_at;
     std::string last_cause = "no endpoint";
   };
   struct PreparedStatement {
+    //! Its name on connections, which sessions share.
+    std::string SharedName() const { return (writes ? "w" : "r") + shape; }
+
     bool writes = false;
     std::string shape;
   };
@@ -163,6 +164,11 @@
   void Submit(Time now, Session& session, Statement statement);
   void Reply(Time now, Session& session, Answer answer);
   void ReplyLocally(Time now, Session& session, Answer answer);
+  void ReplyError(Time now,
+                  Session& session,
+                  Outcome outcome,
+                  const char* message);
+  static void FailTransaction(Session& session);
   void Refuse(Time now,
               Session& session,
               Outcome outcome,
@@ -237,6 +243,13 @@
   void Abandon(Time now, Session& session);
   void LoseConnection(Time now, Session& session, const std::string& cause);
   void OnStatementTimeout(Time now, Session& session);
+  void NoteUnreachable(Time now,
+                       const std::string& group,
+                       const std::string& endpoint);
+  void DecideOnConnection(const Connection& connection,
+                          const std::string& event,
+                          const std::string& cause,
+                          Duration age = Duration::zero());
   void Decide(Time now,
               const Session& session,
               const std::string& event,
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -46,33 +46,25 @@
 ConnectionPool::ConnectionPool(ConnectionPoolHooks hooks)
     : hooks_(std::move(hooks)) {}
 
-Connection* ConnectionPool::FindIdle(
-    const std::string& endpoint,
-    const std::function<bool(const Connection&)>& matches) {
+Connection* ConnectionPool::Take(Time now,
+                                 const std::string& endpoint,
+                                 const std::string& customer,
+                                 SessionId session) {
+  // The one used last: the others may be given up.
   Connection* best = nullptr;
   for (auto& [id, connection] : connections_) {
     if (connection.state != Connection::State::kIdle ||
-        connection.endpoint != endpoint || !matches(connection))
+        connection.endpoint != endpoint || connection.customer != customer)
       continue;
     if (best == nullptr || connection.since > best->since)
       best = &connection;
   }
-  return best;
-}
-
-Connection* ConnectionPool::Take(Time now,
-                                 const std::string& endpoint,
-                                 const std::string& customer,
-                                 SessionId session) {
-  Connection* connection = FindIdle(endpoint, [&](const Connection& candidate) {
-    return candidate.customer == customer;
-  });
-  if (connection == nullptr)
+  if (best == nullptr)
     return nullptr;
-  connection->state = Connection::State::kBusy;
-  connection->since = now;
-  connection->session = session;
-  return connection;
+  best->state = Connection::State::kBusy;
+  best->since = now;
+  best->session = session;
+  return best;
 }
 
 bool ConnectionPool::HasIdle(const std::string& endpoint,
@@ -162,7 +154,7 @@
   } else {
     OnFailure(now, connection->endpoint);
   }
-  Remove(id);
+  Forget(id);
 }
 
 Connection* ConnectionPool::Find(ConnectionId id) {
@@ -178,7 +170,7 @@
   connection.leads_checked = false;
 }
 
-void ConnectionPool::Remove(ConnectionId id) {
+void ConnectionPool::Forget(ConnectionId id) {
   const auto it = connections_.find(id);
   if (it == connections_.end())
     return;
@@ -190,14 +182,10 @@
 }
 
 void ConnectionPool::Close(ConnectionId id) {
-  Remove(id);
+  Forget(id);
   hooks_.close(id);
 }
 
-void ConnectionPool::Forget(ConnectionId id) {
-  Remove(id);
-}
-
 void ConnectionPool::OnLatency(const std::string& endpoint, Duration latency) {
   Health& health = health_[endpoint];
   health.failures = 0;
@@ -313,9 +301,4 @@
   return stuck;
 }
 
-int ConnectionPool::CountOf(const std::string& endpoint) const {
-  const auto it = health_.find(endpoint);
-  return it == health_.end() ? 0 : it->second.count;
-}
-
 }  // namespace goldcrest::statements
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -37,12 +37,10 @@
   if (connection == nullptr)
     return;
   const std::string group = connection->group;
-  const std::string endpoint = connection->endpoint;
-  if (outcome != Outcome::kTooManyConnections &&
-      primaries_.PrimaryOf(now, group) == endpoint)
-    primaries_.OnUnreachable(now, group, endpoint);
-  hooks_.decided({"connection_refused", "", group, endpoint, NameOf(outcome),
-                  now - connection->since, Version()});
+  if (outcome != Outcome::kTooManyConnections)
+    NoteUnreachable(now, group, connection->endpoint);
+  DecideOnConnection(*connection, "connection_refused", NameOf(outcome),
+                     now - connection->since);
   pool_.OnOpenFailed(now, id, outcome);
   DispatchGroup(now, group);
 }
@@ -52,13 +50,7 @@
   if (connection == nullptr)
     return;
   if (connection->expected.empty()) {
-    hooks_.decided({"connection_closed",
-                    "",
-                    connection->group,
-                    connection->endpoint,
-                    "answer to nothing",
-                    {},
-                    Version()});
+    DecideOnConnection(*connection, "connection_closed", "answer to nothing");
     pool_.Close(id);
     return;
   }
@@ -73,14 +65,9 @@
     case Connection::Expected::Kind::kSetup:
       if (answer.outcome == Outcome::kDone)
         return;
-      hooks_.decided(
-          {"connection_closed",
-           "",
-           group,
-           connection->endpoint,
-           std::string("session state refused: ") + NameOf(answer.outcome),
-           {},
-           Version()});
+      DecideOnConnection(
+          *connection, "connection_closed",
+          std::string("session state refused: ") + NameOf(answer.outcome));
       hooks_.close(id);
       return OnConnectionClosed(now, id);
     case Connection::Expected::Kind::kCleanup:
@@ -97,6 +84,22 @@
   DispatchGroup(now, group);
 }
 
+// Controllers are told how entries fare with primaries only.
+void StatementProxy::NoteUnreachable(Time now,
+                                     const std::string& group,
+                                     const std::string& endpoint) {
+  if (primaries_.PrimaryOf(now, group) == endpoint)
+    primaries_.OnUnreachable(now, group, endpoint);
+}
+
+void StatementProxy::DecideOnConnection(const Connection& connection,
+                                        const std::string& event,
+                                        const std::string& cause,
+                                        Duration age) {
+  hooks_.decided({event, "", connection.group, connection.endpoint, cause, age,
+                  Version()});
+}
+
 void StatementProxy::Learn(Time now,
                            const Connection& connection,
                            const Answer& answer,
@@ -270,8 +273,7 @@
   if (lost.state == Connection::State::kIdle && lost.expected.empty())
     return;  // The endpoint closes connections that idle.
   pool_.OnFailure(now, lost.endpoint);
-  if (primaries_.PrimaryOf(now, lost.group) == lost.endpoint)
-    primaries_.OnUnreachable(now, lost.group, lost.endpoint);
+  NoteUnreachable(now, lost.group, lost.endpoint);
   const auto it = sessions_.find(lost.session);
   if (it != sessions_.end() && it->second.connection == id) {
     it->second.connection = 0;
@@ -325,8 +327,7 @@
   Connection* connection = pool_.Find(session.connection);
   if (connection != nullptr) {
     pool_.OnFailure(now, connection->endpoint);
-    if (primaries_.PrimaryOf(now, connection->group) == connection->endpoint)
-      primaries_.OnUnreachable(now, connection->group, connection->endpoint);
+    NoteUnreachable(now, connection->group, connection->endpoint);
   }
   session.pending->give_up = now;  // No retry: its time is over.
   Abandon(now, session);
@@ -370,14 +371,8 @@
     NextFromInbox(now, id);
   }
   for (const ConnectionId id : pool_.Stuck(now - kLostAnswer)) {
-    const Connection* connection = pool_.Find(id);
-    hooks_.decided({"connection_closed",
-                    "",
-                    connection->group,
-                    connection->endpoint,
-                    "an answer was lost",
-                    {},
-                    Version()});
+    DecideOnConnection(*pool_.Find(id), "connection_closed",
+                       "an answer was lost");
     pool_.Close(id);
   }
   pool_.CloseIdle(now, [this](const std::string& endpoint) {
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -40,8 +40,7 @@
 }
 
 bool StatementProxy::NeedsPrimary(const Session& session) const {
-  if (session.route->consistency == routing::Consistency::kPrimary ||
-      session.pending->primary_only)
+  if (session.route->consistency == routing::Consistency::kPrimary)
     return true;
   if (session.state == TransactionState::kOpen)
     return !session.read_only;
@@ -267,7 +266,7 @@
     const PreparedStatement& prepared =
         session.prepared.at(pending.statement.name);
     command.kind = EndpointCommand::Kind::kExecute;
-    command.name = (prepared.writes ? "w" : "r") + prepared.shape;
+    command.name = prepared.SharedName();
     command.value = pending.statement.value;
   } else {
     command.text = pending.statement.text;
@@ -276,7 +275,6 @@
   connection.expected.push_back(
       {Connection::Expected::Kind::kStatement, now, now});
   pending.sent = true;
-  pending.sent_at = now;
   Send(connection, commands);
 }
 
@@ -311,7 +309,7 @@
     return;
   const PreparedStatement& prepared =
       session.prepared.at(session.pending->statement.name);
-  const std::string name = (prepared.writes ? "w" : "r") + prepared.shape;
+  const std::string name = prepared.SharedName();
   if (!connection.prepared.insert(name).second)
     return;
   EndpointCommand prepare;
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -25,6 +25,11 @@
 
 constexpr const char* kRetryHint = "not run; retry after 100 ms";
 
+// Until when an operation waits for a token.
+Time TokenDeadline(Time now, const routing::Route& route) {
+  return now + std::min(kTokenWait, route.target_latency);
+}
+
 }  // namespace
 
 StatementProxy::StatementProxy(ProxyOptions options, ProxyHooks hooks)
@@ -144,17 +149,13 @@
   const bool ends = statement.kind == StatementKind::kRollback ||
                     statement.kind == StatementKind::kCommit;
   if (session.aborted && !ends) {
-    Answer answer;
-    answer.outcome = Outcome::kAborted;
-    answer.message = "the transaction was rolled back";
     session.state = TransactionState::kFailed;
-    return ReplyLocally(now, session, std::move(answer));
+    return ReplyError(now, session, Outcome::kAborted,
+                      "the transaction was rolled back");
   }
   if (session.state == TransactionState::kFailed && !ends) {
-    Answer answer;
-    answer.outcome = Outcome::kMalformed;
-    answer.message = "the transaction has failed";
-    return ReplyLocally(now, session, std::move(answer));
+    return ReplyError(now, session, Outcome::kMalformed,
+                      "the transaction has failed");
   }
   switch (statement.kind) {
     case StatementKind::kBegin:
@@ -173,14 +174,10 @@
     case StatementKind::kWrite:
     case StatementKind::kExecute:
       return HandleRunnable(now, session, std::move(statement));
-    case StatementKind::kMalformed: {
-      Answer answer;
-      answer.outcome = Outcome::kMalformed;
-      answer.message = "the statement can't be read";
-      if (session.state == TransactionState::kOpen)
-        session.state = TransactionState::kFailed;
-      return ReplyLocally(now, session, std::move(answer));
-    }
+    case StatementKind::kMalformed:
+      FailTransaction(session);
+      return ReplyError(now, session, Outcome::kMalformed,
+                        "the statement can't be read");
   }
 }
 
@@ -188,10 +185,8 @@
                                  Session& session,
                                  Statement statement) {
   if (session.state != TransactionState::kIdle) {
-    Answer answer;
-    answer.outcome = Outcome::kMalformed;
-    answer.message = "a transaction is open already";
-    return ReplyLocally(now, session, std::move(answer));
+    return ReplyError(now, session, Outcome::kMalformed,
+                      "a transaction is open already");
   }
   session.read_only = statement.kind == StatementKind::kBeginReadOnly;
   if (!StartOperation(now, session))
@@ -199,8 +194,7 @@
   session.pending = Pending{};
   session.pending->statement = std::move(statement);
   session.pending->arrival = now;
-  session.pending->give_up =
-      now + std::min(kTokenWait, session.route->target_latency);
+  session.pending->give_up = TokenDeadline(now, *session.route);
   session.pending->deadline = session.pending->give_up;
   if (Admit(now, session)) {
     session.pending.reset();
@@ -211,10 +205,8 @@
 
 void StatementProxy::HandleRollback(Time now, Session& session) {
   if (session.state == TransactionState::kIdle) {
-    Answer answer;
-    answer.outcome = Outcome::kMalformed;
-    answer.message = "no transaction is open";
-    return ReplyLocally(now, session, std::move(answer));
+    return ReplyError(now, session, Outcome::kMalformed,
+                      "no transaction is open");
   }
   Abandon(now, session);
   const bool failed = session.state == TransactionState::kFailed;
@@ -232,12 +224,9 @@
   }
   if (session.prepared.erase(statement.name) > 0)
     return ReplyLocally(now, session, Answer::Completed());
-  Answer answer;
-  answer.outcome = Outcome::kUnknownPrepared;
-  answer.message = "no such prepared statement";
-  if (session.state == TransactionState::kOpen)
-    session.state = TransactionState::kFailed;
-  ReplyLocally(now, session, std::move(answer));
+  FailTransaction(session);
+  ReplyError(now, session, Outcome::kUnknownPrepared,
+             "no such prepared statement");
 }
 
 void StatementProxy::HandleRunnable(Time now,
@@ -249,22 +238,18 @@
     Abandon(now, session);
     session.state = TransactionState::kIdle;
     session.aborted = false;
-    Answer answer;
-    answer.outcome = open ? Outcome::kAborted : Outcome::kMalformed;
-    answer.message =
-        open ? "the transaction was rolled back" : "no transaction is open";
-    if (open)
-      EndOperation(now, session, Outcome::kAborted);
-    return ReplyLocally(now, session, std::move(answer));
+    if (!open)
+      return ReplyError(now, session, Outcome::kMalformed,
+                        "no transaction is open");
+    EndOperation(now, session, Outcome::kAborted);
+    return ReplyError(now, session, Outcome::kAborted,
+                      "the transaction was rolled back");
   }
   if (statement.kind == StatementKind::kExecute &&
       session.prepared.count(statement.name) == 0) {
-    Answer answer;
-    answer.outcome = Outcome::kUnknownPrepared;
-    answer.message = "no such prepared statement";
-    if (session.state == TransactionState::kOpen)
-      session.state = TransactionState::kFailed;
-    return ReplyLocally(now, session, std::move(answer));
+    FailTransaction(session);
+    return ReplyError(now, session, Outcome::kUnknownPrepared,
+                      "no such prepared statement");
   }
   if (session.state == TransactionState::kIdle && !StartOperation(now, session))
     return;
@@ -277,15 +262,13 @@
   pending.statement = std::move(statement);
   pending.arrival = now;
   pending.deadline = now + session.route->statement_timeout;
-  pending.give_up = now + session.route->statement_timeout / kGiveUpDivisor;
+  const Time give_up = now + session.route->statement_timeout / kGiveUpDivisor;
   if (session.state == TransactionState::kIdle) {
-    pending.give_up =
-        std::min(pending.give_up,
-                 now + std::min(kTokenWait, session.route->target_latency));
+    pending.give_up = std::min(give_up, TokenDeadline(now, *session.route));
     if (!Admit(now, session))
       return;
-    pending.give_up = now + session.route->statement_timeout / kGiveUpDivisor;
   }
+  pending.give_up = give_up;
   if (session.connection != 0) {
     Connection* connection = pool_.Find(session.connection);
     if (connection != nullptr)
@@ -300,6 +283,21 @@
   Reply(now, session, std::move(answer));
 }
 
+void StatementProxy::ReplyError(Time now,
+                                Session& session,
+                                Outcome outcome,
+                                const char* message) {
+  Answer answer;
+  answer.outcome = outcome;
+  answer.message = message;
+  ReplyLocally(now, session, std::move(answer));
+}
+
+void StatementProxy::FailTransaction(Session& session) {
+  if (session.state == TransactionState::kOpen)
+    session.state = TransactionState::kFailed;
+}
+
 // Ends the pending statement. The caller's next statement is taken from the
 // inbox by whoever called in.
 void StatementProxy::Reply(Time now, Session& session, Answer answer) {
--- a/statements/src/proxy_updates.cc
+++ b/statements/src/proxy_updates.cc
@@ -59,16 +59,11 @@
   if (directory_.Apply(now, record) !=
       routing::EndpointDirectory::Merge::kChanged)
     return;
-  std::string state = record.primary ? "primary" : "replica";
-  if (record.draining)
-    state += " draining";
-  if (record.gone)
-    state += " gone";
   hooks_.decided({"endpoint_changed",
                   "",
                   record.group,
                   record.endpoint,
-                  state,
+                  routing::DescribeState(record),
                   {},
                   Version()});
   DispatchGroup(now, record.group);
