Keep the list of controllers in one place

Cause: the service kept a list beside the controller's. Seeds from changed settings went into the service's only, so that no notice reached them, and the next list from the controller dropped them. Also joined: notices, changed endpoints, released holders and the answer that names the leader. Ruled out: losing them at once (links stayed until the controller learned of another one). Before: two lists. After: one, and a test that a later seed is told. Conclusion: changed settings reach the controller itself.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -95,6 +95,9 @@
                    const messages::PrimaryAssignment& assignment,
                    PromotionResult result);
 
+  //! Controllers that the settings name by now.
+  void AddControllers(const std::set<std::string>& names);
+
   //! Hands leadership over before a planned stop.
   void BeginDrain(Time now);
 
@@ -137,6 +140,8 @@
   void SetLimits(Time now);
   void LoadEndpoints(Time now);
   void ReleaseSilentHolders(Time now);
+  void ReleaseHolder(Time now, const std::string& instance);
+  ConfigurationResult AskLeader() const;
   bool Leads(Time now) const;
   std::int64_t Propose(Time now, const messages::FleetCommand& command);
   void OnReport(Time now,
@@ -151,10 +156,11 @@
                 const messages::ControllerNotice& notice);
   void AddPositions(Entry& entry, messages::ProxyUpdate& update) const;
   void Merge(Time now, const messages::EndpointRecord& record);
+  void OnEndpointChanged(Time now, const messages::EndpointRecord& record);
+  messages::ControllerNotice MakeNotice() const;
   void Record(Time now, const messages::EndpointRecord& record);
   void SendNotices(Time now);
   void ToEntries(const messages::ProxyUpdate& update);
-  void LearnControllers(const std::vector<std::string>& names);
   void PlanMembership(Time now);
   void FailPuts();
 
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -77,10 +77,7 @@
     next_expiry_ = now + kExpiryInterval;
     for (const auto& record : directory_.Expire(now - kEndpointExpiry)) {
       hooks_.decided("endpoint_gone", record.endpoint, "no heartbeat");
-      messages::ProxyUpdate update;
-      update.endpoints.push_back(record);
-      ToEntries(update);
-      Record(now, record);
+      OnEndpointChanged(now, record);
     }
   }
   if (log_bytes_ < kCompactBytes || applied_index_ <= replica_.SnapshotIndex())
@@ -277,14 +274,8 @@
                      std::int64_t version,
                      std::string text,
                      Done done) {
-  if (!Leads(now)) {
-    const std::string leader = replica_.Leader();
-    const bool elsewhere = !leader.empty() && leader != options_.replica.self;
-    done({elsewhere ? ConfigurationResult::Kind::kElsewhere
-                    : ConfigurationResult::Kind::kUnknown,
-          elsewhere ? leader : "", ""});
-    return;
-  }
+  if (!Leads(now))
+    return done(AskLeader());
   if (!state_.text().empty() && version <= state_.version()) {
     done({ConfigurationResult::Kind::kDone, "", ""});
     return;
@@ -321,6 +312,10 @@
 ConfigurationResult Controller::Get(Time now) const {
   if (Leads(now))
     return {ConfigurationResult::Kind::kDone, "", state_.text()};
+  return AskLeader();
+}
+
+ConfigurationResult Controller::AskLeader() const {
   const std::string leader = replica_.Leader();
   if (!leader.empty() && leader != options_.replica.self)
     return {ConfigurationResult::Kind::kElsewhere, leader, ""};
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -25,22 +25,20 @@
   if (merge == routing::EndpointDirectory::Merge::kStale)
     return;
   messages::PeerMessage message;
-  messages::ControllerNotice notice;
-  notice.has_disk = options_.has_disk;
-  notice.joining = replica_.IsJoining();
+  messages::ControllerNotice notice = MakeNotice();
   notice.endpoints.push_back(record);
   message.__set_controller_notice(notice);
   for (const auto& [name, peer] : peers_)
     hooks_.send(name, message);
   if (merge != routing::EndpointDirectory::Merge::kChanged)
     return;
-  std::string state = record.primary ? "primary" : "replica";
-  if (record.draining)
-    state += " draining";
-  if (record.gone)
-    state += " gone";
   hooks_.decided("endpoint_changed", record.group + " " + record.endpoint,
-                 state);
+                 routing::DescribeState(record));
+  OnEndpointChanged(now, record);
+}
+
+void Controller::OnEndpointChanged(Time now,
+                                   const messages::EndpointRecord& record) {
   messages::ProxyUpdate update;
   update.endpoints.push_back(record);
   ToEntries(update);
@@ -79,13 +77,9 @@
 }
 
 void Controller::Merge(Time now, const messages::EndpointRecord& record) {
-  if (directory_.Apply(now, record) !=
+  if (directory_.Apply(now, record) ==
       routing::EndpointDirectory::Merge::kChanged)
-    return;
-  messages::ProxyUpdate update;
-  update.endpoints.push_back(record);
-  ToEntries(update);
-  Record(now, record);
+    OnEndpointChanged(now, record);
 }
 
 void Controller::ToEntries(const messages::ProxyUpdate& update) {
@@ -175,13 +169,7 @@
   if (report.stopped) {
     if (!registered)
       return {};
-    leadership_->owner->Release(now, from);
-    messages::FleetCommand command;
-    messages::RegisterHolder holder;
-    holder.instance = from;
-    holder.released = true;
-    command.__set_holder(holder);
-    Propose(now, command);
+    ReleaseHolder(now, from);
     return {};
   }
   if (registered)
@@ -215,17 +203,21 @@
         (it != entries_.end() && now - it->second.reported_at < kHolderExpiry))
       continue;
     hooks_.decided("holder_released", instance, "silent");
-    leadership_->owner->Release(now, instance);
-    messages::FleetCommand command;
-    messages::RegisterHolder release;
-    release.instance = instance;
-    release.released = true;
-    command.__set_holder(release);
-    Propose(now, command);
-    return;  // The proposal may have changed the holders.
+    // By value: the proposal may change the holders.
+    return ReleaseHolder(now, std::string(instance));
   }
 }
 
+void Controller::ReleaseHolder(Time now, const std::string& instance) {
+  leadership_->owner->Release(now, instance);
+  messages::FleetCommand command;
+  messages::RegisterHolder holder;
+  holder.instance = instance;
+  holder.released = true;
+  command.__set_holder(holder);
+  Propose(now, command);
+}
+
 void Controller::OnNotice(Time now,
                           const std::string& from,
                           const messages::ControllerNotice& notice) {
@@ -233,23 +225,30 @@
   peer.heard_at = now;
   peer.has_disk = notice.has_disk;
   peer.joining = notice.joining;
-  LearnControllers({from});
-  LearnControllers(notice.controllers);
+  std::set<std::string> told(notice.controllers.begin(),
+                             notice.controllers.end());
+  told.insert(from);
+  AddControllers(told);
   for (const messages::EndpointRecord& record : notice.endpoints)
     Merge(now, record);
 }
 
-void Controller::LearnControllers(const std::vector<std::string>& names) {
+void Controller::AddControllers(const std::set<std::string>& names) {
   const std::size_t before = known_.size();
   known_.insert(names.begin(), names.end());
   if (known_.size() != before)
     hooks_.known_controllers(known_);
 }
 
-void Controller::SendNotices(Time now) {
+messages::ControllerNotice Controller::MakeNotice() const {
   messages::ControllerNotice notice;
   notice.has_disk = options_.has_disk;
   notice.joining = replica_.IsJoining();
+  return notice;
+}
+
+void Controller::SendNotices(Time now) {
+  messages::ControllerNotice notice = MakeNotice();
   notice.controllers.assign(known_.begin(), known_.end());
   for (const std::string& name : known_) {
     if (name == options_.replica.self)
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -51,7 +51,9 @@
       table->customers.push_back({"customer", {"key"}, 100, 100});
       return table;
     };
-    hooks.known_controllers = [](const auto&) {};
+    hooks.known_controllers = [this, name](const auto& names) {
+      last_known[name] = names;
+    };
     hooks.probe = [](const auto&, ProbePurpose) {};
     hooks.promote = [](const auto&) {};
     hooks.decided = [](const auto&, const auto&, const auto&) {};
@@ -65,6 +67,8 @@
     for (const Time end = now + duration; now < end;) {
       now += kStep;
       for (Mail& mail : std::exchange(mail_, {})) {
+        if (mail.message.__isset.controller_notice)
+          ++notices_to[mail.to];
         const auto it = nodes.find(mail.to);
         if (it != nodes.end())
           it->second->OnMessage(now, mail.from, mail.message);
@@ -117,6 +121,8 @@
   std::map<std::string, std::unique_ptr<Controller>> nodes;
   std::map<std::string, consensus::RestoredState> disks;
   std::map<std::string, std::vector<messages::ProxyUpdate>> updates;
+  std::map<std::string, std::set<std::string>> last_known;
+  std::map<std::string, int> notices_to;
   std::set<std::string> cut;
 
  private:
@@ -305,6 +311,18 @@
   CHECK(share.capacity_micros <= limit.burst_micros);
 }
 
+// Guards against seeds from changed settings that no notice ever reaches.
+TEST_CASE("Controllers that the settings name later are told", "[fleet]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(1));
+  cluster.nodes.at("a")->AddControllers({"late"});
+  CHECK(cluster.last_known["a"] ==
+        std::set<std::string>{"a", "b", "c", "late"});
+  cluster.Run(seconds(1));
+  CHECK(cluster.notices_to["late"] > 0);
+  CHECK(cluster.last_known["b"].count("late") == 1);
+}
+
 // Guards against a position that claims to cover commits acknowledged after the
 // primary was asked.
 TEST_CASE("A position is dated by a report that came before the question",
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -56,7 +56,6 @@
       out_(out),
       scheduler_(context),
       store_(std::move(log.store)),
-      known_(ControllerNames(settings)),
       prober_(context,
               scheduler_,
               [this](const std::string& group,
@@ -78,9 +77,10 @@
   options.has_disk = store_ != nullptr;
   options.tolerated_losses = settings_.tolerated_losses;
   options.limit_window = LimitWindowOf(settings_);
-  options.seeds = known_;
+  options.seeds = ControllerNames(settings_);
   if (settings_.first_start)
-    options.replica.bootstrap_members = {known_.begin(), known_.end()};
+    options.replica.bootstrap_members = {options.seeds.begin(),
+                                         options.seeds.end()};
   controller_ = std::make_unique<fleet::Controller>(
       SystemClock::Now(), options, std::move(log.state),
       std::mt19937_64(std::random_device()()), MakeHooks());
@@ -108,7 +108,7 @@
 ControllerService::~ControllerService() = default;
 
 void ControllerService::Start() {
-  peers_->SetPeers(PeerAddresses(known_));
+  peers_->SetPeers(PeerAddresses(ControllerNames(settings_)));
   peers_->Start();
   http_->Start();
   Tick();
@@ -127,8 +127,7 @@
     return platform::DecodeRoutingDocument(text).table;
   };
   hooks.known_controllers = [this](const std::set<std::string>& names) {
-    known_ = names;
-    peers_->SetPeers(PeerAddresses(known_));
+    peers_->SetPeers(PeerAddresses(names));
   };
   hooks.probe = [this](const routing::EndpointDirectory::Entry& entry,
                        fleet::ProbePurpose purpose) {
@@ -274,9 +273,8 @@
 }
 
 void ControllerService::OnSettings(const platform::BootSettings& settings) {
-  known_.merge(ControllerNames(settings));
   out_.Event("settings_loaded", {{"seeds", settings.controller_seeds.size()}});
-  peers_->SetPeers(PeerAddresses(known_));
+  controller_->AddControllers(ControllerNames(settings));
 }
 
 }  // namespace goldcrest
--- a/programs/goldcrestd/controller_service.h
+++ b/programs/goldcrestd/controller_service.h
@@ -61,7 +61,6 @@
   adapters::Counters counters_;
   adapters::Scheduler scheduler_;
   std::unique_ptr<storage::LogStore> store_;
-  std::set<std::string> known_;
   EndpointProber prober_;
   std::unique_ptr<adapters::HttpClient> platform_api_;
   std::unique_ptr<fleet::Controller> controller_;
