Tell of a peer that does not read after the write has returned

Cause: a full queue called the closed hook from inside Write(), while the caller was in the middle of a step and could hold the session or connection that the hook removes. Write errors were already reported from the event loop. Ruled out: a check after each write, which every caller would need. Before: the new test failed at its first check. After: it passes. Conclusion: all failures of a write take the same way.

--- a/adapters/include/goldcrest/adapters/line_socket.h
+++ b/adapters/include/goldcrest/adapters/line_socket.h
@@ -48,8 +48,6 @@
   //! Closes at once; no hook is called any more.
   void Close();
 
-  bool IsOpen() const { return open_; }
-
   static constexpr std::size_t kMaxQueuedBytes = std::size_t{4} << 20U;
 
  private:
@@ -59,6 +57,7 @@
   void Consume(std::string_view bytes);
   void Flush();
   void Fail(const std::string& cause);
+  void FailLater(std::string cause);
   void Release();
 
   boost::asio::ip::tcp::socket socket_;
--- a/adapters/src/line_socket.cc
+++ b/adapters/src/line_socket.cc
@@ -51,12 +51,8 @@
   open_ = true;
   error_code error;
   const auto address = asio::ip::make_address(host, error);
-  if (error) {
-    asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
-      self->Fail("address can't be read: " + error.message());
-    });
-    return;
-  }
+  if (error)
+    return FailLater("address can't be read: " + error.message());
   timer_.expires_after(timeout);
   timer_.async_wait([self = shared_from_this()](error_code canceled) {
     if (!canceled && !self->connected_)
@@ -142,7 +138,7 @@
     return;
   queued_.append(bytes);
   if (queued_.size() > kMaxQueuedBytes)
-    return Fail("the peer does not read");
+    return FailLater("the peer does not read");
   if (connected_ && !writing_)
     Flush();
 }
@@ -164,14 +160,8 @@
                          });
       return;
     }
-    if (error) {
-      // Reported from the event loop: the caller is in the middle of a step.
-      asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
-        self->Fail(error.message());
-      });
-      queued_.clear();
-      return;
-    }
+    if (error)
+      return FailLater(error.message());
     queued_.erase(0, count);
   }
   if (queued_.empty())
@@ -204,6 +194,16 @@
     closed(cause);
 }
 
+// Calls the hook from the event loop: the caller is in the middle of a step and
+// may hold what the hook takes away.
+void LineSocket::FailLater(std::string cause) {
+  queued_.clear();
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this(), cause = std::move(cause)] {
+               self->Fail(cause);
+             });
+}
+
 void LineSocket::Close() {
   if (open_)
     Release();
--- a/adapters/tests/line_socket_test.cc
+++ b/adapters/tests/line_socket_test.cc
@@ -75,6 +75,18 @@
   CHECK(pair.client_lines == std::vector<std::string>{"last"});
 }
 
+// Guards against a caller's step that goes on with what the hook took away.
+TEST_CASE("A peer that does not read is told of after the write",
+          "[adapters]") {
+  Pair pair;
+  const std::string chunk(1 << 20, 'x');
+  for (int i = 0; i < 32; ++i)
+    pair.server->Write(chunk);
+  CHECK(pair.causes.empty());
+  pair.RunUntil([&] { return !pair.causes.empty(); });
+  CHECK(pair.causes.front() == "the peer does not read");
+}
+
 TEST_CASE("A connection that can't be opened tells so", "[adapters]") {
   boost::asio::io_context context(1);
   auto socket = std::make_shared<LineSocket>(context, 64);
