Elect a leader at once after a restart of all controllers

Cause: after a restart a member gives no vote for the minimum election timeout, since it may have answered a leader just before. Ruled out: a shorter timeout (a slow disk or a lost packet would then depose live leaders) and trusting a majority (the one that is missing may lead). The wait is left out when every member has told this pre-vote that it does not lead, and the voter knows no newer term than the candidate's last entry.

--- a/consensus/internal/replica_core.h
+++ b/consensus/internal/replica_core.h
@@ -93,12 +93,18 @@
 
   // election.cc
   void StartPreVote();
-  void StartElection();
-  void RequestVotes(bool pre_vote);
+  void StartElection(bool leaderless);
+  bool TriesEarly() const;
+  void DrawEarlyAttempt();
+  void RequestVotes(bool pre_vote, bool leaderless);
+  void CountPreVotes();
+  bool IsMajority(const std::set<std::string>& names) const;
   void CountVotes();
   void BecomeLeader();
   bool FollowsLiveLeader(const messages::VoteRequest& request) const;
   bool IsUpToDate(const messages::VoteRequest& request) const;
+  bool WaitsAfterRestart() const;
+  bool MayHaveSupportedOnly(std::int64_t term) const;
   void OnVoteRequest(const std::string& from,
                      const messages::VoteRequest& request);
   void OnVoteResponse(const std::string& from,
@@ -161,7 +167,17 @@
   Time election_deadline_{};
   // Before this time the replica supports a leader and gives no vote.
   Time vote_refused_until_{};
+  // Before this time the replica may support a leader that it followed before
+  // it restarted; see election.cc.
+  Time restart_wait_until_{};
+  Time early_attempt_at_{};
   std::set<std::string> votes_;
+  // Answers to the current pre-vote: who would vote if no member leads, and who
+  // neither leads nor follows a leader.
+  std::set<std::string> willing_;
+  std::set<std::string> leaderless_;
+  // Of the current pre-vote; an answer to an earlier one says nothing of now.
+  std::int64_t attempt_ = 0;
 
   // As leader.
   std::map<std::string, Progress> progress_;
--- a/consensus/src/replica_core.cc
+++ b/consensus/src/replica_core.cc
@@ -49,6 +49,10 @@
   if (IsLeader()) {
     TickLeader();
   } else if (CanStand() && now_ >= election_deadline_) {
+    ResetElectionTimer();
+    StartPreVote();
+  } else if (TriesEarly() && now_ >= early_attempt_at_) {
+    DrawEarlyAttempt();
     StartPreVote();
   }
   return Finish();
@@ -132,8 +136,12 @@
 Time ReplicaCore::NextDeadline() const {
   if (!started_)
     return Time{};
-  if (!IsLeader())
-    return CanStand() ? election_deadline_ : kNever;
+  if (!IsLeader()) {
+    if (!CanStand())
+      return kNever;
+    return TriesEarly() ? std::min(election_deadline_, early_attempt_at_)
+                        : election_deadline_;
+  }
   Time deadline = std::min(heartbeat_deadline_,
                            QuorumContact() + options_.election_timeout_max);
   if (transfer_)
@@ -150,8 +158,9 @@
   started_ = true;
   // Before a restart the replica may have answered a leader, whose lease
   // counts on it.
-  vote_refused_until_ = now_ + options_.election_timeout_min;
+  restart_wait_until_ = now_ + options_.election_timeout_min;
   ResetElectionTimer();
+  DrawEarlyAttempt();
 }
 
 Output ReplicaCore::Finish() {
--- a/consensus/tests/property_test.cc
+++ b/consensus/tests/property_test.cc
@@ -43,8 +43,11 @@
     cluster.Advance(std::chrono::milliseconds(detail % 250));
   } else if (action < 90) {
     cluster.Propose(name, std::to_string(detail));
-  } else if (action < 92) {
+  } else if (action < 91) {
     cluster.Start(name);
+  } else if (action < 92) {
+    for (const std::string& member : kMembers)
+      cluster.Start(member);
   } else if (action < 93) {
     cluster.Wipe("c");
   } else if (action < 95) {
--- a/consensus/tests/replica_test.cc
+++ b/consensus/tests/replica_test.cc
@@ -182,6 +182,40 @@
   CHECK(grants());
 }
 
+// Guards against an outage of half a second more after a power loss, when no
+// leader can hold a lease.
+TEST_CASE("After a restart of all members one leads before the minimum timeout",
+          "[consensus]") {
+  for (unsigned seed = 0; seed < 50; ++seed) {
+    Cluster cluster(kThree);
+    cluster.Run(2s);
+    cluster.seed = seed * 100;
+    cluster.queue.clear();
+    for (const std::string& name : kThree)
+      cluster.Start(name);
+    cluster.Run(300ms);
+    CHECK_FALSE(cluster.Leader().empty());
+  }
+}
+
+// Guards against a lease broken by two members that restart while the leader
+// is only slow to answer.
+TEST_CASE("Restarted members wait while one member has not answered",
+          "[consensus]") {
+  Cluster cluster(kThree);
+  cluster.Run(2s);
+  const std::string leader = cluster.Leader();
+  const std::int64_t term = cluster[leader].Term();
+  cluster.cut.insert(leader);
+  for (const std::string& name : Followers(cluster))
+    cluster.Start(name);
+  cluster.Run(390ms);
+  CHECK(cluster.Leader().empty());
+  CHECK(cluster[leader].Term() == term);
+  cluster.Run(2s);
+  CHECK_FALSE(cluster.Leader().empty());
+}
+
 // Guards against a second vote in a term, or a lost entry, by a member that
 // comes back without memory under a name that is still in the members.
 TEST_CASE(
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -3112,6 +3112,14 @@
 void VoteRequest::__set_pre_vote(const bool val) {
   this->pre_vote = val;
 }
+
+void VoteRequest::__set_leaderless(const bool val) {
+  this->leaderless = val;
+}
+
+void VoteRequest::__set_attempt(const int64_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
@@ -3180,6 +3188,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaderless);
+          this->__isset.leaderless = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3217,6 +3241,14 @@
   xfer += oprot->writeBool(this->pre_vote);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaderless", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->leaderless);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3229,6 +3261,8 @@
   swap(a.last_index, b.last_index);
   swap(a.last_term, b.last_term);
   swap(a.pre_vote, b.pre_vote);
+  swap(a.leaderless, b.leaderless);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -3238,6 +3272,8 @@
   last_index = other89.last_index;
   last_term = other89.last_term;
   pre_vote = other89.pre_vote;
+  leaderless = other89.leaderless;
+  attempt = other89.attempt;
   __isset = other89.__isset;
 }
 VoteRequest::VoteRequest(VoteRequest&& other90) noexcept {
@@ -3246,6 +3282,8 @@
   last_index = other90.last_index;
   last_term = other90.last_term;
   pre_vote = other90.pre_vote;
+  leaderless = other90.leaderless;
+  attempt = other90.attempt;
   __isset = other90.__isset;
 }
 VoteRequest& VoteRequest::operator=(const VoteRequest& other91) {
@@ -3254,6 +3292,8 @@
   last_index = other91.last_index;
   last_term = other91.last_term;
   pre_vote = other91.pre_vote;
+  leaderless = other91.leaderless;
+  attempt = other91.attempt;
   __isset = other91.__isset;
   return *this;
 }
@@ -3263,6 +3303,8 @@
   last_index = other92.last_index;
   last_term = other92.last_term;
   pre_vote = other92.pre_vote;
+  leaderless = other92.leaderless;
+  attempt = other92.attempt;
   __isset = other92.__isset;
   return *this;
 }
@@ -3274,6 +3316,8 @@
   out << ", " << "last_index=" << to_string(last_index);
   out << ", " << "last_term=" << to_string(last_term);
   out << ", " << "pre_vote=" << to_string(pre_vote);
+  out << ", " << "leaderless=" << to_string(leaderless);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
@@ -3293,6 +3337,18 @@
 void VoteResponse::__set_pre_vote(const bool val) {
   this->pre_vote = val;
 }
+
+void VoteResponse::__set_leaderless(const bool val) {
+  this->leaderless = val;
+}
+
+void VoteResponse::__set_willing(const bool val) {
+  this->willing = val;
+}
+
+void VoteResponse::__set_attempt(const int64_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteResponse& obj)
 {
   obj.printTo(out);
@@ -3345,6 +3401,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaderless);
+          this->__isset.leaderless = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->willing);
+          this->__isset.willing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3374,6 +3454,18 @@
   xfer += oprot->writeBool(this->pre_vote);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leaderless", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->leaderless);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("willing", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->willing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3384,6 +3476,9 @@
   swap(a.term, b.term);
   swap(a.granted, b.granted);
   swap(a.pre_vote, b.pre_vote);
+  swap(a.leaderless, b.leaderless);
+  swap(a.willing, b.willing);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -3391,18 +3486,27 @@
   term = other93.term;
   granted = other93.granted;
   pre_vote = other93.pre_vote;
+  leaderless = other93.leaderless;
+  willing = other93.willing;
+  attempt = other93.attempt;
   __isset = other93.__isset;
 }
 VoteResponse::VoteResponse(VoteResponse&& other94) noexcept {
   term = other94.term;
   granted = other94.granted;
   pre_vote = other94.pre_vote;
+  leaderless = other94.leaderless;
+  willing = other94.willing;
+  attempt = other94.attempt;
   __isset = other94.__isset;
 }
 VoteResponse& VoteResponse::operator=(const VoteResponse& other95) noexcept {
   term = other95.term;
   granted = other95.granted;
   pre_vote = other95.pre_vote;
+  leaderless = other95.leaderless;
+  willing = other95.willing;
+  attempt = other95.attempt;
   __isset = other95.__isset;
   return *this;
 }
@@ -3410,6 +3514,9 @@
   term = other96.term;
   granted = other96.granted;
   pre_vote = other96.pre_vote;
+  leaderless = other96.leaderless;
+  willing = other96.willing;
+  attempt = other96.attempt;
   __isset = other96.__isset;
   return *this;
 }
@@ -3419,6 +3526,9 @@
   out << "term=" << to_string(term);
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "pre_vote=" << to_string(pre_vote);
+  out << ", " << "leaderless=" << to_string(leaderless);
+  out << ", " << "willing=" << to_string(willing);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -1277,12 +1277,14 @@
 std::ostream& operator<<(std::ostream& out, const LogEntry& obj);
 
 typedef struct _VoteRequest__isset {
-  _VoteRequest__isset() : term(false), candidate(false), last_index(false), last_term(false), pre_vote(false) {}
+  _VoteRequest__isset() : term(false), candidate(false), last_index(false), last_term(false), pre_vote(false), leaderless(false), attempt(false) {}
   bool term :1;
   bool candidate :1;
   bool last_index :1;
   bool last_term :1;
   bool pre_vote :1;
+  bool leaderless :1;
+  bool attempt :1;
 } _VoteRequest__isset;
 
 class VoteRequest : public virtual ::apache::thrift::TBase {
@@ -1297,7 +1299,9 @@
                 candidate(),
                 last_index(0),
                 last_term(0),
-                pre_vote(0) {
+                pre_vote(0),
+                leaderless(0),
+                attempt(0) {
   }
 
   virtual ~VoteRequest() noexcept;
@@ -1306,6 +1310,8 @@
   int64_t last_index;
   int64_t last_term;
   bool pre_vote;
+  bool leaderless;
+  int64_t attempt;
 
   _VoteRequest__isset __isset;
 
@@ -1319,6 +1325,10 @@
 
   void __set_pre_vote(const bool val);
 
+  void __set_leaderless(const bool val);
+
+  void __set_attempt(const int64_t val);
+
   bool operator == (const VoteRequest & rhs) const
   {
     if (!(term == rhs.term))
@@ -1331,6 +1341,10 @@
       return false;
     if (!(pre_vote == rhs.pre_vote))
       return false;
+    if (!(leaderless == rhs.leaderless))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const VoteRequest &rhs) const {
@@ -1350,10 +1364,13 @@
 std::ostream& operator<<(std::ostream& out, const VoteRequest& obj);
 
 typedef struct _VoteResponse__isset {
-  _VoteResponse__isset() : term(false), granted(false), pre_vote(false) {}
+  _VoteResponse__isset() : term(false), granted(false), pre_vote(false), leaderless(false), willing(false), attempt(false) {}
   bool term :1;
   bool granted :1;
   bool pre_vote :1;
+  bool leaderless :1;
+  bool willing :1;
+  bool attempt :1;
 } _VoteResponse__isset;
 
 class VoteResponse : public virtual ::apache::thrift::TBase {
@@ -1366,13 +1383,19 @@
   VoteResponse() noexcept
                : term(0),
                  granted(0),
-                 pre_vote(0) {
+                 pre_vote(0),
+                 leaderless(0),
+                 willing(0),
+                 attempt(0) {
   }
 
   virtual ~VoteResponse() noexcept;
   int64_t term;
   bool granted;
   bool pre_vote;
+  bool leaderless;
+  bool willing;
+  int64_t attempt;
 
   _VoteResponse__isset __isset;
 
@@ -1382,6 +1405,12 @@
 
   void __set_pre_vote(const bool val);
 
+  void __set_leaderless(const bool val);
+
+  void __set_willing(const bool val);
+
+  void __set_attempt(const int64_t val);
+
   bool operator == (const VoteResponse & rhs) const
   {
     if (!(term == rhs.term))
@@ -1390,6 +1419,12 @@
       return false;
     if (!(pre_vote == rhs.pre_vote))
       return false;
+    if (!(leaderless == rhs.leaderless))
+      return false;
+    if (!(willing == rhs.willing))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const VoteResponse &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -159,12 +159,17 @@
   3: i64 last_index,
   4: i64 last_term,
   5: bool pre_vote,
+  6: bool leaderless,                    // every member said that it does not lead
+  7: i64 attempt,                        // drawn for each pre-vote
 }
 
 struct VoteResponse {
   1: i64 term,
   2: bool granted,
   3: bool pre_vote,
+  4: bool leaderless,                    // the sender neither leads nor follows
+  5: bool willing,                       // would vote if no member leads
+  6: i64 attempt,                        // of the request
 }
 
 struct AppendRequest {
