Give out a reserve of each limit after a change of the owner

Cause: a new owner starts with empty buckets, since nobody knows what was taken before. After a power loss callers repeat what failed, and 172 logged statements of customers within their rates were refused within 1.5 s. Ruled out: the time for registration (60 ms) and the quiet time that is credited (0.65 s, less than the backlog). A tenth of what a window allows is kept back and given out once by a new owner, to requests that wait; the log holds that it was, for 19.9 s.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -131,13 +131,19 @@
     std::map<std::string, std::int64_t> registering;  // instance: process
     std::map<std::string, ProbeResult> confirmed;     // by group: kLeads
     Time won_at;
+    Time reserve_since;         // of the takeover, or of the grant
+    bool reserve_told = false;  // the next change of it is proposed
   };
 
   void Process(Time now, consensus::Output output);
+  void TellElections();
   void ApplyCommitted(Time now, const messages::LogEntry& entry);
   void OnDocumentChanged(Time now);
   void UpdateLeadership(Time now);
   void SetLimits(Time now);
+  void TellReserve(Time now, bool used);
+  void OnReserve(Time now, const messages::ReserveUse& reserve);
+  void RestoreReserve(Time now);
   void LoadEndpoints(Time now);
   void ReleaseSilentHolders(Time now);
   void ReleaseHolder(Time now, const std::string& instance);
@@ -170,6 +176,8 @@
   FleetState state_;
   routing::RoutingTablePtr table_;
   std::int64_t applied_index_ = 0;
+  std::int64_t told_term_ = 0;
+  std::string told_leader_;
   routing::EndpointDirectory directory_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, ControllerPeer> peers_;
--- a/fleet/include/goldcrest/fleet/fleet_state.h
+++ b/fleet/include/goldcrest/fleet/fleet_state.h
@@ -29,6 +29,8 @@
   const std::map<std::string, messages::EndpointRecord>& endpoints() const {
     return state_.endpoints;
   }
+  //! A leader has given out the reserves of limits not long ago.
+  bool reserve_used() const { return state_.reserve_used; }
 
  private:
   messages::FleetSnapshot state_;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -67,6 +67,7 @@
     leadership_->failover->Tick(now);
     PlanMembership(now);
     ReleaseSilentHolders(now);
+    RestoreReserve(now);
   }
   FailPuts();
   if (now >= next_notice_) {
@@ -133,6 +134,16 @@
   }
   for (const messages::LogEntry& entry : output.committed)
     ApplyCommitted(now, entry);
+  TellElections();
+}
+
+void Controller::TellElections() {
+  if (replica_.Term() == told_term_ && replica_.Leader() == told_leader_)
+    return;
+  told_term_ = replica_.Term();
+  told_leader_ = replica_.Leader();
+  hooks_.decided("term_changed", std::to_string(told_term_),
+                 told_leader_.empty() ? "no leader" : "leader " + told_leader_);
 }
 
 void Controller::ApplyCommitted(Time now, const messages::LogEntry& entry) {
@@ -159,6 +170,8 @@
     OnDocumentChanged(now);
   if (command->__isset.endpoint)
     Merge(now, command->endpoint);
+  if (command->__isset.reserve)
+    OnReserve(now, command->reserve);
   if (command->__isset.holder && leadership_ != nullptr) {
     leadership_->registering.erase(command->holder.instance);
     const auto it = state_.holders().find(command->holder.instance);
@@ -241,10 +254,44 @@
   leadership_->failover = std::make_unique<FailoverPlanner>(
       now, leadership_->term, &directory_, std::move(failover));
   SetLimits(now);
+  leadership_->reserve_since = now;
+  if (!state_.reserve_used())
+    TellReserve(now, true);
   for (const messages::EndpointRecord& record : directory_.All())
     Record(now, record);
 }
 
+// The reserves of limits are given out at a takeover, when callers repeat what
+// failed and the new owner's buckets are empty. The log holds that they were,
+// so that the next leader does not give them out again too soon.
+void Controller::TellReserve(Time now, bool used) {
+  messages::FleetCommand command;
+  messages::ReserveUse reserve;
+  reserve.term = leadership_->term;
+  reserve.used = used;
+  command.__set_reserve(reserve);
+  leadership_->reserve_told = Propose(now, command) != 0;
+}
+
+void Controller::OnReserve(Time now, const messages::ReserveUse& reserve) {
+  if (leadership_ == nullptr || reserve.term != leadership_->term)
+    return;
+  leadership_->reserve_told = false;
+  if (!reserve.used)
+    return;
+  leadership_->reserve_since = now;
+  leadership_->owner->GrantReserve(now);
+  hooks_.decided("reserve_given_out", std::to_string(reserve.term), "");
+}
+
+// An earlier leader gave the reserves out before this one took over at the
+// latest.
+void Controller::RestoreReserve(Time now) {
+  if (state_.reserve_used() && !leadership_->reserve_told &&
+      now - leadership_->reserve_since >= quota::kReserveRest)
+    TellReserve(now, false);
+}
+
 void Controller::SetLimits(Time now) {
   if (!table_ || leadership_->version == table_->version)
     return;
--- a/fleet/src/fleet_state.cc
+++ b/fleet/src/fleet_state.cc
@@ -14,6 +14,8 @@
     else
       state_.endpoints[command.endpoint.endpoint] = command.endpoint;
   }
+  if (command.__isset.reserve)
+    state_.reserve_used = command.reserve.used;
   if (!command.__isset.holder)
     return;
   messages::HolderState& holder = state_.holders[command.holder.instance];
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -10121,6 +10121,129 @@
 }
 
 
+ReserveUse::~ReserveUse() noexcept {
+}
+
+
+void ReserveUse::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void ReserveUse::__set_used(const bool val) {
+  this->used = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReserveUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReserveUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->used);
+          this->__isset.used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReserveUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReserveUse");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("used", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReserveUse &a, ReserveUse &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.used, b.used);
+  swap(a.__isset, b.__isset);
+}
+
+ReserveUse::ReserveUse(const ReserveUse& other363) noexcept {
+  term = other363.term;
+  used = other363.used;
+  __isset = other363.__isset;
+}
+ReserveUse::ReserveUse(ReserveUse&& other364) noexcept {
+  term = other364.term;
+  used = other364.used;
+  __isset = other364.__isset;
+}
+ReserveUse& ReserveUse::operator=(const ReserveUse& other365) noexcept {
+  term = other365.term;
+  used = other365.used;
+  __isset = other365.__isset;
+  return *this;
+}
+ReserveUse& ReserveUse::operator=(ReserveUse&& other366) noexcept {
+  term = other366.term;
+  used = other366.used;
+  __isset = other366.__isset;
+  return *this;
+}
+void ReserveUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReserveUse(";
+  out << "term=" << to_string(term);
+  out << ", " << "used=" << to_string(used);
+  out << ")";
+}
+
+
 PutDocument::~PutDocument() noexcept {
 }
 
@@ -10213,26 +10336,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PutDocument::PutDocument(const PutDocument& other363) {
-  version = other363.version;
-  text = other363.text;
-  __isset = other363.__isset;
+PutDocument::PutDocument(const PutDocument& other367) {
+  version = other367.version;
+  text = other367.text;
+  __isset = other367.__isset;
 }
-PutDocument::PutDocument(PutDocument&& other364) noexcept {
-  version = other364.version;
-  text = std::move(other364.text);
-  __isset = other364.__isset;
+PutDocument::PutDocument(PutDocument&& other368) noexcept {
+  version = other368.version;
+  text = std::move(other368.text);
+  __isset = other368.__isset;
 }
-PutDocument& PutDocument::operator=(const PutDocument& other365) {
-  version = other365.version;
-  text = other365.text;
-  __isset = other365.__isset;
+PutDocument& PutDocument::operator=(const PutDocument& other369) {
+  version = other369.version;
+  text = other369.text;
+  __isset = other369.__isset;
   return *this;
 }
-PutDocument& PutDocument::operator=(PutDocument&& other366) noexcept {
-  version = other366.version;
-  text = std::move(other366.text);
-  __isset = other366.__isset;
+PutDocument& PutDocument::operator=(PutDocument&& other370) noexcept {
+  version = other370.version;
+  text = std::move(other370.text);
+  __isset = other370.__isset;
   return *this;
 }
 void PutDocument::printTo(std::ostream& out) const {
@@ -10262,6 +10385,11 @@
   this->endpoint = val;
 __isset.endpoint = true;
 }
+
+void FleetCommand::__set_reserve(const ReserveUse& val) {
+  this->reserve = val;
+__isset.reserve = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj)
 {
   obj.printTo(out);
@@ -10314,6 +10442,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reserve.read(iprot);
+          this->__isset.reserve = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10346,6 +10482,11 @@
     xfer += this->endpoint.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.reserve) {
+    xfer += oprot->writeFieldBegin("reserve", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->reserve.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10356,33 +10497,38 @@
   swap(a.put, b.put);
   swap(a.holder, b.holder);
   swap(a.endpoint, b.endpoint);
+  swap(a.reserve, b.reserve);
   swap(a.__isset, b.__isset);
 }
 
-FleetCommand::FleetCommand(const FleetCommand& other367) {
-  put = other367.put;
-  holder = other367.holder;
-  endpoint = other367.endpoint;
-  __isset = other367.__isset;
-}
-FleetCommand::FleetCommand(FleetCommand&& other368) noexcept {
-  put = std::move(other368.put);
-  holder = std::move(other368.holder);
-  endpoint = std::move(other368.endpoint);
-  __isset = other368.__isset;
-}
-FleetCommand& FleetCommand::operator=(const FleetCommand& other369) {
-  put = other369.put;
-  holder = other369.holder;
-  endpoint = other369.endpoint;
-  __isset = other369.__isset;
+FleetCommand::FleetCommand(const FleetCommand& other371) {
+  put = other371.put;
+  holder = other371.holder;
+  endpoint = other371.endpoint;
+  reserve = other371.reserve;
+  __isset = other371.__isset;
+}
+FleetCommand::FleetCommand(FleetCommand&& other372) noexcept {
+  put = std::move(other372.put);
+  holder = std::move(other372.holder);
+  endpoint = std::move(other372.endpoint);
+  reserve = std::move(other372.reserve);
+  __isset = other372.__isset;
+}
+FleetCommand& FleetCommand::operator=(const FleetCommand& other373) {
+  put = other373.put;
+  holder = other373.holder;
+  endpoint = other373.endpoint;
+  reserve = other373.reserve;
+  __isset = other373.__isset;
   return *this;
 }
-FleetCommand& FleetCommand::operator=(FleetCommand&& other370) noexcept {
-  put = std::move(other370.put);
-  holder = std::move(other370.holder);
-  endpoint = std::move(other370.endpoint);
-  __isset = other370.__isset;
+FleetCommand& FleetCommand::operator=(FleetCommand&& other374) noexcept {
+  put = std::move(other374.put);
+  holder = std::move(other374.holder);
+  endpoint = std::move(other374.endpoint);
+  reserve = std::move(other374.reserve);
+  __isset = other374.__isset;
   return *this;
 }
 void FleetCommand::printTo(std::ostream& out) const {
@@ -10391,6 +10537,7 @@
   out << "put="; (__isset.put ? (out << to_string(put)) : (out << "<null>"));
   out << ", " << "holder="; (__isset.holder ? (out << to_string(holder)) : (out << "<null>"));
   out << ", " << "endpoint="; (__isset.endpoint ? (out << to_string(endpoint)) : (out << "<null>"));
+  out << ", " << "reserve="; (__isset.reserve ? (out << to_string(reserve)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10410,6 +10557,10 @@
 void FleetSnapshot::__set_endpoints(const std::map<std::string, EndpointRecord> & val) {
   this->endpoints = val;
 }
+
+void FleetSnapshot::__set_reserve_used(const bool val) {
+  this->reserve_used = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj)
 {
   obj.printTo(out);
@@ -10450,17 +10601,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->holders.clear();
-            uint32_t _size371;
-            ::apache::thrift::protocol::TType _ktype372;
-            ::apache::thrift::protocol::TType _vtype373;
-            xfer += iprot->readMapBegin(_ktype372, _vtype373, _size371);
-            uint32_t _i375;
-            for (_i375 = 0; _i375 < _size371; ++_i375)
+            uint32_t _size375;
+            ::apache::thrift::protocol::TType _ktype376;
+            ::apache::thrift::protocol::TType _vtype377;
+            xfer += iprot->readMapBegin(_ktype376, _vtype377, _size375);
+            uint32_t _i379;
+            for (_i379 = 0; _i379 < _size375; ++_i379)
             {
-              std::string _key376;
-              xfer += iprot->readString(_key376);
-              HolderState& _val377 = this->holders[_key376];
-              xfer += _val377.read(iprot);
+              std::string _key380;
+              xfer += iprot->readString(_key380);
+              HolderState& _val381 = this->holders[_key380];
+              xfer += _val381.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10473,17 +10624,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->endpoints.clear();
-            uint32_t _size378;
-            ::apache::thrift::protocol::TType _ktype379;
-            ::apache::thrift::protocol::TType _vtype380;
-            xfer += iprot->readMapBegin(_ktype379, _vtype380, _size378);
-            uint32_t _i382;
-            for (_i382 = 0; _i382 < _size378; ++_i382)
+            uint32_t _size382;
+            ::apache::thrift::protocol::TType _ktype383;
+            ::apache::thrift::protocol::TType _vtype384;
+            xfer += iprot->readMapBegin(_ktype383, _vtype384, _size382);
+            uint32_t _i386;
+            for (_i386 = 0; _i386 < _size382; ++_i386)
             {
-              std::string _key383;
-              xfer += iprot->readString(_key383);
-              EndpointRecord& _val384 = this->endpoints[_key383];
-              xfer += _val384.read(iprot);
+              std::string _key387;
+              xfer += iprot->readString(_key387);
+              EndpointRecord& _val388 = this->endpoints[_key387];
+              xfer += _val388.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10492,6 +10643,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reserve_used);
+          this->__isset.reserve_used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10516,11 +10675,11 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::map<std::string, HolderState> ::const_iterator _iter385;
-    for (_iter385 = this->holders.begin(); _iter385 != this->holders.end(); ++_iter385)
+    std::map<std::string, HolderState> ::const_iterator _iter389;
+    for (_iter389 = this->holders.begin(); _iter389 != this->holders.end(); ++_iter389)
     {
-      xfer += oprot->writeString(_iter385->first);
-      xfer += _iter385->second.write(oprot);
+      xfer += oprot->writeString(_iter389->first);
+      xfer += _iter389->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10529,16 +10688,20 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::map<std::string, EndpointRecord> ::const_iterator _iter386;
-    for (_iter386 = this->endpoints.begin(); _iter386 != this->endpoints.end(); ++_iter386)
+    std::map<std::string, EndpointRecord> ::const_iterator _iter390;
+    for (_iter390 = this->endpoints.begin(); _iter390 != this->endpoints.end(); ++_iter390)
     {
-      xfer += oprot->writeString(_iter386->first);
-      xfer += _iter386->second.write(oprot);
+      xfer += oprot->writeString(_iter390->first);
+      xfer += _iter390->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reserve_used", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->reserve_used);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10549,33 +10712,38 @@
   swap(a.document, b.document);
   swap(a.holders, b.holders);
   swap(a.endpoints, b.endpoints);
+  swap(a.reserve_used, b.reserve_used);
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshot::FleetSnapshot(const FleetSnapshot& other387) {
-  document = other387.document;
-  holders = other387.holders;
-  endpoints = other387.endpoints;
-  __isset = other387.__isset;
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other391) {
+  document = other391.document;
+  holders = other391.holders;
+  endpoints = other391.endpoints;
+  reserve_used = other391.reserve_used;
+  __isset = other391.__isset;
 }
-FleetSnapshot::FleetSnapshot(FleetSnapshot&& other388) noexcept {
-  document = std::move(other388.document);
-  holders = std::move(other388.holders);
-  endpoints = std::move(other388.endpoints);
-  __isset = other388.__isset;
+FleetSnapshot::FleetSnapshot(FleetSnapshot&& other392) noexcept {
+  document = std::move(other392.document);
+  holders = std::move(other392.holders);
+  endpoints = std::move(other392.endpoints);
+  reserve_used = other392.reserve_used;
+  __isset = other392.__isset;
 }
-FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other389) {
-  document = other389.document;
-  holders = other389.holders;
-  endpoints = other389.endpoints;
-  __isset = other389.__isset;
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other393) {
+  document = other393.document;
+  holders = other393.holders;
+  endpoints = other393.endpoints;
+  reserve_used = other393.reserve_used;
+  __isset = other393.__isset;
   return *this;
 }
-FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other390) noexcept {
-  document = std::move(other390.document);
-  holders = std::move(other390.holders);
-  endpoints = std::move(other390.endpoints);
-  __isset = other390.__isset;
+FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other394) noexcept {
+  document = std::move(other394.document);
+  holders = std::move(other394.holders);
+  endpoints = std::move(other394.endpoints);
+  reserve_used = other394.reserve_used;
+  __isset = other394.__isset;
   return *this;
 }
 void FleetSnapshot::printTo(std::ostream& out) const {
@@ -10584,6 +10752,7 @@
   out << "document=" << to_string(document);
   out << ", " << "holders=" << to_string(holders);
   out << ", " << "endpoints=" << to_string(endpoints);
+  out << ", " << "reserve_used=" << to_string(reserve_used);
   out << ")";
 }
 
@@ -10950,82 +11119,82 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other391) {
-  hello = other391.hello;
-  ping = other391.ping;
-  pong = other391.pong;
-  consensus = other391.consensus;
-  report = other391.report;
-  update = other391.update;
-  forward = other391.forward;
-  forward_response = other391.forward_response;
-  propose = other391.propose;
-  propose_response = other391.propose_response;
-  query = other391.query;
-  query_response = other391.query_response;
-  drain = other391.drain;
-  proxy_report = other391.proxy_report;
-  proxy_update = other391.proxy_update;
-  controller_notice = other391.controller_notice;
-  __isset = other391.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other395) {
+  hello = other395.hello;
+  ping = other395.ping;
+  pong = other395.pong;
+  consensus = other395.consensus;
+  report = other395.report;
+  update = other395.update;
+  forward = other395.forward;
+  forward_response = other395.forward_response;
+  propose = other395.propose;
+  propose_response = other395.propose_response;
+  query = other395.query;
+  query_response = other395.query_response;
+  drain = other395.drain;
+  proxy_report = other395.proxy_report;
+  proxy_update = other395.proxy_update;
+  controller_notice = other395.controller_notice;
+  __isset = other395.__isset;
 }
-PeerMessage::PeerMessage(PeerMessage&& other392) noexcept {
-  hello = std::move(other392.hello);
-  ping = other392.ping;
-  pong = other392.pong;
-  consensus = std::move(other392.consensus);
-  report = std::move(other392.report);
-  update = std::move(other392.update);
-  forward = std::move(other392.forward);
-  forward_response = std::move(other392.forward_response);
-  propose = std::move(other392.propose);
-  propose_response = std::move(other392.propose_response);
-  query = std::move(other392.query);
-  query_response = std::move(other392.query_response);
-  drain = other392.drain;
-  proxy_report = std::move(other392.proxy_report);
-  proxy_update = std::move(other392.proxy_update);
-  controller_notice = std::move(other392.controller_notice);
-  __isset = other392.__isset;
+PeerMessage::PeerMessage(PeerMessage&& other396) noexcept {
+  hello = std::move(other396.hello);
+  ping = other396.ping;
+  pong = other396.pong;
+  consensus = std::move(other396.consensus);
+  report = std::move(other396.report);
+  update = std::move(other396.update);
+  forward = std::move(other396.forward);
+  forward_response = std::move(other396.forward_response);
+  propose = std::move(other396.propose);
+  propose_response = std::move(other396.propose_response);
+  query = std::move(other396.query);
+  query_response = std::move(other396.query_response);
+  drain = other396.drain;
+  proxy_report = std::move(other396.proxy_report);
+  proxy_update = std::move(other396.proxy_update);
+  controller_notice = std::move(other396.controller_notice);
+  __isset = other396.__isset;
 }
-PeerMessage& PeerMessage::operator=(const PeerMessage& other393) {
-  hello = other393.hello;
-  ping = other393.ping;
-  pong = other393.pong;
-  consensus = other393.consensus;
-  report = other393.report;
-  update = other393.update;
-  forward = other393.forward;
-  forward_response = other393.forward_response;
-  propose = other393.propose;
-  propose_response = other393.propose_response;
-  query = other393.query;
-  query_response = other393.query_response;
-  drain = other393.drain;
-  proxy_report = other393.proxy_report;
-  proxy_update = other393.proxy_update;
-  controller_notice = other393.controller_notice;
-  __isset = other393.__isset;
+PeerMessage& PeerMessage::operator=(const PeerMessage& other397) {
+  hello = other397.hello;
+  ping = other397.ping;
+  pong = other397.pong;
+  consensus = other397.consensus;
+  report = other397.report;
+  update = other397.update;
+  forward = other397.forward;
+  forward_response = other397.forward_response;
+  propose = other397.propose;
+  propose_response = other397.propose_response;
+  query = other397.query;
+  query_response = other397.query_response;
+  drain = other397.drain;
+  proxy_report = other397.proxy_report;
+  proxy_update = other397.proxy_update;
+  controller_notice = other397.controller_notice;
+  __isset = other397.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other394) noexcept {
-  hello = std::move(other394.hello);
-  ping = other394.ping;
-  pong = other394.pong;
-  consensus = std::move(other394.consensus);
-  report = std::move(other394.report);
-  update = std::move(other394.update);
-  forward = std::move(other394.forward);
-  forward_response = std::move(other394.forward_response);
-  propose = std::move(other394.propose);
-  propose_response = std::move(other394.propose_response);
-  query = std::move(other394.query);
-  query_response = std::move(other394.query_response);
-  drain = other394.drain;
-  proxy_report = std::move(other394.proxy_report);
-  proxy_update = std::move(other394.proxy_update);
-  controller_notice = std::move(other394.controller_notice);
-  __isset = other394.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other398) noexcept {
+  hello = std::move(other398.hello);
+  ping = other398.ping;
+  pong = other398.pong;
+  consensus = std::move(other398.consensus);
+  report = std::move(other398.report);
+  update = std::move(other398.update);
+  forward = std::move(other398.forward);
+  forward_response = std::move(other398.forward_response);
+  propose = std::move(other398.propose);
+  propose_response = std::move(other398.propose_response);
+  query = std::move(other398.query);
+  query_response = std::move(other398.query_response);
+  drain = other398.drain;
+  proxy_report = std::move(other398.proxy_report);
+  proxy_update = std::move(other398.proxy_update);
+  controller_notice = std::move(other398.controller_notice);
+  __isset = other398.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -11160,30 +11329,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other395) {
-  change_id = other395.change_id;
-  fingerprint = other395.fingerprint;
-  result = other395.result;
-  __isset = other395.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other399) {
+  change_id = other399.change_id;
+  fingerprint = other399.fingerprint;
+  result = other399.result;
+  __isset = other399.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other396) noexcept {
-  change_id = std::move(other396.change_id);
-  fingerprint = std::move(other396.fingerprint);
-  result = std::move(other396.result);
-  __isset = other396.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other400) noexcept {
+  change_id = std::move(other400.change_id);
+  fingerprint = std::move(other400.fingerprint);
+  result = std::move(other400.result);
+  __isset = other400.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other397) {
-  change_id = other397.change_id;
-  fingerprint = other397.fingerprint;
-  result = other397.result;
-  __isset = other397.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other401) {
+  change_id = other401.change_id;
+  fingerprint = other401.fingerprint;
+  result = other401.result;
+  __isset = other401.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other398) noexcept {
-  change_id = std::move(other398.change_id);
-  fingerprint = std::move(other398.fingerprint);
-  result = std::move(other398.result);
-  __isset = other398.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other402) noexcept {
+  change_id = std::move(other402.change_id);
+  fingerprint = std::move(other402.fingerprint);
+  result = std::move(other402.result);
+  __isset = other402.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -11275,14 +11444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size399;
-            ::apache::thrift::protocol::TType _etype402;
-            xfer += iprot->readListBegin(_etype402, _size399);
-            this->objects.resize(_size399);
-            uint32_t _i403;
-            for (_i403 = 0; _i403 < _size399; ++_i403)
+            uint32_t _size403;
+            ::apache::thrift::protocol::TType _etype406;
+            xfer += iprot->readListBegin(_etype406, _size403);
+            this->objects.resize(_size403);
+            uint32_t _i407;
+            for (_i407 = 0; _i407 < _size403; ++_i407)
             {
-              xfer += this->objects[_i403].read(iprot);
+              xfer += this->objects[_i407].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11295,14 +11464,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size404;
-            ::apache::thrift::protocol::TType _etype407;
-            xfer += iprot->readListBegin(_etype407, _size404);
-            this->changes.resize(_size404);
-            uint32_t _i408;
-            for (_i408 = 0; _i408 < _size404; ++_i408)
+            uint32_t _size408;
+            ::apache::thrift::protocol::TType _etype411;
+            xfer += iprot->readListBegin(_etype411, _size408);
+            this->changes.resize(_size408);
+            uint32_t _i412;
+            for (_i412 = 0; _i412 < _size408; ++_i412)
             {
-              xfer += this->changes[_i408].read(iprot);
+              xfer += this->changes[_i412].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11323,14 +11492,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->groups.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size413;
+            ::apache::thrift::protocol::TType _etype416;
+            xfer += iprot->readListBegin(_etype416, _size413);
+            this->groups.resize(_size413);
+            uint32_t _i417;
+            for (_i417 = 0; _i417 < _size413; ++_i417)
             {
-              xfer += this->groups[_i413].read(iprot);
+              xfer += this->groups[_i417].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11343,14 +11512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->endpoints.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size418;
+            ::apache::thrift::protocol::TType _etype421;
+            xfer += iprot->readListBegin(_etype421, _size418);
+            this->endpoints.resize(_size418);
+            uint32_t _i422;
+            for (_i422 = 0; _i422 < _size418; ++_i422)
             {
-              xfer += this->endpoints[_i418].read(iprot);
+              xfer += this->endpoints[_i422].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11363,14 +11532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size419;
-            ::apache::thrift::protocol::TType _etype422;
-            xfer += iprot->readListBegin(_etype422, _size419);
-            this->instances.resize(_size419);
-            uint32_t _i423;
-            for (_i423 = 0; _i423 < _size419; ++_i423)
+            uint32_t _size423;
+            ::apache::thrift::protocol::TType _etype426;
+            xfer += iprot->readListBegin(_etype426, _size423);
+            this->instances.resize(_size423);
+            uint32_t _i427;
+            for (_i427 = 0; _i427 < _size423; ++_i427)
             {
-              xfer += this->instances[_i423].read(iprot);
+              xfer += this->instances[_i427].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11383,14 +11552,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size424;
-            ::apache::thrift::protocol::TType _etype427;
-            xfer += iprot->readListBegin(_etype427, _size424);
-            this->journal.resize(_size424);
-            uint32_t _i428;
-            for (_i428 = 0; _i428 < _size424; ++_i428)
+            uint32_t _size428;
+            ::apache::thrift::protocol::TType _etype431;
+            xfer += iprot->readListBegin(_etype431, _size428);
+            this->journal.resize(_size428);
+            uint32_t _i432;
+            for (_i432 = 0; _i432 < _size428; ++_i432)
             {
-              xfer += this->journal[_i428].read(iprot);
+              xfer += this->journal[_i432].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11431,10 +11600,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter429;
-    for (_iter429 = this->objects.begin(); _iter429 != this->objects.end(); ++_iter429)
+    std::vector<Object> ::const_iterator _iter433;
+    for (_iter433 = this->objects.begin(); _iter433 != this->objects.end(); ++_iter433)
     {
-      xfer += (*_iter429).write(oprot);
+      xfer += (*_iter433).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11443,10 +11612,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter430;
-    for (_iter430 = this->changes.begin(); _iter430 != this->changes.end(); ++_iter430)
+    std::vector<AppliedChange> ::const_iterator _iter434;
+    for (_iter434 = this->changes.begin(); _iter434 != this->changes.end(); ++_iter434)
     {
-      xfer += (*_iter430).write(oprot);
+      xfer += (*_iter434).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11459,10 +11628,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter431;
-    for (_iter431 = this->groups.begin(); _iter431 != this->groups.end(); ++_iter431)
+    std::vector<GroupState> ::const_iterator _iter435;
+    for (_iter435 = this->groups.begin(); _iter435 != this->groups.end(); ++_iter435)
     {
-      xfer += (*_iter431).write(oprot);
+      xfer += (*_iter435).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11471,10 +11640,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter432;
-    for (_iter432 = this->endpoints.begin(); _iter432 != this->endpoints.end(); ++_iter432)
+    std::vector<EndpointInfo> ::const_iterator _iter436;
+    for (_iter436 = this->endpoints.begin(); _iter436 != this->endpoints.end(); ++_iter436)
     {
-      xfer += (*_iter432).write(oprot);
+      xfer += (*_iter436).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11483,10 +11652,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter433;
-    for (_iter433 = this->instances.begin(); _iter433 != this->instances.end(); ++_iter433)
+    std::vector<InstanceInfo> ::const_iterator _iter437;
+    for (_iter437 = this->instances.begin(); _iter437 != this->instances.end(); ++_iter437)
     {
-      xfer += (*_iter433).write(oprot);
+      xfer += (*_iter437).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11495,10 +11664,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter434;
-    for (_iter434 = this->journal.begin(); _iter434 != this->journal.end(); ++_iter434)
+    std::vector<JournalEntry> ::const_iterator _iter438;
+    for (_iter438 = this->journal.begin(); _iter438 != this->journal.end(); ++_iter438)
     {
-      xfer += (*_iter434).write(oprot);
+      xfer += (*_iter438).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11527,54 +11696,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other435) {
-  revision = other435.revision;
-  objects = other435.objects;
-  changes = other435.changes;
-  groups_revision = other435.groups_revision;
-  groups = other435.groups;
-  endpoints = other435.endpoints;
-  instances = other435.instances;
-  journal = other435.journal;
-  session_secret = other435.session_secret;
-  __isset = other435.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other436) noexcept {
-  revision = other436.revision;
-  objects = std::move(other436.objects);
-  changes = std::move(other436.changes);
-  groups_revision = other436.groups_revision;
-  groups = std::move(other436.groups);
-  endpoints = std::move(other436.endpoints);
-  instances = std::move(other436.instances);
-  journal = std::move(other436.journal);
-  session_secret = std::move(other436.session_secret);
-  __isset = other436.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other437) {
-  revision = other437.revision;
-  objects = other437.objects;
-  changes = other437.changes;
-  groups_revision = other437.groups_revision;
-  groups = other437.groups;
-  endpoints = other437.endpoints;
-  instances = other437.instances;
-  journal = other437.journal;
-  session_secret = other437.session_secret;
-  __isset = other437.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other439) {
+  revision = other439.revision;
+  objects = other439.objects;
+  changes = other439.changes;
+  groups_revision = other439.groups_revision;
+  groups = other439.groups;
+  endpoints = other439.endpoints;
+  instances = other439.instances;
+  journal = other439.journal;
+  session_secret = other439.session_secret;
+  __isset = other439.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other440) noexcept {
+  revision = other440.revision;
+  objects = std::move(other440.objects);
+  changes = std::move(other440.changes);
+  groups_revision = other440.groups_revision;
+  groups = std::move(other440.groups);
+  endpoints = std::move(other440.endpoints);
+  instances = std::move(other440.instances);
+  journal = std::move(other440.journal);
+  session_secret = std::move(other440.session_secret);
+  __isset = other440.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other441) {
+  revision = other441.revision;
+  objects = other441.objects;
+  changes = other441.changes;
+  groups_revision = other441.groups_revision;
+  groups = other441.groups;
+  endpoints = other441.endpoints;
+  instances = other441.instances;
+  journal = other441.journal;
+  session_secret = other441.session_secret;
+  __isset = other441.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other438) noexcept {
-  revision = other438.revision;
-  objects = std::move(other438.objects);
-  changes = std::move(other438.changes);
-  groups_revision = other438.groups_revision;
-  groups = std::move(other438.groups);
-  endpoints = std::move(other438.endpoints);
-  instances = std::move(other438.instances);
-  journal = std::move(other438.journal);
-  session_secret = std::move(other438.session_secret);
-  __isset = other438.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other442) noexcept {
+  revision = other442.revision;
+  objects = std::move(other442.objects);
+  changes = std::move(other442.changes);
+  groups_revision = other442.groups_revision;
+  groups = std::move(other442.groups);
+  endpoints = std::move(other442.endpoints);
+  instances = std::move(other442.instances);
+  journal = std::move(other442.journal);
+  session_secret = std::move(other442.session_secret);
+  __isset = other442.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -166,6 +166,8 @@
 
 class HolderState;
 
+class ReserveUse;
+
 class PutDocument;
 
 class FleetCommand;
@@ -3723,6 +3725,58 @@
 
 std::ostream& operator<<(std::ostream& out, const HolderState& obj);
 
+typedef struct _ReserveUse__isset {
+  _ReserveUse__isset() : term(false), used(false) {}
+  bool term :1;
+  bool used :1;
+} _ReserveUse__isset;
+
+class ReserveUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReserveUse(const ReserveUse&) noexcept;
+  ReserveUse(ReserveUse&&) noexcept;
+  ReserveUse& operator=(const ReserveUse&) noexcept;
+  ReserveUse& operator=(ReserveUse&&) noexcept;
+  ReserveUse() noexcept
+             : term(0),
+               used(0) {
+  }
+
+  virtual ~ReserveUse() noexcept;
+  int64_t term;
+  bool used;
+
+  _ReserveUse__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_used(const bool val);
+
+  bool operator == (const ReserveUse & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(used == rhs.used))
+      return false;
+    return true;
+  }
+  bool operator != (const ReserveUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReserveUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReserveUse &a, ReserveUse &b);
+
+std::ostream& operator<<(std::ostream& out, const ReserveUse& obj);
+
 typedef struct _PutDocument__isset {
   _PutDocument__isset() : version(false), text(false) {}
   bool version :1;
@@ -3776,10 +3830,11 @@
 std::ostream& operator<<(std::ostream& out, const PutDocument& obj);
 
 typedef struct _FleetCommand__isset {
-  _FleetCommand__isset() : put(false), holder(false), endpoint(false) {}
+  _FleetCommand__isset() : put(false), holder(false), endpoint(false), reserve(false) {}
   bool put :1;
   bool holder :1;
   bool endpoint :1;
+  bool reserve :1;
 } _FleetCommand__isset;
 
 class FleetCommand : public virtual ::apache::thrift::TBase {
@@ -3796,6 +3851,7 @@
   PutDocument put;
   RegisterHolder holder;
   EndpointRecord endpoint;
+  ReserveUse reserve;
 
   _FleetCommand__isset __isset;
 
@@ -3805,6 +3861,8 @@
 
   void __set_endpoint(const EndpointRecord& val);
 
+  void __set_reserve(const ReserveUse& val);
+
   bool operator == (const FleetCommand & rhs) const
   {
     if (__isset.put != rhs.__isset.put)
@@ -3819,6 +3877,10 @@
       return false;
     else if (__isset.endpoint && !(endpoint == rhs.endpoint))
       return false;
+    if (__isset.reserve != rhs.__isset.reserve)
+      return false;
+    else if (__isset.reserve && !(reserve == rhs.reserve))
+      return false;
     return true;
   }
   bool operator != (const FleetCommand &rhs) const {
@@ -3838,10 +3900,11 @@
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj);
 
 typedef struct _FleetSnapshot__isset {
-  _FleetSnapshot__isset() : document(false), holders(false), endpoints(false) {}
+  _FleetSnapshot__isset() : document(false), holders(false), endpoints(false), reserve_used(false) {}
   bool document :1;
   bool holders :1;
   bool endpoints :1;
+  bool reserve_used :1;
 } _FleetSnapshot__isset;
 
 class FleetSnapshot : public virtual ::apache::thrift::TBase {
@@ -3851,13 +3914,15 @@
   FleetSnapshot(FleetSnapshot&&) noexcept;
   FleetSnapshot& operator=(const FleetSnapshot&);
   FleetSnapshot& operator=(FleetSnapshot&&) noexcept;
-  FleetSnapshot() noexcept {
+  FleetSnapshot() noexcept
+                : reserve_used(0) {
   }
 
   virtual ~FleetSnapshot() noexcept;
   PutDocument document;
   std::map<std::string, HolderState>  holders;
   std::map<std::string, EndpointRecord>  endpoints;
+  bool reserve_used;
 
   _FleetSnapshot__isset __isset;
 
@@ -3867,6 +3932,8 @@
 
   void __set_endpoints(const std::map<std::string, EndpointRecord> & val);
 
+  void __set_reserve_used(const bool val);
+
   bool operator == (const FleetSnapshot & rhs) const
   {
     if (!(document == rhs.document))
@@ -3875,6 +3942,8 @@
       return false;
     if (!(endpoints == rhs.endpoints))
       return false;
+    if (!(reserve_used == rhs.reserve_used))
+      return false;
     return true;
   }
   bool operator != (const FleetSnapshot &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -463,6 +463,12 @@
   2: i64 incarnation,                    // grows with each process
 }
 
+// Whether the reserves of customers' limits have been given out.
+struct ReserveUse {
+  1: i64 term,                           // of the leader that says so
+  2: bool used,
+}
+
 struct PutDocument {
   1: i64 version,
   2: binary text,
@@ -473,12 +479,14 @@
   1: optional PutDocument put,
   2: optional RegisterHolder holder,
   3: optional EndpointRecord endpoint,   // as it was when it last changed
+  4: optional ReserveUse reserve,
 }
 
 struct FleetSnapshot {
   1: PutDocument document,
   2: map<string, HolderState> holders,   // by instance
   3: map<string, EndpointRecord> endpoints,  // by name; none that are gone
+  4: bool reserve_used,
 }
 
 struct PeerMessage {
--- a/quota/include/goldcrest/quota/limit.h
+++ b/quota/include/goldcrest/quota/limit.h
@@ -22,11 +22,21 @@
 //! Regular interval of reports.
 inline constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 
+//! How long a new owner may give out the reserves of limits.
+inline constexpr Duration kReserveUse = std::chrono::seconds(5);
+
+//! From one grant of the reserves to the next: tokens of the first have lapsed,
+//! and no judged window of kReserveUse reaches both.
+inline constexpr Duration kReserveRest =
+    kReserveUse + kReserveUse + kShareLapse;
+
 //! Rate and burst of one customer over the whole fleet, in millionths of a
 //! request (a second).
 struct Limit {
   std::int64_t rate_micros = 0;
   std::int64_t burst_micros = 0;
+  //! What a new owner may give out beside them, once; see Owner.
+  std::int64_t reserve_micros = 0;
 
   bool operator==(const Limit&) const = default;
 };
--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -34,6 +34,11 @@
   //! the higher of the old and the new limit bounds what is taken.
   void SetLimit(Time now, const std::string& customer, Limit limit);
 
+  //! Adds the reserve of each limit to what may be given out, for
+  //! kReserveUse from now on. The caller sees to it that no two owners do so
+  //! within kReserveRest.
+  void GrantReserve(Time now);
+
   //! The customer has no limit any more.
   void RemoveLimit(Time now, const std::string& customer);
 
@@ -92,8 +97,9 @@
   };
   struct Bucket {
     std::optional<Limit> limit;
-    std::int64_t level_micros = 0;  // tokens kept by the owner
-    std::int64_t remainder = 0;     // millionths of level_micros
+    std::int64_t level_micros = 0;    // tokens kept by the owner
+    std::int64_t remainder = 0;       // millionths of level_micros
+    std::int64_t reserve_micros = 0;  // tokens left of a granted reserve
     Time refilled_at;
     std::int64_t plenty_permille = 0;  // how far the level is up, slow to rise
     std::map<ShareKey, Share> shares;
@@ -134,6 +140,10 @@
                             const ShareKey& key,
                             Share& share,
                             std::int64_t wanted_micros);
+  std::int64_t Needed(const Bucket& bucket,
+                      const Share& share,
+                      const messages::ShareReport& report,
+                      std::int64_t capacity_micros) const;
   Grant Decide(const Bucket& bucket,
                const Share& share,
                const messages::ShareReport& report) const;
@@ -142,6 +152,7 @@
 
   std::int64_t term_;
   Time ready_at_;
+  Time reserve_until_;
   bool ready_ = false;
   bool wait_for_lapse_ = false;
   std::int64_t last_sequence_ = 0;
--- a/quota/src/limit.cc
+++ b/quota/src/limit.cc
@@ -12,6 +12,11 @@
 // requests that are repeated at another endpoint after they ran.
 constexpr double kToleranceUsed = 0.9;
 
+// Part of a window's requests that is kept for the time after a change of the
+// owner, which starts with empty buckets while callers repeat what failed. More
+// would refuse customers that use all of their rate.
+constexpr double kReservePart = 0.1;
+
 }  // namespace
 
 Limit LimitFor(std::int64_t rate,
@@ -28,8 +33,9 @@
     return static_cast<std::int64_t>(
         std::floor(requests * static_cast<double>(kRequestMicros)));
   };
-  return {micros(allowed * kRatePart / seconds),
-          micros(allowed * (1 - kRatePart))};
+  const double steady = allowed * (1 - kReservePart);
+  return {micros(steady * kRatePart / seconds),
+          micros(steady * (1 - kRatePart)), micros(allowed * kReservePart)};
 }
 
 void Refill(std::int64_t rate_micros,
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -92,6 +92,16 @@
   bucket.level_micros = std::min(bucket.level_micros, FreeCapacity(bucket));
 }
 
+void Owner::GrantReserve(Time now) {
+  reserve_until_ = now + kReserveUse;
+  for (auto& [customer, bucket] : buckets_) {
+    Advance(bucket, now);
+    if (!bucket.limit)
+      continue;
+    bucket.reserve_micros = bucket.limit->reserve_micros;
+  }
+}
+
 void Owner::RemoveLimit(Time now, const std::string& customer) {
   Bucket& bucket = buckets_[customer];
   Advance(bucket, now);
@@ -275,6 +285,8 @@
 }
 
 void Owner::Advance(Bucket& bucket, Time now) {
+  if (now >= reserve_until_)
+    bucket.reserve_micros = 0;
   if (now > bucket.refilled_at) {
     Refill(FreeRate(bucket), FreeCapacity(bucket), now - bucket.refilled_at,
            bucket.level_micros, bucket.remainder);
@@ -417,6 +429,22 @@
   }
 }
 
+// Tokens for the requests that wait at the entry.
+std::int64_t Owner::Needed(const Bucket& bucket,
+                           const Share& share,
+                           const messages::ShareReport& report,
+                           std::int64_t capacity_micros) const {
+  std::int64_t needed =
+      std::max<std::int64_t>(report.wanted_micros - report.level_micros, 0);
+  needed = std::min(needed, bucket.level_micros + bucket.reserve_micros -
+                                OwedBefore(bucket, share));
+  needed = std::max<std::int64_t>(needed, 0);
+  if (capacity_micros == 0) {
+    needed -= needed % kRequestMicros;  // part of a token can't be used
+  }
+  return needed;
+}
+
 // What the entry should hold now, without a sequence.
 Owner::Grant Owner::Decide(const Bucket& bucket,
                            const Share& share,
@@ -424,6 +452,8 @@
   Grant grant = share.confirmed;
   grant.added_micros = 0;
   if (UsablePercent() == 0) {
+    // Of the limit nothing is known to be free; the reserve is.
+    grant.added_micros = Needed(bucket, share, report, grant.capacity_micros);
     return grant;
   }
   const Limit& limit = *bucket.limit;
@@ -464,14 +494,8 @@
   const std::int64_t increase = std::max<std::int64_t>(
       grant.capacity_micros - share.confirmed.capacity_micros, 0);
   grant.added_micros = Scale(bucket.level_micros, increase, free_capacity);
-  std::int64_t needed =
-      std::max<std::int64_t>(report.wanted_micros - report.level_micros, 0);
-  needed = std::min(needed, bucket.level_micros - OwedBefore(bucket, share));
-  needed = std::max<std::int64_t>(needed, 0);
-  if (grant.capacity_micros == 0) {
-    needed -= needed % kRequestMicros;  // part of a token can't be used
-  }
-  grant.added_micros = std::max(grant.added_micros, needed);
+  grant.added_micros = std::max(
+      grant.added_micros, Needed(bucket, share, report, grant.capacity_micros));
   return grant;
 }
 
@@ -508,7 +532,10 @@
       AddTotals(bucket, share, -1);
       share.sent = grant;
       AddTotals(bucket, share, 1);
-      bucket.level_micros -= grant.added_micros;
+      const std::int64_t of_level =
+          std::min(grant.added_micros, bucket.level_micros);
+      bucket.level_micros -= of_level;
+      bucket.reserve_micros -= grant.added_micros - of_level;
       UpdateWaiting(
           now, bucket, key, share,
           std::max<std::int64_t>(share.wanted_micros - grant.added_micros, 0));
