Give tokens to the newest operation that waits

Cause: a customer that keeps above its rate had its operations served oldest first, each just before it would have been given up at 300 ms, so that most of them came after their latency objective.

--- a/statements/src/proxy_admission.cc
+++ b/statements/src/proxy_admission.cc
@@ -1,5 +1,6 @@
 // Admission of operations: route, customer and rate.
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -41,8 +42,12 @@
   return false;
 }
 
+// The newest operation goes first: a customer that keeps above its rate would
+// otherwise have each operation served just before it is given up.
 void StatementProxy::ServeWaitingForTokens(Time now) {
-  const std::vector<SessionId> waiters = std::exchange(token_waiters_, {});
+  std::vector<SessionId> waiters = std::exchange(token_waiters_, {});
+  std::ranges::reverse(waiters);
+  std::vector<SessionId> left;
   for (const SessionId id : waiters) {
     const auto it = sessions_.find(id);
     if (it == sessions_.end() || !it->second.pending)
@@ -70,8 +75,11 @@
       NextFromInbox(now, id);
       continue;
     }
-    token_waiters_.push_back(id);
+    left.push_back(id);
   }
+  // Those that began to wait meanwhile are newer.
+  std::ranges::reverse(left);
+  token_waiters_.insert(token_waiters_.begin(), left.begin(), left.end());
 }
 
 }  // namespace goldcrest::statements
--- a/statements/tests/proxy_outcomes_test.cc
+++ b/statements/tests/proxy_outcomes_test.cc
@@ -144,6 +144,37 @@
   }
 }
 
+// Guards against a customer above its rate whose operations are all served
+// late.
+TEST_CASE("Of the operations that wait for tokens the newest goes first",
+          "[statements]") {
+  ProxyFixture fixture;
+  fixture.table.customers.front().rate_per_second = 1;
+  fixture.table.customers.front().burst = 1;
+  fixture.ApplyTable(2);
+  for (const SessionId id : {11, 12}) {
+    fixture.OpenSession(id, "own");
+    fixture.Say(id, StatementKind::kBegin, "BEGIN");
+    fixture.Advance(std::chrono::milliseconds(20));
+  }
+  CHECK(fixture.AnswerCount(11) == 1);
+  CHECK(fixture.AnswerCount(12) == 1);
+  quota::Holder& holder = fixture.proxy->holder();
+  holder.Report(fixture.now);
+  messages::ShareUpdate update;
+  update.customer = fixture.table.customers.front().name;
+  update.owner_term = 1;
+  update.share_sequence = 1;
+  update.added_micros = quota::kRequestMicros;
+  update.lease_ms = 1'000;
+  holder.OnUpdates(fixture.now, fixture.now, {update});
+  fixture.proxy->OnShares(fixture.now);
+  CHECK(fixture.AnswerCount(11) == 1);
+  CHECK(fixture.AnswerCount(12) == 2);
+  fixture.Advance(std::chrono::milliseconds(400));
+  CHECK(fixture.Last(11).outcome == Outcome::kBusy);
+}
+
 TEST_CASE("A statement that finds no endpoint is refused as not run in time",
           "[statements]") {
   ProxyFixture fixture;
