--- /dev/null
+++ b/consensus/tests/helpers.h
@@ -0,0 +1,40 @@
+#ifndef GOLDCREST_CONSENSUS_TESTS_HELPERS_H_
+#define GOLDCREST_CONSENSUS_TESTS_HELPERS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cluster.h"
+
+namespace goldcrest::consensus {
+
+inline const std::vector<std::string> kThree = {"a", "b", "c"};
+
+// The followers of the current leader, in order of name.
+inline std::vector<std::string> Followers(Cluster& cluster) {
+  std::vector<std::string> followers = kThree;
+  std::erase(followers, cluster.Leader());
+  return followers;
+}
+
+inline messages::ConsensusMessage VoteFor(const std::string& candidate,
+                                          std::int64_t term) {
+  messages::VoteRequest request;
+  request.term = term;
+  request.candidate = candidate;
+  request.last_index = 1000;
+  request.last_term = 1000;
+  messages::ConsensusMessage message;
+  message.__set_vote_request(request);
+  return message;
+}
+
+inline bool Grants(const Output& output) {
+  return !output.messages.empty() &&
+         output.messages.front().message.vote_response.granted;
+}
+
+}  // namespace goldcrest::consensus
+
+#endif  // GOLDCREST_CONSENSUS_TESTS_HELPERS_H_
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -55,10 +55,6 @@
     Merge(now, record);
 }
 
-bool Controller::Leads(Time now) const {
-  return leadership_ != nullptr && replica_.HoldsLeaderLease(now);
-}
-
 void Controller::Tick(Time now) {
   if (now >= replica_.NextDeadline())
     Process(now, replica_.Tick(now));
@@ -213,105 +209,6 @@
   ToEntries(update);
 }
 
-void Controller::UpdateLeadership(Time now) {
-  const bool leads = replica_.IsLeader();
-  if (leadership_ != nullptr &&
-      (!leads || replica_.Term() != leadership_->term)) {
-    hooks_.decided("leadership_lost", std::to_string(leadership_->term), "");
-    leadership_.reset();
-  }
-  if (leadership_ != nullptr || !leads || !replica_.HoldsLeaderLease(now))
-    return;
-  leadership_ = std::make_unique<Leadership>();
-  leadership_->term = replica_.Term();
-  leadership_->won_at = now;
-  hooks_.decided("leadership_won", std::to_string(leadership_->term), "");
-  // Members that were silent for a long time count from now.
-  for (const std::string& member : replica_.Members()) {
-    if (member != options_.replica.self)
-      peers_[member].heard_at = std::max(peers_[member].heard_at, now);
-  }
-  std::map<std::string, std::int64_t> registered;
-  for (const auto& [instance, holder] : state_.holders()) {
-    if (holder.process != 0)
-      registered[instance] = holder.incarnation;
-  }
-  leadership_->owner =
-      std::make_unique<quota::Owner>(leadership_->term, now, registered);
-  FailoverHooks failover;
-  failover.probe = hooks_.probe;
-  failover.promote = hooks_.promote;
-  failover.assigned = [this](const messages::PrimaryAssignment& assignment) {
-    messages::ProxyUpdate update;
-    update.primaries.push_back(assignment);
-    ToEntries(update);
-  };
-  failover.ask_contacts = [this] {
-    messages::ProxyUpdate update;
-    update.report_now = true;
-    ToEntries(update);
-  };
-  failover.decided = [this](const std::string& event, const std::string& group,
-                            const std::string& endpoint,
-                            const std::string& cause) {
-    hooks_.decided(event, group + " " + endpoint, cause);
-  };
-  leadership_->failover = std::make_unique<FailoverPlanner>(
-      now, leadership_->term, &directory_, std::move(failover));
-  SetLimits(now);
-  leadership_->reserve_since = now;
-  if (!state_.reserve_used())
-    TellReserve(now, true);
-  for (const messages::EndpointRecord& record : directory_.All())
-    Record(now, record);
-}
-
-// The reserves of limits are given out at a takeover, when callers repeat what
-// failed and the new owner's buckets are empty. The log holds that they were,
-// so that the next leader does not give them out again too soon.
-void Controller::TellReserve(Time now, bool used) {
-  messages::FleetCommand command;
-  messages::ReserveUse reserve;
-  reserve.term = leadership_->term;
-  reserve.used = used;
-  command.__set_reserve(reserve);
-  leadership_->reserve_told = Propose(now, command) != 0;
-}
-
-void Controller::OnReserve(Time now, const messages::ReserveUse& reserve) {
-  if (leadership_ == nullptr || reserve.term != leadership_->term)
-    return;
-  leadership_->reserve_told = false;
-  if (!reserve.used)
-    return;
-  leadership_->reserve_since = now;
-  leadership_->owner->GrantReserve(now);
-  hooks_.decided("reserve_given_out", std::to_string(reserve.term), "");
-}
-
-// An earlier leader gave the reserves out before this one took over at the
-// latest.
-void Controller::RestoreReserve(Time now) {
-  if (state_.reserve_used() && !leadership_->reserve_told &&
-      now - leadership_->reserve_since >= quota::kReserveRest)
-    TellReserve(now, false);
-}
-
-void Controller::SetLimits(Time now) {
-  if (!table_ || leadership_->version == table_->version)
-    return;
-  leadership_->version = table_->version;
-  std::set<std::string> groups;
-  for (const auto& [name, group] : table_->groups)
-    groups.insert(name);
-  leadership_->failover->SetGroups(now, groups);
-  for (const routing::Customer& customer : table_->customers)
-    leadership_->owner->SetLimit(
-        now, customer.name,
-        quota::LimitFor(customer.rate_per_second, customer.burst,
-                        options_.limit_window));
-}
-
 std::int64_t Controller::Propose(Time now,
                                  const messages::FleetCommand& command) {
   consensus::Proposal proposal =
--- /dev/null
+++ b/fleet/src/controller_leadership.cc
@@ -0,0 +1,172 @@
+// What a controller does while it leads: limits and their reserves, holders of
+// shares, and the membership.
+
+#include <chrono>
+#include <utility>
+
+#include "goldcrest/fleet/controller.h"
+
+namespace goldcrest::fleet {
+namespace {
+
+constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
+
+// Twice the time after which a share lapses.
+constexpr Duration kHolderExpiry = 2 * quota::kShareLapse;
+
+}  // namespace
+
+bool Controller::Leads(Time now) const {
+  return leadership_ != nullptr && replica_.HoldsLeaderLease(now);
+}
+
+void Controller::UpdateLeadership(Time now) {
+  const bool leads = replica_.IsLeader();
+  if (leadership_ != nullptr &&
+      (!leads || replica_.Term() != leadership_->term)) {
+    hooks_.decided("leadership_lost", std::to_string(leadership_->term), "");
+    leadership_.reset();
+  }
+  if (leadership_ != nullptr || !leads || !replica_.HoldsLeaderLease(now))
+    return;
+  leadership_ = std::make_unique<Leadership>();
+  leadership_->term = replica_.Term();
+  leadership_->won_at = now;
+  hooks_.decided("leadership_won", std::to_string(leadership_->term), "");
+  // Members that were silent for a long time count from now.
+  for (const std::string& member : replica_.Members()) {
+    if (member != options_.replica.self)
+      peers_[member].heard_at = std::max(peers_[member].heard_at, now);
+  }
+  std::map<std::string, std::int64_t> registered;
+  for (const auto& [instance, holder] : state_.holders()) {
+    if (holder.process != 0)
+      registered[instance] = holder.incarnation;
+  }
+  leadership_->owner =
+      std::make_unique<quota::Owner>(leadership_->term, now, registered);
+  FailoverHooks failover;
+  failover.probe = hooks_.probe;
+  failover.promote = hooks_.promote;
+  failover.assigned = [this](const messages::PrimaryAssignment& assignment) {
+    messages::ProxyUpdate update;
+    update.primaries.push_back(assignment);
+    ToEntries(update);
+  };
+  failover.ask_contacts = [this] {
+    messages::ProxyUpdate update;
+    update.report_now = true;
+    ToEntries(update);
+  };
+  failover.decided = [this](const std::string& event, const std::string& group,
+                            const std::string& endpoint,
+                            const std::string& cause) {
+    hooks_.decided(event, group + " " + endpoint, cause);
+  };
+  leadership_->failover = std::make_unique<FailoverPlanner>(
+      now, leadership_->term, &directory_, std::move(failover));
+  SetLimits(now);
+  leadership_->reserve_since = now;
+  if (!state_.reserve_used())
+    TellReserve(now, true);
+  for (const messages::EndpointRecord& record : directory_.All())
+    Record(now, record);
+}
+
+// The reserves of limits are given out at a takeover, when callers repeat what
+// failed and the new owner's buckets are empty. The log holds that they were,
+// so that the next leader does not give them out again too soon.
+void Controller::TellReserve(Time now, bool used) {
+  messages::FleetCommand command;
+  messages::ReserveUse reserve;
+  reserve.term = leadership_->term;
+  reserve.used = used;
+  command.__set_reserve(reserve);
+  leadership_->reserve_told = Propose(now, command) != 0;
+}
+
+void Controller::OnReserve(Time now, const messages::ReserveUse& reserve) {
+  if (leadership_ == nullptr || reserve.term != leadership_->term)
+    return;
+  leadership_->reserve_told = false;
+  if (!reserve.used)
+    return;
+  leadership_->reserve_since = now;
+  leadership_->owner->GrantReserve(now);
+  hooks_.decided("reserve_given_out", std::to_string(reserve.term), "");
+}
+
+// An earlier leader gave the reserves out before this one took over at the
+// latest.
+void Controller::RestoreReserve(Time now) {
+  if (state_.reserve_used() && !leadership_->reserve_told &&
+      now - leadership_->reserve_since >= quota::kReserveRest)
+    TellReserve(now, false);
+}
+
+void Controller::SetLimits(Time now) {
+  if (!table_ || leadership_->version == table_->version)
+    return;
+  leadership_->version = table_->version;
+  std::set<std::string> groups;
+  for (const auto& [name, group] : table_->groups)
+    groups.insert(name);
+  leadership_->failover->SetGroups(now, groups);
+  for (const routing::Customer& customer : table_->customers)
+    leadership_->owner->SetLimit(
+        now, customer.name,
+        quota::LimitFor(customer.rate_per_second, customer.burst,
+                        options_.limit_window));
+}
+
+// An instance that has been silent far longer than a share lasts holds nothing
+// any more; while it counts as a holder, each new owner waits for it.
+void Controller::ReleaseSilentHolders(Time now) {
+  if (now - leadership_->won_at < kHolderExpiry)
+    return;
+  for (const auto& [instance, holder] : state_.holders()) {
+    const auto it = entries_.find(instance);
+    if (holder.process == 0 ||
+        (it != entries_.end() && now - it->second.reported_at < kHolderExpiry))
+      continue;
+    hooks_.decided("holder_released", instance, "silent");
+    // By value: the proposal may change the holders.
+    return ReleaseHolder(now, std::string(instance));
+  }
+}
+
+void Controller::ReleaseHolder(Time now, const std::string& instance) {
+  leadership_->owner->Release(now, instance);
+  messages::FleetCommand command;
+  messages::RegisterHolder holder;
+  holder.instance = instance;
+  holder.released = true;
+  command.__set_holder(holder);
+  Propose(now, command);
+}
+
+void Controller::PlanMembership(Time now) {
+  if (now < next_membership_ || draining_)
+    return;
+  next_membership_ = now + kMembershipInterval;
+  MembershipView view;
+  view.self = options_.replica.self;
+  view.members = replica_.Members();
+  view.peers = peers_;
+  view.changed_at = members_changed_at_;
+  view.tolerated_losses = options_.tolerated_losses;
+  for (const std::string& member : view.members) {
+    if (member != view.self)
+      view.peers.try_emplace(member);
+  }
+  const auto next = NextMembership(now, view);
+  if (!next)
+    return;
+  consensus::Proposal proposal = replica_.ProposeMembers(now, *next);
+  if (proposal.code == ResultCode::kOk)
+    hooks_.decided("membership_proposed", std::to_string(next->size()),
+                   "was " + std::to_string(view.members.size()));
+  Process(now, std::move(proposal.output));
+}
+
+}  // namespace goldcrest::fleet
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -7,14 +7,9 @@
 namespace goldcrest::fleet {
 namespace {
 
-constexpr Duration kMembershipInterval = std::chrono::milliseconds(200);
-
 // Reports of an entry come every 250 ms, probes as well.
 constexpr std::size_t kReportsKept = 8;
 
-// Twice the time after which a share lapses.
-constexpr Duration kHolderExpiry = 2 * quota::kShareLapse;
-
 // An entry without a report for this long no longer counts as one.
 constexpr Duration kEntryFresh = std::chrono::seconds(5);
 
@@ -193,32 +188,6 @@
   return {};
 }
 
-// An instance that has been silent far longer than a share lasts holds nothing
-// any more; while it counts as a holder, each new owner waits for it.
-void Controller::ReleaseSilentHolders(Time now) {
-  if (now - leadership_->won_at < kHolderExpiry)
-    return;
-  for (const auto& [instance, holder] : state_.holders()) {
-    const auto it = entries_.find(instance);
-    if (holder.process == 0 ||
-        (it != entries_.end() && now - it->second.reported_at < kHolderExpiry))
-      continue;
-    hooks_.decided("holder_released", instance, "silent");
-    // By value: the proposal may change the holders.
-    return ReleaseHolder(now, std::string(instance));
-  }
-}
-
-void Controller::ReleaseHolder(Time now, const std::string& instance) {
-  leadership_->owner->Release(now, instance);
-  messages::FleetCommand command;
-  messages::RegisterHolder holder;
-  holder.instance = instance;
-  holder.released = true;
-  command.__set_holder(holder);
-  Propose(now, command);
-}
-
 void Controller::OnNotice(Time now,
                           const std::string& from,
                           const messages::ControllerNotice& notice) {
@@ -265,28 +234,4 @@
   }
 }
 
-void Controller::PlanMembership(Time now) {
-  if (now < next_membership_ || draining_)
-    return;
-  next_membership_ = now + kMembershipInterval;
-  MembershipView view;
-  view.self = options_.replica.self;
-  view.members = replica_.Members();
-  view.peers = peers_;
-  view.changed_at = members_changed_at_;
-  view.tolerated_losses = options_.tolerated_losses;
-  for (const std::string& member : view.members) {
-    if (member != view.self)
-      view.peers.try_emplace(member);
-  }
-  const auto next = NextMembership(now, view);
-  if (!next)
-    return;
-  consensus::Proposal proposal = replica_.ProposeMembers(now, *next);
-  if (proposal.code == ResultCode::kOk)
-    hooks_.decided("membership_proposed", std::to_string(next->size()),
-                   "was " + std::to_string(view.members.size()));
-  Process(now, std::move(proposal.output));
-}
-
 }  // namespace goldcrest::fleet
--- /dev/null
+++ b/quota/internal/percent.h
@@ -0,0 +1,16 @@
+#ifndef GOLDCREST_QUOTA_PERCENT_H_
+#define GOLDCREST_QUOTA_PERCENT_H_
+
+#include <cstdint>
+
+namespace goldcrest::quota {
+
+//! `percent` hundredths of `amount`, rounded towards zero, without overflow.
+inline std::int64_t Percent(std::int64_t amount, std::int64_t percent) {
+  return static_cast<std::int64_t>(static_cast<__int128>(amount) * percent /
+                                   100);
+}
+
+}  // namespace goldcrest::quota
+
+#endif  // GOLDCREST_QUOTA_PERCENT_H_
