Pause before asking a full endpoint again at the narrowest window

Ruled out: a narrower window (it cannot be below one statement) and giving the statement up at once (a slot is free within the objective). Pauses of 20 to 160 ms, doubled with each refusal and halved with each answer, spread over their second half.

--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -112,10 +112,11 @@
                 const std::string& endpoint,
                 LogPosition position) const;
 
-  //! The endpoint had no room for a statement: fewer are sent at a time.
+  //! The endpoint had no room for a statement: fewer are sent at a time, and
+  //! when a single one was too many, none for a while.
   void OnBusy(Time now, const std::string& endpoint);
   //! True when another statement may be sent to the endpoint now.
-  bool HasRoom(const std::string& endpoint) const;
+  bool HasRoom(Time now, const std::string& endpoint) const;
 
   //! Expected time for one more statement at the endpoint: its recent latency,
   //! or the age of its oldest unanswered statement, times what this entry has
@@ -145,6 +146,8 @@
     Time behind_until;
     double window = 0;  // statements at a time; 0: not set yet
     Time narrowed_at;
+    Duration busy_pause{};  // of the last refusal at the narrowest window
+    Time busy_until;
     int refusals = 0;  // for too many connections, in a row
     int count = 0;
     int opening = 0;
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -38,6 +38,12 @@
 constexpr double kWiden = 0.15;
 constexpr double kWidestWindow = 24;
 
+// Pause after a refusal at the narrowest window, doubled with each one and
+// halved with each answer: dozens of entries with one statement each are still
+// too many for a few slots, and each attempt costs bytes between zones.
+constexpr Duration kShortestBusyPause = std::chrono::milliseconds(20);
+constexpr Duration kLongestBusyPause = std::chrono::milliseconds(160);
+
 // Weight of the newest latency: 1 / kLatencyWeight.
 constexpr int kLatencyWeight = 5;
 
@@ -192,6 +198,7 @@
   if (health.window > 0)
     health.window = health.window >= kWidestWindow ? 0 : health.window + kWiden;
   health.latency += (latency - health.latency) / kLatencyWeight;
+  health.busy_pause /= 2;
 }
 
 void ConnectionPool::OnFailure(Time now, const std::string& endpoint) {
@@ -230,6 +237,14 @@
 
 void ConnectionPool::OnBusy(Time now, const std::string& endpoint) {
   Health& health = health_[endpoint];
+  if (health.window > 0 && health.window < 2 && now >= health.busy_until) {
+    health.busy_pause = std::clamp(health.busy_pause * 2, kShortestBusyPause,
+                                   kLongestBusyPause);
+    // Spread over half of the pause, so that entries do not return together.
+    const Duration spread =
+        now.time_since_epoch() % std::max(Duration(1), health.busy_pause / 2);
+    health.busy_until = now + health.busy_pause / 2 + spread;
+  }
   if (now - health.narrowed_at < kNarrowInterval)
     return;
   health.narrowed_at = now;
@@ -238,9 +253,13 @@
   health.window = std::max(1.0, std::min(window, used) * kNarrowFactor);
 }
 
-bool ConnectionPool::HasRoom(const std::string& endpoint) const {
+bool ConnectionPool::HasRoom(Time now, const std::string& endpoint) const {
   const auto it = health_.find(endpoint);
-  return it == health_.end() || it->second.window == 0 ||
+  if (it == health_.end())
+    return true;
+  if (now < it->second.busy_until)
+    return false;
+  return it->second.window == 0 ||
          OutstandingAt(endpoint) < static_cast<int>(it->second.window);
 }
 
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -107,7 +107,7 @@
     session.pending->last_cause = "no primary known";
     return;
   }
-  if (!pool_.HasRoom(primary)) {
+  if (!pool_.HasRoom(now, primary)) {
     session.pending->last_cause = "primary " + primary + " is busy";
     return;
   }
@@ -169,7 +169,7 @@
   std::ranges::sort(candidates, {}, &Candidate::cost);
   session.pending->last_cause = "no free connection";
   for (const Candidate& candidate : candidates) {
-    if (!pool_.HasRoom(candidate.endpoint))
+    if (!pool_.HasRoom(now, candidate.endpoint))
       continue;
     if (!Acquire(now, session, candidate.endpoint, opening)) {
       if (opening == Opening::kLater ||
--- a/statements/tests/connection_pool_test.cc
+++ b/statements/tests/connection_pool_test.cc
@@ -48,6 +48,34 @@
   }
 }
 
+// Guards against many entries that ask a full endpoint again and again, each
+// with a single statement.
+TEST_CASE(
+    "An endpoint without room for one statement is left alone for a while",
+    "[statements]") {
+  Pool pool;
+  Time now = kStart;
+  pool.pool.OnBusy(now, "e");
+  CHECK(pool.pool.HasRoom(now, "e"));
+  Duration last{};
+  for (int refusal = 0; refusal < 6; ++refusal) {
+    now += milliseconds(200);
+    REQUIRE(pool.pool.HasRoom(now, "e"));
+    pool.pool.OnBusy(now, "e");
+    const Time refused_at = now;
+    while (!pool.pool.HasRoom(now, "e"))
+      now += milliseconds(1);
+    CHECK(now - refused_at >= std::max<Duration>(milliseconds(10), last / 2));
+    CHECK(now - refused_at <= milliseconds(160));
+    last = std::min<Duration>(now - refused_at, milliseconds(80));
+  }
+  CHECK(last >= milliseconds(70));
+  for (int answer = 0; answer < 8; ++answer)
+    pool.pool.OnLatency("e", milliseconds(5));
+  pool.pool.OnBusy(now + milliseconds(1), "e");
+  CHECK(pool.pool.HasRoom(now + milliseconds(21), "e"));
+}
+
 // Guards against a connection that carries another customer's statements.
 TEST_CASE("A connection serves its own customer only",
           "[statements][guarantee]") {
