--- a/fleet/src/controller_leadership.cc
+++ b/fleet/src/controller_leadership.cc
@@ -67,7 +67,8 @@
       now, leadership_->term, &directory_, std::move(failover));
   SetLimits(now);
   leadership_->reserve_since = now;
-  if (!state_.reserve_used())
+  // Before the first configuration nothing was taken, and nothing fails.
+  if (!state_.reserve_used() && !state_.text().empty())
     TellReserve(now, true);
   for (const messages::EndpointRecord& record : directory_.All())
     Record(now, record);
