--- a/quota/src/holder.cc
+++ b/quota/src/holder.cc
@@ -18,6 +18,10 @@
 // Shortest time between two reports, which bounds the messages of an entry.
 constexpr Duration kMinReportGap = std::chrono::milliseconds(10);
 
+// Shares with this demand, in requests a second, are named in each report: the
+// owner fits them to the demand each time, so that requests seldom wait.
+constexpr double kBusyDemand = 0.5;
+
 // A demand that has changed by this factor is news.
 constexpr double kDemandFactor = 2;
 
@@ -213,7 +217,8 @@
       share.demand > kDemandFactor * share.reported_demand ||
       share.demand * kDemandFactor < share.reported_demand;
   return share.changed || share.waiting > 0 || share.surplus_micros > 0 ||
-         demand_moved || now - share.reported_at >= kShareInterval;
+         share.demand >= kBusyDemand || demand_moved ||
+         now - share.reported_at >= kShareInterval;
 }
 
 bool Holder::Take(Share& share, Time now) {
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -142,8 +142,6 @@
 
     async def stop(self):
         self.stopping = True
-        for task in self.background:
-            task.cancel()
         for instance in self.instances:
             for process in instance.processes():
                 await process.end(seconds=0)
@@ -191,9 +189,11 @@
                 task.result()  # raises what a caller did not expect
         return record
     finally:
-        for task in callers:
-            task.cancel()
         await world.stop()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
 
 
 def numbers(text):
