--- a/quota/tests/share_test.cc
+++ b/quota/tests/share_test.cc
@@ -135,6 +135,7 @@
     holder.TryTake(now, kCustomer);
     Exchange(holder, first, now, "entry");
   }
+  now += std::chrono::seconds(3);  // the share is not in use any more
   Owner second(2, now, {{"entry", 1}});
   second.SetLimit(now, kCustomer, kLimit);
   const auto learned = second.OnReport(now, "entry", 1, holder.Report(now));
