Spread fetches of the configuration and wait for large ones

Entries asked for a document again after 0.4 s, the time that 100 kB take over a link of 2 Mbit/s, so that it was sent several times; and all asked the same controller first, the one with the lowest address. Ruled out: lost controllers (none was killed at 22 s, where it begins). An entry now ranks the controllers by its own number and waits one second, doubled with each that does not answer.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -49,7 +49,8 @@
       started_at_(SystemClock::Now()),
       scheduler_(context),
       acceptor_(context),
-      proxy_({settings.zone, LimitWindowOf(settings)}, MakeHooks()) {
+      proxy_({settings.zone, LimitWindowOf(settings)}, MakeHooks()),
+      document_source_(process_) {
   known_controllers_ = ControllerNames(settings_);
   adapters::PeerTransportOptions peers = PeerOptions(settings_, kEntryOffset);
   peers_ = std::make_unique<adapters::PeerTransport>(
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -17,6 +17,7 @@
 #include "goldcrest/adapters/scheduler.h"
 #include "goldcrest/platform/boot_settings.h"
 #include "goldcrest/platform/statement_codec.h"
+#include "goldcrest/routing/document_source.h"
 #include "goldcrest/statements/statement_proxy.h"
 #include "programs/goldcrestd/platform_log.h"
 
@@ -95,8 +96,7 @@
   std::map<std::string, ControllerView> controllers_;
   std::string leader_;
   Time contacts_told_;  // to the leader
-  std::string fetching_from_;
-  Time fetch_until_;
+  routing::DocumentSource document_source_;
   bool endpoints_known_ = false;
   bool ready_told_ = false;
   Time drain_started_ = kNever;
--- a/programs/goldcrestd/entry_service_peers.cc
+++ b/programs/goldcrestd/entry_service_peers.cc
@@ -14,9 +14,6 @@
 using adapters::SystemClock;
 using std::chrono::milliseconds;
 
-// A controller that does not send the document is given up for another one.
-constexpr Duration kFetchTimeout = milliseconds(400);
-
 // Contacts with primaries, unless one fails or the leader asks: shorter than
 // the time for which the leader believes them.
 constexpr Duration kContactsInterval = milliseconds(1'000);
@@ -52,7 +49,7 @@
       UpdatePeers();
   }
   if (update.__isset.document) {
-    fetching_from_.clear();
+    document_source_.OnDocument();
     auto decoded = platform::DecodeRoutingDocument(update.document);
     if (decoded.table)
       proxy_.OnRoutingTable(now, decoded.table);
@@ -89,27 +86,16 @@
   FetchDocument(now);
 }
 
-// Asks one controller at a time for a document newer than the one in force.
 void EntryService::FetchDocument(Time now) {
-  if (!fetching_from_.empty() && now < fetch_until_)
-    return;
-  std::string best;
+  std::vector<routing::DocumentSource::Candidate> linked;
   for (const auto& [name, view] : controllers_) {
-    if (!view.linked || view.version <= proxy_.Version() ||
-        name == fetching_from_)
-      continue;
-    if (best.empty() || view.version > controllers_[best].version)
-      best = name;
+    if (view.linked)
+      linked.push_back({name, view.version});
   }
-  if (best.empty() && !fetching_from_.empty() &&
-      controllers_[fetching_from_].linked &&
-      controllers_[fetching_from_].version > proxy_.Version())
-    best = fetching_from_;
-  fetching_from_ = best;
-  if (best.empty())
-    return;
-  fetch_until_ = now + kFetchTimeout;
-  Report(now, best, true);
+  const std::string source =
+      document_source_.Next(now, proxy_.Version(), linked);
+  if (!source.empty())
+    Report(now, source, true);
 }
 
 void EntryService::UpdatePeers() {
--- /dev/null
+++ b/routing/tests/document_source_test.cc
@@ -0,0 +1,62 @@
+#include "goldcrest/routing/document_source.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+
+namespace goldcrest::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Time kStart = TimeFromMicros(10'000'000);
+const std::vector<DocumentSource::Candidate> kLinked = {{"a", 7},
+                                                        {"b", 7},
+                                                        {"c", 7},
+                                                        {"d", 5}};
+
+}  // namespace
+
+// Guards against one controller that sends a large document to all entries.
+TEST_CASE("Entries spread over the controllers that have the newest document",
+          "[routing]") {
+  std::map<std::string, int> asked;
+  for (int salt = 0; salt < 90; ++salt)
+    ++asked[DocumentSource(salt).Next(kStart, 5, kLinked)];
+  REQUIRE(asked.size() == 3);
+  for (const auto& [controller, count] : asked)
+    CHECK(count >= 15);
+}
+
+// Guards against documents that are sent again while they cross a slow link.
+TEST_CASE("Another controller is asked only after a large document's time",
+          "[routing]") {
+  DocumentSource source(1);
+  const std::string first = source.Next(kStart, 5, kLinked);
+  CHECK(source.Next(kStart + milliseconds(900), 5, kLinked).empty());
+  const std::string second =
+      source.Next(kStart + milliseconds(1'000), 5, kLinked);
+  CHECK(second != first);
+  CHECK(source.Next(kStart + milliseconds(2'900), 5, kLinked).empty());
+  CHECK_FALSE(source.Next(kStart + milliseconds(3'000), 5, kLinked).empty());
+
+  SECTION("A document that came ends the wait") {
+    source.OnDocument();
+    CHECK_FALSE(
+        source.Next(kStart + milliseconds(3'010), 7, {{"a", 9}}).empty());
+  }
+  SECTION("Nothing is asked without a newer one") {
+    CHECK(source.Next(kStart + milliseconds(9'000), 7, kLinked).empty());
+  }
+}
+
+// Guards against an entry that waits for another controller when only one has
+// the document.
+TEST_CASE("The only controller with a document is asked again", "[routing]") {
+  DocumentSource source(1);
+  CHECK(source.Next(kStart, 5, {{"a", 6}, {"b", 5}}) == "a");
+  CHECK(source.Next(kStart + milliseconds(1'000), 5, {{"a", 6}, {"b", 5}}) ==
+        "a");
+}
+
+}  // namespace goldcrest::routing
