Let the settings of a replica decide on elections without wait

Ruled out: approving new transcripts (that path need not change, and its tests name the leader that their seeds elect).

--- a/consensus/include/goldcrest/consensus/replica_options.h
+++ b/consensus/include/goldcrest/consensus/replica_options.h
@@ -22,6 +22,10 @@
   //! the minimum after it has heard from a leader, and after a restart.
   Duration election_timeout_min = std::chrono::milliseconds(400);
   Duration election_timeout_max = std::chrono::milliseconds(800);
+  //! After a restart, stand and vote before the minimum election timeout once
+  //! every member has said that it does not lead. Members that do not know this
+  //! never say so.
+  bool elect_early = false;
   //! Longest time without progress before the admission of a new member is
   //! given up.
   Duration join_timeout = std::chrono::seconds(10);
--- a/consensus/src/election.cc
+++ b/consensus/src/election.cc
@@ -30,7 +30,8 @@
   leader_.clear();
   willing_ = {options_.self};
   leaderless_ = {options_.self};
-  attempt_ = std::uniform_int_distribution<std::int64_t>()(generator_);
+  if (options_.elect_early)
+    attempt_ = std::uniform_int_distribution<std::int64_t>()(generator_);
   RequestVotes(true, false);
 }
 
@@ -54,7 +55,8 @@
 }
 
 bool ReplicaCore::TriesEarly() const {
-  return CanStand() && WaitsAfterRestart() && leader_.empty() &&
+  return options_.elect_early && CanStand() && WaitsAfterRestart() &&
+         leader_.empty() &&
          (role_ == Role::kFollower || role_ == Role::kPreCandidate) &&
          MayHaveSupportedOnly(log_.LastTerm());
 }
@@ -99,7 +101,7 @@
   const bool all_leaderless = std::ranges::all_of(
       log_.Members(),
       [this](const std::string& name) { return leaderless_.contains(name); });
-  if (all_leaderless && IsMajority(willing_) &&
+  if (options_.elect_early && all_leaderless && IsMajority(willing_) &&
       MayHaveSupportedOnly(log_.LastTerm()))
     StartElection(true);
 }
--- a/consensus/src/replica_core.cc
+++ b/consensus/src/replica_core.cc
@@ -160,7 +160,8 @@
   // counts on it.
   restart_wait_until_ = now_ + options_.election_timeout_min;
   ResetElectionTimer();
-  DrawEarlyAttempt();
+  if (options_.elect_early)
+    DrawEarlyAttempt();
 }
 
 Output ReplicaCore::Finish() {
--- a/consensus/tests/cluster.h
+++ b/consensus/tests/cluster.h
@@ -39,6 +39,7 @@
   //! Starts or restarts a process with what is on its disk.
   void Start(const std::string& name, std::vector<std::string> bootstrap = {}) {
     options.self = name;
+    options.elect_early = true;
     options.bootstrap_members = std::move(bootstrap);
     Node& node = nodes[name];
     node.replica.emplace(options, node.disk, std::mt19937_64(++seed));
