--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -64,6 +64,14 @@
   return change < min_change && reachable != 0 ? held : reachable;
 }
 
+// Names no share: tells an entry which owner answers it, and that its next
+// report has to be full.
+messages::ShareUpdate TermOnly(std::int64_t term) {
+  messages::ShareUpdate update;
+  update.owner_term = term;
+  return update;
+}
+
 }  // namespace
 
 Owner::Owner(std::int64_t term,
@@ -120,18 +128,12 @@
   if (newest_term < term_) {
     // Updates of an earlier owner may still be on their way to this entry. Once
     // it knows the new term it ignores them, so that its next report is final.
-    messages::ShareUpdate update;
-    update.owner_term = term_;
-    updates.push_back(update);
-    return updates;
+    return {TermOnly(term_)};
   }
   place->second.quiet_since = now - quiet;
   if (!place->second.confirmed) {
     if (!reports.empty() && reports.front().partial) {
-      messages::ShareUpdate update;
-      update.owner_term = term_;
-      updates.push_back(update);
-      return updates;
+      return {TermOnly(term_)};
     }
     Adopt(now, instance, place->second, reports);
   }
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,11 +19,6 @@
 class Refused(Exception):
     """The statement was answered with an error."""
 
-    def __init__(self, code, state):
-        super().__init__(code)
-        self.code = code
-        self.state = state
-
 
 class Caller:
     def __init__(self, name, world, seed):
@@ -63,10 +58,8 @@
                 await asyncio.sleep(
                     self.random.expovariate(1 / PAUSE_SECONDS))
             self.writer.write(b"TERMINATE\r\n")
-        except Refused as refused:
+        except Refused:
             self.record.refused += 1
-            if refused.state != "I":
-                return
         finally:
             self.writer.close()
 
@@ -142,12 +135,11 @@
                 break
             else:
                 self.record.violation("mixed", f"{statement}: {word}")
-        state = rest.split(" ")[0]
         self.record.check_key(self.current, error or "done",
                               [self.entry.name] + self.world.controller_names)
         if error:
             self.record.told(statement, error, self.group)
-            raise Refused(error, state)
+            raise Refused(error)
         self.done(statement, text, rows, signature)
 
     def done(self, statement, text, rows, signature):
--- a/soak/record.py
+++ b/soak/record.py
@@ -34,7 +34,6 @@
         self.key = key
         self.route = route
         self.values = dict(values)
-        self.place = None  # (endpoint, connection, transaction) of its runs
         self.counted = False
 
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -26,7 +26,7 @@
 from faults import Faults  # noqa: E402
 from instances import PORTS, Instance  # noqa: E402
 from net import Proxy, http_call, serve_http  # noqa: E402
-from operator_calls import Operator  # noqa: E402
+from operator_calls import RATE, Operator  # noqa: E402
 from record import Record  # noqa: E402
 
 INSTANCES = 5
@@ -69,7 +69,7 @@
         self.operator = Operator(self, seed)
         self.proxies = []
         for name in self.operator.key_of:
-            self.record.rates[name] = 60
+            self.record.rates[name] = RATE
 
     def keys(self):
         known = list(self.operator.key_of.items())
@@ -190,10 +190,12 @@
         return record
     finally:
         await world.stop()
+        # wait_for() may lose a cancellation that meets the end of its wait.
         others = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in others:
-            task.cancel()
-        await asyncio.gather(*others, return_exceptions=True)
+        while others:
+            for task in others:
+                task.cancel()
+            _, others = await asyncio.wait(others, timeout=1)
 
 
 def numbers(text):
