Move the entry's handling of its controllers into a core of its own

Cause: the choice of the controller to ask and the reports were decided in the service class, which opens sockets, so that no test could play them. No logic is changed.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -6,6 +6,7 @@
 
 #include "goldcrest/adapters/system_clock.h"
 #include "goldcrest/platform/http_requests.h"
+#include "goldcrest/platform/routing_document.h"
 #include "programs/goldcrestd/platform_peers.h"
 
 namespace goldcrest {
@@ -26,10 +27,6 @@
 // connection is closed.
 constexpr milliseconds kCallerCloseTimeout{500};
 
-// Interval of the reports by which controllers, also those that do not lead,
-// learn that this entry is alive.
-constexpr Duration kKeepaliveReportInterval = milliseconds(2'000);
-
 // The load balancer sends new callers until two readiness probes, a second
 // apart, have failed.
 constexpr Duration kReadinessWithdrawalDelay = milliseconds(2'300);
@@ -48,21 +45,25 @@
     : context_(context),
       settings_(settings),
       log_(log),
-      process_id_(RandomProcessId()),
-      started_at_(SystemClock::Now()),
       scheduler_(context),
       acceptor_(context),
       proxy_({settings.zone, LimitWindowOf(settings)}, MakeHooks()),
-      document_source_(process_id_) {
-  known_controllers_ = ControllerNames(settings_);
+      controllers_(SystemClock::Now(),
+                   RandomProcessId(),
+                   ControllerNames(settings_),
+                   proxy_,
+                   MakeControllerHooks()) {
   adapters::PeerTransportOptions peers =
       PeerOptions(settings_, kEntryPortOffset);
   peers_ = std::make_unique<adapters::PeerTransport>(
       context_, peers, log_.logger(),
       [this](const std::string& from, const messages::PeerMessage& message) {
-        OnPeerMessage(from, message);
+        if (message.__isset.proxy_update)
+          controllers_.OnUpdate(SystemClock::Now(), from, message.proxy_update);
       },
-      [this](const std::string& peer, bool up) { OnLink(peer, up); });
+      [this](const std::string& peer, bool up) {
+        controllers_.OnLink(SystemClock::Now(), peer, up);
+      });
   adapters::HttpServerOptions http;
   http.host = settings_.readiness_listen.host;
   http.port = settings_.readiness_listen.port;
@@ -84,7 +85,7 @@
 EntryService::~EntryService() = default;
 
 void EntryService::Start() {
-  UpdatePeers();
+  peers_->SetPeers(PeerAddresses(controllers_.KnownControllers()));
   peers_->Start();
   http_->Start();
   AcceptNextCaller();
@@ -147,6 +148,29 @@
   return hooks;
 }
 
+statements::ControllerClientHooks EntryService::MakeControllerHooks() {
+  statements::ControllerClientHooks hooks;
+  hooks.send = [this](const std::string& controller,
+                      const messages::PeerMessage& message) {
+    peers_->Send(controller, message);
+  };
+  hooks.decode = [this](std::string_view document) -> routing::RoutingTablePtr {
+    auto decoded = platform::DecodeRoutingDocument(document);
+    if (!decoded.table)
+      log_.LogEvent("configuration_unreadable", {{"cause", decoded.problem}});
+    return decoded.table;
+  };
+  hooks.known_controllers = [this](const std::set<std::string>& names) {
+    peers_->SetPeers(PeerAddresses(names));
+  };
+  hooks.log_decision = [this](std::string_view event,
+                              const std::string& controller,
+                              const std::string& cause) {
+    log_.LogEvent(event, {{"controller", controller}, {"cause", cause}});
+  };
+  return hooks;
+}
+
 void EntryService::AcceptNextCaller() {
   acceptor_.async_accept(
       [this](boost::system::error_code error, tcp::socket socket) {
@@ -262,13 +286,7 @@
 void EntryService::Tick() {
   const Time now = SystemClock::Now();
   proxy_.Tick(now);
-  if (!leader_.empty() && proxy_.holder().ReportDue(now))
-    Report(now, leader_, false);
-  for (const auto& [name, state] : controllers_) {
-    if (state.linked && now - state.last_report_at >= kKeepaliveReportInterval)
-      Report(now, name, false);
-  }
-  FetchDocument(now);
+  controllers_.Tick(now);
   if (IsReady() != last_logged_readiness_) {
     last_logged_readiness_ = !last_logged_readiness_;
     log_.LogEvent(last_logged_readiness_ ? "ready" : "not_ready",
@@ -280,8 +298,7 @@
 }
 
 bool EntryService::IsReady() const {
-  return drain_started_at_ == kNever && proxy_.Version() != 0 &&
-         endpoints_known_;
+  return drain_started_at_ == kNever && controllers_.IsReady();
 }
 
 adapters::HttpResponse EntryService::HandleHttp(
@@ -326,26 +343,16 @@
       now - drain_started_at_ >= settings_.stop_grace * 5 / 6;
   if (proxy_.SessionCount() > 0 && !grace_ending)
     return;
-  proxy_.holder().Stop();
-  for (const auto& [name, state] : controllers_) {
-    messages::ProxyReport report;
-    report.process = process_id_;
-    report.document_version = proxy_.Version();
-    report.stopped = true;
-    messages::PeerMessage message;
-    message.__set_proxy_report(report);
-    peers_->Send(name, message);
-  }
+  controllers_.Stop();
   log_.LogEvent("stopped", {{"sessions", proxy_.SessionCount()}});
   scheduler_.After(milliseconds(50), std::exchange(on_drained_, nullptr));
 }
 
 void EntryService::OnSettings(const platform::BootSettings& settings) {
   settings_.controller_seeds = settings.controller_seeds;
-  known_controllers_.merge(ControllerNames(settings));
   log_.LogEvent("settings_loaded",
                 {{"seeds", settings.controller_seeds.size()}});
-  UpdatePeers();
+  controllers_.AddControllers(ControllerNames(settings));
 }
 
 }  // namespace goldcrest
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -17,7 +17,7 @@
 #include "goldcrest/adapters/scheduler.h"
 #include "goldcrest/platform/boot_settings.h"
 #include "goldcrest/platform/statement_codec.h"
-#include "goldcrest/routing/document_source.h"
+#include "goldcrest/statements/controller_client.h"
 #include "goldcrest/statements/statement_proxy.h"
 #include "programs/goldcrestd/platform_log.h"
 
@@ -48,14 +48,8 @@
     platform::AnswerDecoder decoder;
     bool started = false;
   };
-  struct ControllerState {
-    bool linked = false;
-    bool first_report_sent = false;
-    std::int64_t version = 0;
-    Time last_report_at;
-  };
-
   statements::ProxyHooks MakeHooks();
+  statements::ControllerClientHooks MakeControllerHooks();
   void AcceptNextCaller();
   void OnCallerAccepted(boost::asio::ip::tcp::socket socket);
   void OnCallerLine(statements::SessionId id, std::string_view line);
@@ -64,20 +58,7 @@
                               const statements::ConnectionTarget& target);
   void OnEndpointLine(statements::ConnectionId id, std::string_view line);
   void OnEndpointClosed(statements::ConnectionId id, const std::string& cause);
-  void OnPeerMessage(const std::string& from,
-                     const messages::PeerMessage& message);
-  void OnProxyUpdate(const std::string& from,
-                     const messages::ProxyUpdate& update);
-  void OnLink(const std::string& controller, bool up);
-  void UpdatePeers();
   void Tick();
-  enum class ContactReporting { kAtInterval, kImmediately };
-  void Report(
-      Time now,
-      const std::string& controller,
-      bool wants_document,
-      ContactReporting contact_reporting = ContactReporting::kAtInterval);
-  void FetchDocument(Time now);
   void ContinueDrain(Time now);
   bool IsReady() const;
   adapters::HttpResponse HandleHttp(const adapters::HttpRequest& request);
@@ -85,8 +66,6 @@
   boost::asio::io_context& context_;
   platform::BootSettings settings_;
   PlatformLog& log_;
-  std::int64_t process_id_;  // random, changes with each restart
-  Time started_at_;
   adapters::Counters counters_;
   adapters::Scheduler scheduler_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -96,12 +75,7 @@
       callers_;
   std::set<statements::SessionId> started_sessions_;
   std::map<statements::ConnectionId, EndpointConnection> endpoint_connections_;
-  std::set<std::string> known_controllers_;
-  std::map<std::string, ControllerState> controllers_;
-  std::string leader_;
-  Time contacts_reported_at_;  // to the leader
-  routing::DocumentSource document_source_;
-  bool endpoints_known_ = false;
+  statements::ControllerClient controllers_;
   bool last_logged_readiness_ = false;
   Time drain_started_at_ = kNever;
   bool proxy_drain_started_ = false;
--- /dev/null
+++ b/statements/include/goldcrest/statements/controller_client.h
@@ -0,0 +1,99 @@
+#ifndef GOLDCREST_STATEMENTS_CONTROLLER_CLIENT_H_
+#define GOLDCREST_STATEMENTS_CONTROLLER_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "goldcrest/messages/messages.h"
+#include "goldcrest/routing/document_source.h"
+#include "goldcrest/routing/routing_table.h"
+#include "goldcrest/statements/statement_proxy.h"
+#include "goldcrest/types/time.h"
+
+namespace goldcrest::statements {
+
+struct ControllerClientHooks {
+  std::function<void(const std::string& controller, messages::PeerMessage)>
+      send;
+  //! Returns nullptr for a document that can't be decoded.
+  std::function<routing::RoutingTablePtr(std::string_view document)> decode;
+  //! Called with all known controllers after new ones became known.
+  std::function<void(const std::set<std::string>&)> known_controllers;
+  std::function<void(std::string_view event,
+                     const std::string& controller,
+                     const std::string& cause)>
+      log_decision;
+};
+
+//! An entry's side of its links to the controllers: reports to them, fetches
+//! the configuration and passes their updates to the proxy. Does no I/O and
+//! reads no clock; not thread-safe.
+class ControllerClient {
+ public:
+  //! `process` identifies this process of the entry and changes with each
+  //! restart. The proxy must outlive this object.
+  ControllerClient(Time now,
+                   std::int64_t process,
+                   std::set<std::string> controllers,
+                   StatementProxy& proxy,
+                   ControllerClientHooks hooks);
+
+  void OnLink(Time now, const std::string& controller, bool up);
+  void OnUpdate(Time now,
+                const std::string& from,
+                const messages::ProxyUpdate& update);
+
+  //! Adds the controllers that changed settings name.
+  void AddControllers(const std::set<std::string>& names);
+
+  //! Sends the reports that are due; has to be called at least every
+  //! StatementProxy::kTickInterval.
+  void Tick(Time now);
+
+  //! Tells all controllers that this entry stops. No report may follow.
+  void Stop();
+
+  const std::set<std::string>& KnownControllers() const {
+    return known_controllers_;
+  }
+  //! True once the entry has a configuration and the endpoints.
+  bool IsReady() const { return proxy_.Version() != 0 && endpoints_known_; }
+
+ private:
+  struct ControllerState {
+    bool linked = false;
+    bool first_report_sent = false;
+    std::int64_t version = 0;
+    Time last_report_at;
+  };
+  enum class ContactReporting { kAtInterval, kImmediately };
+
+  void OnReportAnswer(Time now,
+                      const std::string& from,
+                      const messages::ProxyUpdate& update);
+  void Report(
+      Time now,
+      const std::string& controller,
+      bool wants_document,
+      ContactReporting contact_reporting = ContactReporting::kAtInterval);
+  void FetchDocument(Time now);
+
+  Time started_at_;
+  std::int64_t process_;
+  std::set<std::string> known_controllers_;
+  StatementProxy& proxy_;
+  ControllerClientHooks hooks_;
+  std::map<std::string, ControllerState> controllers_;
+  std::string leader_;
+  Time contacts_reported_at_;  // to the leader
+  routing::DocumentSource document_source_;
+  bool endpoints_known_ = false;
+};
+
+}  // namespace goldcrest::statements
+
+#endif  // GOLDCREST_STATEMENTS_CONTROLLER_CLIENT_H_
--- /dev/null
+++ b/statements/src/controller_client.cc
@@ -0,0 +1,172 @@
+#include "goldcrest/statements/controller_client.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace goldcrest::statements {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Interval of the reports by which controllers, also those that do not lead,
+// learn that this entry is alive.
+constexpr Duration kKeepaliveReportInterval = milliseconds(2'000);
+
+// Interval at which the leader receives this entry's contacts with primaries; a
+// failing contact or a request of the leader sends them at once. Shorter than
+// the time after which the leader ignores a contact report.
+constexpr Duration kContactReportInterval = milliseconds(1'000);
+
+}  // namespace
+
+ControllerClient::ControllerClient(Time now,
+                                   std::int64_t process,
+                                   std::set<std::string> controllers,
+                                   StatementProxy& proxy,
+                                   ControllerClientHooks hooks)
+    : started_at_(now),
+      process_(process),
+      known_controllers_(std::move(controllers)),
+      proxy_(proxy),
+      hooks_(std::move(hooks)),
+      document_source_(process) {}
+
+void ControllerClient::OnLink(Time now,
+                              const std::string& controller,
+                              bool up) {
+  ControllerState& state = controllers_[controller];
+  state.linked = up;
+  hooks_.log_decision(up ? "controller_found" : "controller_lost", controller,
+                      "");
+  // Changes that the controller sent while the link was down are lost, so that
+  // the next report must request the whole state.
+  state.first_report_sent = false;
+  if (up)
+    Report(now, controller, false);
+  if (!up && leader_ == controller)
+    leader_.clear();
+}
+
+void ControllerClient::OnUpdate(Time now,
+                                const std::string& from,
+                                const messages::ProxyUpdate& update) {
+  ControllerState& state = controllers_[from];
+  state.version = std::max(state.version, update.document_version);
+  AddControllers({update.controllers.begin(), update.controllers.end()});
+  if (update.__isset.document) {
+    document_source_.OnDocumentReceived();
+    const auto table = hooks_.decode(update.document);
+    if (table != nullptr)
+      proxy_.OnRoutingTable(now, table);
+  }
+  for (const messages::EndpointRecord& record : update.endpoints)
+    proxy_.OnEndpoint(now, record);
+  for (const messages::PrimaryAssignment& assignment : update.primaries)
+    proxy_.OnAssignment(now, assignment);
+  for (const messages::ConfirmedPosition& position : update.positions)
+    proxy_.OnConfirmedPosition(position.group,
+                               TimeFromMicros(position.report_sent_micros),
+                               {position.term, position.number});
+  if (update.report_sent_micros != 0)
+    OnReportAnswer(now, from, update);
+  if (update.report_now)
+    Report(now, from, false, ContactReporting::kImmediately);
+  FetchDocument(now);
+}
+
+void ControllerClient::OnReportAnswer(Time now,
+                                      const std::string& from,
+                                      const messages::ProxyUpdate& update) {
+  endpoints_known_ = true;
+  if (update.leader && leader_ != from) {
+    hooks_.log_decision("controller_leads", from, "");
+    leader_ = from;
+    contacts_reported_at_ = Time();
+    proxy_.holder().OnOwnerChange(now);
+  } else if (!update.leader && leader_ == from) {
+    leader_.clear();
+  }
+  proxy_.OnEntryCount(update.entries);
+  if (!update.leader)
+    return;
+  proxy_.holder().OnUpdates(now, TimeFromMicros(update.report_sent_micros),
+                            update.shares);
+  proxy_.OnShares(now);
+}
+
+void ControllerClient::AddControllers(const std::set<std::string>& names) {
+  const std::size_t before = known_controllers_.size();
+  known_controllers_.insert(names.begin(), names.end());
+  if (known_controllers_.size() != before)
+    hooks_.known_controllers(known_controllers_);
+}
+
+void ControllerClient::Tick(Time now) {
+  if (!leader_.empty() && proxy_.holder().ReportDue(now))
+    Report(now, leader_, false);
+  for (const auto& [name, state] : controllers_) {
+    if (state.linked && now - state.last_report_at >= kKeepaliveReportInterval)
+      Report(now, name, false);
+  }
+  FetchDocument(now);
+}
+
+void ControllerClient::FetchDocument(Time now) {
+  std::vector<routing::DocumentSource::Candidate> linked;
+  for (const auto& [name, state] : controllers_) {
+    if (state.linked)
+      linked.push_back({name, state.version});
+  }
+  const std::string source =
+      document_source_.NextController(now, proxy_.Version(), linked);
+  if (!source.empty())
+    Report(now, source, true);
+}
+
+void ControllerClient::Report(Time now,
+                              const std::string& controller,
+                              bool wants_document,
+                              ContactReporting contact_reporting) {
+  ControllerState& state = controllers_[controller];
+  messages::ProxyReport report;
+  report.process = process_;
+  report.sent_micros = ToMicros(now);
+  report.document_version = proxy_.Version();
+  report.wants_document = wants_document;
+  report.first = !state.first_report_sent;
+  report.quiet_micros =
+      proxy_.holder().TimeSinceLastTake(now, started_at_).count();
+  if (controller == leader_) {
+    report.shares = proxy_.holder().Report(now);
+    std::vector<messages::PrimaryContact> contacts = proxy_.Contacts(now);
+    const bool any_failing = std::ranges::any_of(
+        contacts, [](const auto& contact) { return contact.failing_ms > 0; });
+    if (any_failing || contact_reporting == ContactReporting::kImmediately ||
+        now - contacts_reported_at_ >= kContactReportInterval) {
+      contacts_reported_at_ = now;
+      report.contacts = std::move(contacts);
+    }
+  }
+  state.last_report_at = now;
+  state.first_report_sent = true;
+  messages::PeerMessage message;
+  message.__set_proxy_report(report);
+  hooks_.send(controller, std::move(message));
+}
+
+void ControllerClient::Stop() {
+  proxy_.holder().Stop();
+  for (const auto& [name, state] : controllers_) {
+    messages::ProxyReport report;
+    report.process = process_;
+    report.document_version = proxy_.Version();
+    report.stopped = true;
+    messages::PeerMessage message;
+    message.__set_proxy_report(report);
+    hooks_.send(name, std::move(message));
+  }
+}
+
+}  // namespace goldcrest::statements
