--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -51,6 +51,9 @@
       log_decision;
 };
 
+//! Timing of the replicated log of a fleet's controllers; names no member.
+consensus::ReplicaOptions DefaultReplicaOptions();
+
 struct ControllerOptions {
   consensus::ReplicaOptions replica;
   bool has_disk = true;  //!< A controller without a disk never is a member.
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -19,12 +19,28 @@
 // partitions that an endpoint survives.
 constexpr Duration kEndpointExpiry = std::chrono::seconds(15);
 
+// The round trip between availability zones takes some 11 ms, and a lost packet
+// delays a message by 200 ms. With these times a leader keeps its lease when
+// one packet is lost, and a failed leader is replaced within half a second.
+constexpr Duration kHeartbeatInterval = milliseconds(75);
+constexpr Duration kElectionTimeoutMin = milliseconds(300);
+constexpr Duration kElectionTimeoutMax = milliseconds(550);
+
 // Bytes of commands in the log after which a snapshot replaces it. Documents
 // have some kB to some 100 kB.
 constexpr std::size_t kSnapshotLogBytes = std::size_t{4} << 20U;
 
 }  // namespace
 
+consensus::ReplicaOptions DefaultReplicaOptions() {
+  consensus::ReplicaOptions options;
+  options.heartbeat_interval = kHeartbeatInterval;
+  options.election_timeout_min = kElectionTimeoutMin;
+  options.election_timeout_max = kElectionTimeoutMax;
+  options.elect_early_after_restart = true;
+  return options;
+}
+
 Controller::Controller(Time now,
                        ControllerOptions options,
                        const consensus::RestoredState& restored,
@@ -294,6 +310,7 @@
 
 void Controller::BeginDrain(Time now) {
   draining_ = true;
+  SendNotices(now);
   if (replica_.IsLeader())
     ProcessOutput(now, replica_.TransferLeadership(now));
   UpdateLeadership(now);
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -21,13 +21,6 @@
 
 constexpr Duration kTickInterval = milliseconds(20);
 
-// The round trip between availability zones takes some 11 ms, and a lost packet
-// delays a message by 200 ms. With these times a leader keeps its lease when
-// one packet is lost, and a failed leader is replaced within half a second.
-constexpr Duration kHeartbeatInterval = milliseconds(75);
-constexpr Duration kElectionTimeoutMin = milliseconds(300);
-constexpr Duration kElectionTimeoutMax = milliseconds(550);
-
 // The failover planner resends a promotion that was not answered in this time.
 constexpr Duration kPromotionTimeout = milliseconds(900);
 
@@ -71,11 +64,8 @@
   platform_api_ = std::make_unique<adapters::HttpClient>(context_, api);
 
   fleet::ControllerOptions options;
+  options.replica = fleet::DefaultReplicaOptions();
   options.replica.self = PeerName(settings_, kControllerPortOffset);
-  options.replica.heartbeat_interval = kHeartbeatInterval;
-  options.replica.election_timeout_min = kElectionTimeoutMin;
-  options.replica.election_timeout_max = kElectionTimeoutMax;
-  options.replica.elect_early_after_restart = true;
   options.has_disk = store_ != nullptr;
   options.tolerated_losses = settings_.tolerated_losses;
   options.limit_window = LimitWindowOf(settings_);
