Ask each controller that has the document, and another one when one is lost

Cause: DocumentSource left out only the controller that it had asked last, so that it asked its first two choices in turns and never a third. When the link to the asked controller was lost, it still waited for its answer. Change: controllers that were asked less often for this document come first, and a lost one is not waited for. Evidence: "Each controller that has the document is asked in turn" and "Another controller is asked at once when the asked one is lost" describe what the old code could not do: its second choice excluded only the last one asked.

--- a/routing/include/goldcrest/routing/document_source.h
+++ b/routing/include/goldcrest/routing/document_source.h
@@ -1,8 +1,11 @@
 #ifndef GOLDCREST_ROUTING_DOCUMENT_SOURCE_H_
 #define GOLDCREST_ROUTING_DOCUMENT_SOURCE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "goldcrest/types/time.h"
@@ -23,9 +26,10 @@
   //! Entries with different `salt` prefer different controllers.
   explicit DocumentSource(std::int64_t salt) : salt_(salt) {}
 
-  //! The controller to ask now. Empty when no controller in `connected` has a
-  //! newer version than `known_version`, or when the last one that was asked
-  //! may still answer.
+  //! The controller to ask now: of those in `connected` that have the newest
+  //! version one that was not asked yet. Empty when none has a newer version
+  //! than `known_version`, or when the last one that was asked may still
+  //! answer. One that is no longer connected won't answer.
   std::string NextController(Time now,
                              std::int64_t known_version,
                              const std::vector<Candidate>& connected);
@@ -34,8 +38,11 @@
   void OnDocumentReceived();
 
  private:
+  std::pair<int, std::size_t> Preference(const Candidate& candidate) const;
+
   std::int64_t salt_;
   std::string requested_controller_;  // empty: no request is outstanding
+  std::map<std::string, int> request_counts_;  // since the last document
   Time retry_at_;
   Duration retry_delay_{};
 };
--- a/routing/src/document_source.cc
+++ b/routing/src/document_source.cc
@@ -19,7 +19,10 @@
     Time now,
     std::int64_t known_version,
     const std::vector<Candidate>& connected) {
-  if (!requested_controller_.empty() && now < retry_at_)
+  const bool lost = std::ranges::none_of(connected, [this](const auto& item) {
+    return item.controller == requested_controller_;
+  });
+  if (!requested_controller_.empty() && !lost && now < retry_at_)
     return "";
   std::int64_t newest = known_version;
   for (const Candidate& candidate : connected)
@@ -28,31 +31,33 @@
     OnDocumentReceived();
     return "";
   }
-  std::string best;
-  std::size_t best_rank = 0;
+  const Candidate* best = nullptr;
   for (const Candidate& candidate : connected) {
-    if (candidate.version != newest ||
-        candidate.controller == requested_controller_)
-      continue;
-    const std::size_t rank = std::hash<std::string>()(
-        candidate.controller + "/" + std::to_string(salt_));
-    if (best.empty() || rank < best_rank) {
-      best = candidate.controller;
-      best_rank = rank;
-    }
+    if (candidate.version == newest &&
+        (best == nullptr || Preference(candidate) < Preference(*best)))
+      best = &candidate;
   }
-  if (best.empty())
-    best = requested_controller_;  // No other controller has it.
-  retry_delay_ = requested_controller_.empty()
+  retry_delay_ = requested_controller_.empty() || lost
                      ? kInitialRetryDelay
                      : std::min(retry_delay_ * 2, kMaxRetryDelay);
   retry_at_ = now + retry_delay_;
-  requested_controller_ = best;
-  return best;
+  requested_controller_ = best->controller;
+  ++request_counts_[requested_controller_];
+  return requested_controller_;
+}
+
+// Controllers that were asked less often for this document come first.
+std::pair<int, std::size_t> DocumentSource::Preference(
+    const Candidate& candidate) const {
+  const auto count = request_counts_.find(candidate.controller);
+  return {count == request_counts_.end() ? 0 : count->second,
+          std::hash<std::string>()(candidate.controller + "/" +
+                                   std::to_string(salt_))};
 }
 
 void DocumentSource::OnDocumentReceived() {
   requested_controller_.clear();
+  request_counts_.clear();
 }
 
 }  // namespace goldcrest::routing
--- a/routing/tests/document_source_test.cc
+++ b/routing/tests/document_source_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
+#include <set>
 
 namespace goldcrest::routing {
 namespace {
@@ -65,4 +66,30 @@
                               {{"a", 6}, {"b", 5}}) == "a");
 }
 
+// Guards against an entry that asks two controllers in turns while both don't
+// answer, and never a third that would.
+TEST_CASE("Each controller that has the document is asked in turn",
+          "[routing]") {
+  DocumentSource source(1);
+  std::set<std::string> asked;
+  for (const int at : {0, 1'000, 3'000})
+    asked.insert(
+        source.NextController(kStart + milliseconds(at), 5, kConnected));
+  CHECK(asked == std::set<std::string>{"a", "b", "c"});
+}
+
+// Guards against an entry that waits for the answer of a controller that it has
+// lost.
+TEST_CASE("Another controller is asked at once when the asked one is lost",
+          "[routing]") {
+  DocumentSource source(1);
+  const std::string first = source.NextController(kStart, 5, kConnected);
+  std::vector<DocumentSource::Candidate> left = kConnected;
+  std::erase_if(left, [&](const auto& candidate) {
+    return candidate.controller == first;
+  });
+  CHECK_FALSE(
+      source.NextController(kStart + milliseconds(100), 5, left).empty());
+}
+
 }  // namespace goldcrest::routing
