Tell the entries of a new leader at once

What callers saw: requests refused for the rate for up to 2 s after a change of the leader, also after all instances had returned.

Cause: an entry learns from the answer to a report who leads. It reports to controllers that don't lead every 2 s only, and a new leader said nothing, so that the return of service waited for that timer. Change: a controller that wins leadership asks all linked entries for a report; its answer says that it leads. Evidence: "A new leader asks all entries for a report".

--- a/fleet/src/controller_leadership.cc
+++ b/fleet/src/controller_leadership.cc
@@ -75,6 +75,10 @@
     ProposeReserveUse(now, true);
   for (const messages::EndpointRecord& record : directory_.All())
     RecordEndpoint(now, record);
+  // The answers to the reports tell the entries that this controller leads.
+  messages::ProxyUpdate update;
+  update.report_now = true;
+  SendToEntries(update);
 }
 
 // The reserves of limits are granted at a takeover, when callers retry failed
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -1,5 +1,6 @@
 #include "goldcrest/fleet/controller.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <deque>
@@ -342,6 +343,26 @@
   CHECK(cluster.reserve_grants == 2);
 }
 
+// Guards against entries that learn of a new leader only by their next report,
+// up to two seconds later, and can't admit requests until then.
+TEST_CASE("A new leader asks all entries for a report", "[fleet]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(1));
+  messages::ProxyReport report;
+  report.process = 1;
+  report.sent_micros = 1;
+  report.first = true;
+  for (const char* name : {"a", "b", "c"})
+    cluster.Report("entry", name, report);
+  cluster.updates["entry"].clear();
+  cluster.Stop(cluster.Leader());
+  cluster.Run(seconds(1));
+  REQUIRE_FALSE(cluster.Leader().empty());
+  CHECK(std::ranges::any_of(
+      cluster.updates["entry"],
+      [](const messages::ProxyUpdate& update) { return update.report_now; }));
+}
+
 // Guards against controllers that were added to the settings at run time and
 // never receive a notice.
 TEST_CASE("Controllers added to the settings later receive notices",
