Forget the version of a controller whose link is lost

Cause: an entry kept the highest version that a controller had ever announced. A restarted controller does not know what is committed until a leader tells it, so that the entry asked it for a document that it does not have, and waited 1, 2 and 4 s for the answer. Change: a new link starts without a version. The log says which controller is asked for which version (configuration_requested). Evidence: "A controller on a new link is asked only for what it announces there"; the old code asks controller a again.

--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -43,6 +43,8 @@
   // Changes that the controller sent while the link was down are lost, so that
   // the next report must request the whole state.
   state.first_report_sent = false;
+  // A controller that restarts may know an older version for a while.
+  state.version = 0;
   if (up)
     Report(now, controller, false);
   if (!up && leader_ == controller)
@@ -121,8 +123,13 @@
   }
   const std::string source =
       document_source_.NextController(now, proxy_.Version(), linked);
-  if (!source.empty())
-    Report(now, source, true);
+  if (source.empty())
+    return;
+  hooks_.log_decision("configuration_requested", source,
+                      "version " +
+                          std::to_string(controllers_.at(source).version) +
+                          " is newer than " + std::to_string(proxy_.Version()));
+  Report(now, source, true);
 }
 
 void ControllerClient::Report(Time now,
--- /dev/null
+++ b/statements/tests/controller_client_test.cc
@@ -0,0 +1,84 @@
+#include "goldcrest/statements/controller_client.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace goldcrest::statements {
+namespace {
+
+using std::chrono::milliseconds;
+
+// An entry's client of controllers "a" and "b". Records what it sends.
+class Client {
+ public:
+  Client() : proxy_({}, MakeProxyHooks()) {
+    ControllerClientHooks hooks;
+    hooks.send = [this](const std::string& to,
+                        const messages::PeerMessage& message) {
+      sent.emplace_back(to, message.proxy_report);
+    };
+    hooks.decode = [](std::string_view) {
+      return std::make_shared<routing::RoutingTable>();
+    };
+    hooks.known_controllers = [](const std::set<std::string>&) {};
+    hooks.log_decision = [](std::string_view, const std::string&,
+                            const std::string&) {};
+    client = std::make_unique<ControllerClient>(
+        now, 1, std::set<std::string>{"a", "b"}, proxy_, hooks);
+  }
+
+  void Announce(const std::string& from, std::int64_t version) {
+    messages::ProxyUpdate update;
+    update.document_version = version;
+    client->OnUpdate(now, from, update);
+  }
+
+  // Returns which controllers were asked for the document since the last call.
+  std::vector<std::string> TakeAsked() {
+    std::vector<std::string> asked;
+    for (const auto& [to, report] : std::exchange(sent, {})) {
+      if (report.wants_document)
+        asked.push_back(to);
+    }
+    return asked;
+  }
+
+  Time now = TimeFromMicros(100'000'000);
+  std::vector<std::pair<std::string, messages::ProxyReport>> sent;
+  std::unique_ptr<ControllerClient> client;
+
+ private:
+  static ProxyHooks MakeProxyHooks() {
+    ProxyHooks hooks;
+    hooks.log_decision = [](const Decision&) {};
+    return hooks;
+  }
+
+  StatementProxy proxy_;
+};
+
+}  // namespace
+
+// Guards against a request to a controller that has restarted and does not know
+// the version any more that it announced before.
+TEST_CASE(
+    "A controller on a new link is asked only for what it announces there",
+    "[statements]") {
+  Client entry;
+  entry.client->OnLink(entry.now, "a", true);
+  entry.Announce("a", 7);
+  CHECK(entry.TakeAsked() == std::vector<std::string>{"a"});
+  entry.client->OnLink(entry.now, "a", false);
+  entry.client->OnLink(entry.now, "a", true);
+  entry.now += milliseconds(5'000);
+  entry.client->Tick(entry.now);
+  CHECK(entry.TakeAsked().empty());
+  entry.client->OnLink(entry.now, "b", true);
+  entry.Announce("b", 7);
+  CHECK(entry.TakeAsked() == std::vector<std::string>{"b"});
+}
+
+}  // namespace goldcrest::statements
