Sync the log before its contents are used after a restart

Cause: a restarted member takes all that it reads from its log for durable and acknowledges it to the leader without a further write. A part that the process before had written but not synced is only in memory of the system. Change: opening the store syncs the log. Evidence: "Entries that were read are durable when the store is open" failed before (no sync of the log) and passes.

--- a/storage/src/entry_log.cc
+++ b/storage/src/entry_log.cc
@@ -85,10 +85,11 @@
       });
   if (result.end == ScanEnd::kDamaged)
     return DamagedError(file_, result.offset, "wrong checksum or contents");
-  if (result.end == ScanEnd::kTorn) {
+  if (result.end == ScanEnd::kTorn)
     BOOST_LEAF_CHECK(file_.Truncate(result.offset));
-    BOOST_LEAF_CHECK(file_.Sync(hooks_));
-  }
+  // The process before may have ended between a write and its sync. This one
+  // acknowledges what it has read, so that it must be durable.
+  BOOST_LEAF_CHECK(file_.Sync(hooks_));
   size_ = result.offset;
   if (!entries.empty())
     first_index_ = entries.front().index;
--- a/storage/tests/log_store_test.cc
+++ b/storage/tests/log_store_test.cc
@@ -356,4 +356,23 @@
   }
 }
 
+// Guards against entries that a killed process had written but not synced: they
+// are acknowledged after the restart and gone after a loss of power.
+TEST_CASE("Entries that were read are durable when the store is open",
+          "[storage][guarantee]") {
+  const TemporaryFolder folder;
+  WriteInitialEntries(folder);
+  std::vector<std::string> synced;
+  FileHooks recording;
+  recording.sync = [&synced](int descriptor) {
+    synced.push_back(
+        fs::read_symlink("/proc/self/fd/" + std::to_string(descriptor))
+            .filename());
+    return ::fsync(descriptor);
+  };
+  const OpenResult opened = Open(folder, recording);
+  CHECK(opened.state.entries == kEntries);
+  CHECK(std::ranges::count(synced, "log") > 0);
+}
+
 }  // namespace goldcrest::storage
