Let a new member vote before it is added

Cause: a controller without data voted only once it had learned that the entry that adds it was committed. From the time at which the others count it until then, its vote was missing: with one dead member two of four could vote, and without a leader it never learned of its admission.

Change: it may vote once it holds the whole log of a leader, is no member in it, and that leader has committed an entry afterwards; then its earlier votes and acknowledgements, before it lost its data, count no longer, as its removal is committed. Its response says so, and only then the leader adds it. The leader appends an empty entry for this when nothing else is written.

--- a/consensus/internal/replica_core.h
+++ b/consensus/internal/replica_core.h
@@ -71,6 +71,8 @@
     // the member accepts one of them, it held the whole log at that time and
     // has recorded that (see first_synced_index_).
     std::set<std::int64_t> sync_rounds;
+    bool synced = false;          // the member has accepted one of them
+    bool entry_appended = false;  // an entry that lets the member join
   };
 
   // Leadership transfer in progress.
@@ -158,7 +160,9 @@
                         const std::string& added) const;
   bool LastAddedMemberLags(const std::string& removed) const;
   void AppendMembershipEntry(const std::vector<std::string>& members);
-  void AdmitIfSynced(const std::string& from, std::int64_t round);
+  void ContinueAdmission(const std::string& from,
+                         const messages::AppendResponse& response);
+  void FinishJoining(const messages::LogEntry& entry);
   void ExpireAdmission();
   void OnMembersCommitted(const messages::LogEntry& entry);
 
@@ -202,8 +206,8 @@
   // Follower state.
   std::optional<PendingSnapshot> pending_snapshot_;
   // While joining: for each term, the index at which this replica first held
-  // the whole log of that term's leader. A membership entry of that term with a
-  // higher index was logged after this replica started without data.
+  // the whole log of that term's leader. An entry of that term with a higher
+  // index was logged after this replica started without data.
   std::map<std::int64_t, std::int64_t> first_synced_index_;
 };
 
--- a/consensus/src/membership.cc
+++ b/consensus/src/membership.cc
@@ -115,10 +115,23 @@
   AppendAsLeader(std::move(entry));
 }
 
-void ReplicaCore::AdmitIfSynced(const std::string& from, std::int64_t round) {
-  if (!admission_ || admission_->name != from ||
-      !admission_->sync_rounds.contains(round))
+// Admits the new member once it holds the whole log and may vote. Otherwise its
+// vote could be missing right after its admission, with no leader left that
+// could tell it of the admission.
+void ReplicaCore::ContinueAdmission(const std::string& from,
+                                    const messages::AppendResponse& response) {
+  if (!admission_ || admission_->name != from)
     return;
+  if (admission_->sync_rounds.contains(response.round))
+    admission_->synced = true;
+  if (!admission_->synced)
+    return;
+  if (response.joining) {
+    // The member joins when it learns that an entry of this term is committed.
+    if (!std::exchange(admission_->entry_appended, true))
+      AppendAsLeader({});
+    return;
+  }
   const std::vector<std::string> members = std::move(admission_->members);
   admission_.reset();
   AppendMembershipEntry(members);
@@ -140,14 +153,19 @@
     // Informs the other members that the removal is committed.
     SendHeartbeats();
     BecomeFollower(hard_state_.term, "");
-    return;
   }
-  if (!hard_state_.joining || !contains_self(entry.members) ||
-      contains_self(log_.MembersAt(entry.index - 1)))
-    return;
+}
+
+// A replica that started without data may vote from when it holds a log in
+// which it is no member, and whose leader was able to commit an entry after
+// that. What it had acknowledged or voted for before it lost its data then no
+// longer counts: its removal is committed, and the entries are in this log.
+void ReplicaCore::FinishJoining(const messages::LogEntry& entry) {
   const auto synced = first_synced_index_.find(entry.term);
-  if (synced != first_synced_index_.end() && entry.index > synced->second)
-    hard_state_.joining = false;
+  if (synced == first_synced_index_.end() || entry.index <= synced->second ||
+      std::ranges::binary_search(log_.MembersAt(entry.index), options_.self))
+    return;
+  hard_state_.joining = false;
 }
 
 }  // namespace goldcrest::consensus
--- a/consensus/src/replica_core.cc
+++ b/consensus/src/replica_core.cc
@@ -237,6 +237,8 @@
     output_.committed.push_back(entry);
     if (entry.__isset.members)
       OnMembersCommitted(entry);
+    if (hard_state_.joining)
+      FinishJoining(entry);
   }
 }
 
--- a/consensus/src/replication.cc
+++ b/consensus/src/replication.cc
@@ -92,6 +92,7 @@
     }
   }
   response.term = hard_state_.term;
+  response.joining = hard_state_.joining;
   messages::ConsensusMessage message;
   message.__set_append_response(response);
   Send(from, std::move(message));
@@ -166,7 +167,7 @@
   progress.next_index = std::max(progress.next_index, progress.match_index + 1);
   if (progress.next_index <= log_.LastIndex())
     SendAppend(from, progress);
-  AdmitIfSynced(from, response.round);
+  ContinueAdmission(from, response);
   ContinueTransfer();
   CommitByMajority();
 }
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -3809,6 +3809,10 @@
 void AppendResponse::__set_round(const int64_t val) {
   this->round = val;
 }
+
+void AppendResponse::__set_joining(const bool val) {
+  this->joining = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendResponse& obj)
 {
   obj.printTo(out);
@@ -3877,6 +3881,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->joining);
+          this->__isset.joining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3914,6 +3926,10 @@
   xfer += oprot->writeI64(this->round);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("joining", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->joining);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3926,6 +3942,7 @@
   swap(a.match_index, b.match_index);
   swap(a.last_index, b.last_index);
   swap(a.round, b.round);
+  swap(a.joining, b.joining);
   swap(a.__isset, b.__isset);
 }
 
@@ -3935,6 +3952,7 @@
   match_index = other107.match_index;
   last_index = other107.last_index;
   round = other107.round;
+  joining = other107.joining;
   __isset = other107.__isset;
 }
 AppendResponse::AppendResponse(AppendResponse&& other108) noexcept {
@@ -3943,6 +3961,7 @@
   match_index = other108.match_index;
   last_index = other108.last_index;
   round = other108.round;
+  joining = other108.joining;
   __isset = other108.__isset;
 }
 AppendResponse& AppendResponse::operator=(const AppendResponse& other109) noexcept {
@@ -3951,6 +3970,7 @@
   match_index = other109.match_index;
   last_index = other109.last_index;
   round = other109.round;
+  joining = other109.joining;
   __isset = other109.__isset;
   return *this;
 }
@@ -3960,6 +3980,7 @@
   match_index = other110.match_index;
   last_index = other110.last_index;
   round = other110.round;
+  joining = other110.joining;
   __isset = other110.__isset;
   return *this;
 }
@@ -3971,6 +3992,7 @@
   out << ", " << "match_index=" << to_string(match_index);
   out << ", " << "last_index=" << to_string(last_index);
   out << ", " << "round=" << to_string(round);
+  out << ", " << "joining=" << to_string(joining);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -1532,12 +1532,13 @@
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj);
 
 typedef struct _AppendResponse__isset {
-  _AppendResponse__isset() : term(false), success(false), match_index(false), last_index(false), round(false) {}
+  _AppendResponse__isset() : term(false), success(false), match_index(false), last_index(false), round(false), joining(false) {}
   bool term :1;
   bool success :1;
   bool match_index :1;
   bool last_index :1;
   bool round :1;
+  bool joining :1;
 } _AppendResponse__isset;
 
 class AppendResponse : public virtual ::apache::thrift::TBase {
@@ -1552,7 +1553,8 @@
                    success(0),
                    match_index(0),
                    last_index(0),
-                   round(0) {
+                   round(0),
+                   joining(0) {
   }
 
   virtual ~AppendResponse() noexcept;
@@ -1561,6 +1563,7 @@
   int64_t match_index;
   int64_t last_index;
   int64_t round;
+  bool joining;
 
   _AppendResponse__isset __isset;
 
@@ -1574,6 +1577,8 @@
 
   void __set_round(const int64_t val);
 
+  void __set_joining(const bool val);
+
   bool operator == (const AppendResponse & rhs) const
   {
     if (!(term == rhs.term))
@@ -1586,6 +1591,8 @@
       return false;
     if (!(round == rhs.round))
       return false;
+    if (!(joining == rhs.joining))
+      return false;
     return true;
   }
   bool operator != (const AppendResponse &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -188,6 +188,7 @@
   3: i64 match_index,                    // on success
   4: i64 last_index,                     // on failure: where to go on
   5: i64 round,
+  6: bool joining,                       // the sender does not vote yet
 }
 
 struct SnapshotChunk {
@@ -437,7 +438,7 @@
   2: bool leader,
   3: list<ShareUpdate> shares,
   4: i64 document_version,               // applied by this controller
-  5: optional binary document,
+  5: optional binary document,           // compressed; see document_codec.h
   6: list<EndpointRecord> endpoints,
   7: list<PrimaryAssignment> primaries,
   8: list<string> controllers,           // known addresses, IP number and port;
