Compress configurations on their way to the entries

Cause: a document of 100 kB to each of 88 entries fills the links: 0.4 s of an entry's 2 Mbit/s, and 0.7 s of a controller's 100 Mbit/s when all ask the same. Behind it the controllers' messages come later than the election timeout of 0.3 s, the leader is lost, and the next one meets the same load.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -171,6 +171,7 @@
   void OnNotice(Time now,
                 const std::string& from,
                 const messages::ControllerNotice& notice);
+  const std::string& CompressedDocument();
   void AddPositions(Entry& entry, messages::ProxyUpdate& update) const;
   void MergeEndpoint(Time now, const messages::EndpointRecord& record);
   void OnEndpointChanged(Time now, const messages::EndpointRecord& record);
@@ -186,6 +187,8 @@
   consensus::Replica replica_;
   FleetState state_;
   routing::RoutingTablePtr table_;
+  std::string compressed_document_;       // of the version below
+  std::int64_t compressed_version_ = -1;  // -1: none
   std::int64_t applied_index_ = 0;
   std::int64_t reported_term_ = 0;
   std::string reported_leader_;
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "goldcrest/fleet/controller.h"
+#include "goldcrest/routing/document_codec.h"
 
 namespace goldcrest::fleet {
 namespace {
@@ -112,7 +113,7 @@
   update.leader = HoldsLeadership(now);
   update.document_version = state_.version();
   if (report.wants_document && state_.version() > report.document_version)
-    update.__set_document(state_.text());
+    update.__set_document(CompressedDocument());
   if (new_link)
     update.endpoints = directory_.All();
   if (new_link || entry.controllers_sent != known_controllers_.size())
@@ -135,6 +136,14 @@
   hooks_.send(from, std::move(message));
 }
 
+const std::string& Controller::CompressedDocument() {
+  if (compressed_version_ != state_.version()) {
+    compressed_document_ = routing::CompressDocument(state_.text());
+    compressed_version_ = state_.version();
+  }
+  return compressed_document_;
+}
+
 // Adds the positions that primaries have confirmed, each with the time at which
 // a report of the entry was sent, by the entry's own clock. That report had
 // arrived here before the primary was asked, so that the position is newer than
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "goldcrest/messages/codec.h"
+#include "goldcrest/routing/document_codec.h"
 
 namespace goldcrest::fleet {
 namespace {
@@ -244,7 +245,8 @@
   report.first = false;
   report.wants_document = true;
   cluster.Report("entry", leader, report);
-  CHECK(cluster.updates["entry"].back().document == "5");
+  CHECK(routing::DecompressDocument(cluster.updates["entry"].back().document) ==
+        "5");
 }
 
 // Guards against an entry that misses a promotion while its link is down.
--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "goldcrest/routing/document_codec.h"
+
 namespace goldcrest::statements {
 namespace {
 
@@ -60,9 +62,13 @@
   AddControllers({update.controllers.begin(), update.controllers.end()});
   if (update.__isset.document) {
     document_source_.OnDocumentReceived();
-    const auto table = hooks_.decode(update.document);
+    const auto document = routing::DecompressDocument(update.document);
+    const auto table = document ? hooks_.decode(*document) : nullptr;
     if (table != nullptr)
       proxy_.OnRoutingTable(now, table);
+    else
+      hooks_.log_decision("configuration_unreadable", from,
+                          std::to_string(update.document.size()) + " bytes");
   }
   for (const messages::EndpointRecord& record : update.endpoints)
     proxy_.OnEndpoint(now, record);
