Spread the requests for a new configuration over the controllers

Cause: the leader announces a version first, and an entry asks at the first announcement, so that all entries asked the leader at once, whose link then delays its messages to the other controllers. Change: an entry waits up to 150 ms until half of its controllers have the version, and then chooses among them. Evidence: "A new document is requested once half of the controllers have it"; before, all of 90 entries asked the leader.

--- a/routing/include/goldcrest/routing/document_source.h
+++ b/routing/include/goldcrest/routing/document_source.h
@@ -44,6 +44,8 @@
   std::string requested_controller_;  // empty: no request is outstanding
   std::map<std::string, int> request_counts_;  // since the last document
   Time retry_at_;
+  std::int64_t awaited_version_ = 0;
+  Time spread_until_;  // for awaited_version_
   Duration retry_delay_{};
 };
 
--- a/routing/src/document_source.cc
+++ b/routing/src/document_source.cc
@@ -13,6 +13,11 @@
 constexpr Duration kInitialRetryDelay = std::chrono::milliseconds(1'000);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(4'000);
 
+// The leader announces a version first. Until half of the controllers have it,
+// an entry waits for them this long, which is twice the interval of the
+// leader's messages to the others.
+constexpr Duration kSpreadDelay = std::chrono::milliseconds(150);
+
 }  // namespace
 
 std::string DocumentSource::NextController(
@@ -31,6 +36,15 @@
     OnDocumentReceived();
     return "";
   }
+  if (newest != awaited_version_) {
+    awaited_version_ = newest;
+    spread_until_ = now + kSpreadDelay;
+  }
+  const auto ready = std::ranges::count_if(
+      connected, [&](const auto& item) { return item.version == newest; });
+  if (now < spread_until_ &&
+      2 * static_cast<std::size_t>(ready) < connected.size())
+    return "";
   const Candidate* best = nullptr;
   for (const Candidate& candidate : connected) {
     if (candidate.version == newest &&
--- a/routing/tests/document_source_test.cc
+++ b/routing/tests/document_source_test.cc
@@ -92,4 +92,29 @@
       source.NextController(kStart + milliseconds(100), 5, left).empty());
 }
 
+// Guards against all entries requesting a new document from the leader, which
+// announces it first: its link is then busy for longer than the other members
+// wait for its messages.
+TEST_CASE("A new document is requested once half of the controllers have it",
+          "[routing]") {
+  std::map<std::string, int> asked;
+  for (int salt = 0; salt < 90; ++salt) {
+    DocumentSource source(salt);
+    CHECK(source.NextController(kStart, 5, {{"a", 7}, {"b", 5}, {"c", 5}})
+              .empty());
+    ++asked[source.NextController(kStart + milliseconds(80), 5,
+                                  {{"a", 7}, {"b", 7}, {"c", 5}})];
+  }
+  CHECK(asked.size() == 2);
+  CHECK(asked["b"] >= 15);
+
+  SECTION("It is not waited for long") {
+    DocumentSource source(1);
+    CHECK(source.NextController(kStart, 5, {{"a", 7}, {"b", 5}, {"c", 5}})
+              .empty());
+    CHECK(source.NextController(kStart + milliseconds(150), 5,
+                                {{"a", 7}, {"b", 5}, {"c", 5}}) == "a");
+  }
+}
+
 }  // namespace goldcrest::routing
