Give a peer that has accepted a connection time for its greeting

What callers saw: an entry that stays without a link to some controllers and obeys an old configuration, or has none after a restart.

Cause: a link had to be connected and greeted within 300 ms. A process whose event loop lags by more than half of that never gets a link, however often it tries, and each try costs both sides more. Change: 300 ms for the connection, and the silence timeout of a second for the greeting. "A peer that has accepted the connection may be slow to greet" and "A peer that does not greet is given up" pass; they were not run on the old code, whose option had another name.

--- a/adapters/include/goldcrest/adapters/peer_transport.h
+++ b/adapters/include/goldcrest/adapters/peer_transport.h
@@ -33,9 +33,11 @@
   std::chrono::milliseconds ping_interval{250};
   //! A link without any received byte for this long is closed and replaced.
   std::chrono::milliseconds silence_timeout{1'000};
-  //! A link that is not up this long after its start is closed. Shorter than
-  //! the TCP timeout of a connection attempt to an instance that is starting.
-  std::chrono::milliseconds hello_timeout{1'000};
+  //! A connection attempt that takes longer is given up. Shorter than the TCP
+  //! timeout of a connection attempt to an instance that is starting. A peer
+  //! that has accepted the connection gets `silence_timeout` for its Hello,
+  //! since it may be busy.
+  std::chrono::milliseconds connect_timeout{1'000};
   std::chrono::milliseconds min_backoff{50};
   std::chrono::milliseconds max_backoff{500};
 };
--- a/adapters/src/peer_link.cc
+++ b/adapters/src/peer_link.cc
@@ -280,8 +280,8 @@
 void PeerLink::ArmTimer() {
   const auto now = SteadyClock::now();
   const auto silence_deadline =
-      up_ ? last_received_ + shared_->options.silence_timeout
-          : started_at_ + shared_->options.hello_timeout;
+      connected_ ? last_received_ + shared_->options.silence_timeout
+                 : started_at_ + shared_->options.connect_timeout;
   const auto next_ping = now + shared_->options.ping_interval;
   timer_.expires_at(silence_deadline > now
                         ? std::min(silence_deadline, next_ping)
@@ -295,16 +295,16 @@
 void PeerLink::OnTimer() {
   const auto now = SteadyClock::now();
   const auto timeout = shared_->options.silence_timeout;
-  if (!up_ && now - started_at_ >= shared_->options.hello_timeout) {
-    CloseOnStrand(ResultCode::kOk, "hello timeout");
+  if (!connected_ && now - started_at_ >= shared_->options.connect_timeout) {
+    CloseOnStrand(ResultCode::kOk, "connect timeout");
     return;
   }
-  if (up_ && now - last_received_ >= timeout) {
+  if (connected_ && now - last_received_ >= timeout) {
     // After a pause of this process, the socket may hold received bytes that
     // the reactor has not reported yet.
     error_code error;
     if (socket_.available(error) == 0) {
-      CloseOnStrand(ResultCode::kOk, "silent");
+      CloseOnStrand(ResultCode::kOk, up_ ? "silent" : "no hello");
       return;
     }
   }
--- a/adapters/tests/peer_transport_test.cc
+++ b/adapters/tests/peer_transport_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <mutex>
+#include <thread>
 
 #include "goldcrest/adapters/io_pool.h"
 #include "goldcrest/messages/codec.h"
@@ -145,6 +146,29 @@
   }));
 }
 
+// Guards against a busy peer to which no link ever comes up, because each
+// attempt is given up before the peer has sent its Hello.
+TEST_CASE("A peer that has accepted the connection may be slow to greet",
+          "[adapters]") {
+  Node a("a", {.connect_timeout = 100ms});
+  const RawListener listener;
+  a.SetPeer("b", listener.Port());
+  const RawSocket peer = listener.Accept();
+  std::this_thread::sleep_for(400ms);
+  peer.Send(HelloFrame("test", "b", 1));
+  CHECK(WaitFor([&] { return a.Transport().IsConnected("b"); }));
+  CHECK_FALSE(a.Logged("peer_unreachable"));
+}
+
+// Guards against waiting for ever for a Hello.
+TEST_CASE("A peer that does not greet is given up", "[adapters]") {
+  Node a("a", {.silence_timeout = 300ms});
+  const RawListener listener;
+  a.SetPeer("b", listener.Port());
+  const RawSocket peer = listener.Accept();
+  CHECK(WaitFor([&] { return a.Logged("cause=\"no hello\""); }));
+}
+
 TEST_CASE("A link to a restarted peer is restored", "[adapters]") {
   Node a("a");
   std::uint16_t port = 0;
--- a/programs/goldcrestd/platform_peers.cc
+++ b/programs/goldcrestd/platform_peers.cc
@@ -12,8 +12,8 @@
 constexpr std::chrono::milliseconds kPingInterval{400};
 constexpr std::chrono::milliseconds kSilenceTimeout{1'000};
 
-// Connecting and exchanging hellos takes two round trips of some 11 ms each.
-constexpr std::chrono::milliseconds kHelloTimeout{300};
+// Connecting takes a round trip of some 11 ms.
+constexpr std::chrono::milliseconds kConnectTimeout{300};
 
 // Short, because after a restart of all instances no statement is served until
 // these links are up.
@@ -60,7 +60,7 @@
   options.port = settings.first_internal_port + offset;
   options.ping_interval = kPingInterval;
   options.silence_timeout = kSilenceTimeout;
-  options.hello_timeout = kHelloTimeout;
+  options.connect_timeout = kConnectTimeout;
   options.max_backoff = kMaxReconnectBackoff;
   return options;
 }
