Log what a controller read from its disk, failed writes and slow ones

Cause: the logs named neither the cause of a failed write nor a write that held the process up, nor what a restarted controller knew; the hypotheses on the disk could not be told apart. Change: events log_opened, log_write_failed and log_write_slow. Result: logs only.

--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -1,5 +1,6 @@
 #include "programs/goldcrestd/controller_service.h"
 
+#include <boost/leaf/handle_errors.hpp>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -9,11 +10,14 @@
 #include "goldcrest/platform/endpoint_heartbeat.h"
 #include "goldcrest/platform/http_requests.h"
 #include "goldcrest/platform/routing_document.h"
+#include "goldcrest/storage/storage_error.h"
 #include "programs/goldcrestd/platform_peers.h"
 
 namespace goldcrest {
 namespace {
 
+namespace leaf = boost::leaf;
+
 using adapters::HttpResponse;
 using adapters::SystemClock;
 using fleet::ConfigurationResult;
@@ -21,6 +25,10 @@
 
 constexpr Duration kTickInterval = milliseconds(20);
 
+// The process does nothing else during a write. The other members elect a new
+// leader after three times this.
+constexpr milliseconds kSlowWrite{100};
+
 // The failover planner resends a promotion that was not answered in this time.
 constexpr Duration kPromotionTimeout = milliseconds(900);
 
@@ -113,7 +121,7 @@
     peers_->Send(to, message);
   };
   hooks.persist = [this](const std::vector<consensus::LogWrite>& writes) {
-    return store_ == nullptr || static_cast<bool>(store_->Apply(writes));
+    return Persist(writes);
   };
   hooks.decode = [](const std::string& text) {
     return platform::DecodeRoutingDocument(text).table;
@@ -137,6 +145,28 @@
   return hooks;
 }
 
+bool ControllerService::Persist(
+    const std::vector<consensus::LogWrite>& writes) {
+  if (store_ == nullptr)
+    return true;
+  const Time started_at = SystemClock::Now();
+  const bool written = leaf::try_handle_all(
+      [&]() -> leaf::result<bool> {
+        BOOST_LEAF_CHECK(store_->Apply(writes));
+        return true;
+      },
+      [this](const storage::StorageError& error) {
+        log_.LogEvent("log_write_failed", {{"cause", error.message}});
+        return false;
+      },
+      [] { return false; });
+  const auto taken =
+      std::chrono::duration_cast<milliseconds>(SystemClock::Now() - started_at);
+  if (taken >= kSlowWrite)
+    log_.LogEvent("log_write_slow", {{"age_ms", taken.count()}});
+  return written;
+}
+
 void ControllerService::Tick() {
   const Time now = SystemClock::Now();
   controller_->Tick(now);
--- a/programs/goldcrestd/controller_service.h
+++ b/programs/goldcrestd/controller_service.h
@@ -46,6 +46,7 @@
 
  private:
   fleet::ControllerHooks MakeHooks();
+  bool Persist(const std::vector<consensus::LogWrite>& writes);
   void Tick();
   void HandleHttp(const adapters::HttpRequest& request,
                   const adapters::HttpServer::Respond& respond);
--- a/programs/goldcrestd/platform_main.cc
+++ b/programs/goldcrestd/platform_main.cc
@@ -126,6 +126,11 @@
     options.cluster = kLogClusterName;
     options.instance = settings.host;
     BOOST_LEAF_ASSIGN(opened, storage::LogStore::Open(options));
+    log.LogEvent("log_opened", {{"empty", opened.state.fresh},
+                                {"term", opened.state.hard_state.term},
+                                {"joining", opened.state.hard_state.joining},
+                                {"snapshot", opened.state.snapshot.last_index},
+                                {"entries", opened.state.entries.size()}});
   }
   boost::asio::io_context context(1);
   ControllerService service(context, settings, std::move(opened), log);
