Wait in a test until a member is admitted, not until it may vote

Cause: the test of a member that lost its disk kills the leader right after the admission, and took the end of joining for it. A member may vote before it is added now, so that the leader was killed while two members were left. Change: the test waits until the member, which may vote, has itself among the members in its log. That is no later than before, when it waited until that entry was committed.

--- a/sessions/tests/configuration_test.cc
+++ b/sessions/tests/configuration_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "goldcrest/sessions/fleet.h"
@@ -104,7 +105,11 @@
     request.__set_members({"e1", "e2", "e3"});
     CHECK(fleet.Propose("e4", request).code == 0);
     REQUIRE(fleet.RunUntil(
-        [&] { return !fleet.control(follower).replica().IsJoining(); },
+        [&] {
+          const auto& replica = fleet.control(follower).replica();
+          return !replica.IsJoining() &&
+                 std::ranges::count(replica.Members(), follower) > 0;
+        },
         seconds(5)));
     fleet.Kill(fleet.ControlLeader());
     REQUIRE(fleet.RunUntil([&] { return !fleet.ControlLeader().empty(); },
