--- a/fleet/tests/fleet_simulation.cc
+++ b/fleet/tests/fleet_simulation.cc
@@ -109,6 +109,7 @@
            },
            [this](const std::string& name) { return IsRunning(name); }}) {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(options_.controllers));
   for (int i = 0; i < options_.controllers; ++i)
     names.push_back(AddController());
   for (std::size_t i = 0; i < names.size() && i < kBootstrapMembers; ++i)
@@ -396,13 +397,13 @@
 std::string FleetSimulation::AddController() {
   auto node = std::make_unique<ControllerNode>();
   node->name = "c" + std::to_string(next_controller_++);
-  const std::string name = node->name;
+  std::string name = node->name;
   controllers_[name] = std::move(node);
   return name;
 }
 
 std::string FleetSimulation::AddReplacement() {
-  const std::string name = AddController();
+  std::string name = AddController();
   controllers_.at(name)->first_start = false;
   Log("fault: " + name + " is added");
   MarkDisturbed(name);
@@ -708,7 +709,8 @@
   return outcome;
 }
 
-void FleetSimulation::RequestWrite(int entry, std::function<void(bool)> done) {
+void FleetSimulation::RequestWrite(int entry,
+                                   const std::function<void(bool)>& done) {
   EntryNode& node = *entries_.at(EntryName(entry));
   if (node.proxy == nullptr)
     return done(false);
--- a/fleet/tests/fleet_simulation.h
+++ b/fleet/tests/fleet_simulation.h
@@ -78,7 +78,7 @@
   std::int64_t EntryVersion(int entry) const;
   std::string EntryName(int entry) const;
   //! Runs one write through the entry; true once it reached the endpoint.
-  void RequestWrite(int entry, std::function<void(bool)> done);
+  void RequestWrite(int entry, const std::function<void(bool)>& done);
   //! The answer to a session for the route that `version` added.
   statements::Outcome OpenSession(int entry, std::int64_t version);
 
