--- a/fleet/tests/fleet_simulation.h
+++ b/fleet/tests/fleet_simulation.h
@@ -79,8 +79,6 @@
   std::string EntryName(int entry) const;
   //! Runs one write through the entry; true once it reached the endpoint.
   void RequestWrite(int entry, const std::function<void(bool)>& done);
-  //! The answer to a session for the route that `version` added.
-  statements::Outcome OpenSession(int entry, std::int64_t version);
 
  private:
   struct ControllerNode;
