Request a new configuration in time while versions follow each other

Cause: the wait for half of the controllers began anew with each version, so that an entry asked nobody while versions came faster than every 150 ms. Found by reading the change before the landing. Change: the wait begins when a newer version becomes known and ends with the request. Evidence: "New versions do not put the request off".

--- a/routing/include/goldcrest/routing/document_source.h
+++ b/routing/include/goldcrest/routing/document_source.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -44,8 +45,8 @@
   std::string requested_controller_;  // empty: no request is outstanding
   std::map<std::string, int> request_counts_;  // since the last document
   Time retry_at_;
-  std::int64_t awaited_version_ = 0;
-  Time spread_until_;  // for awaited_version_
+  // Set when a newer version becomes known, until a document has arrived.
+  std::optional<Time> spread_until_;
   Duration retry_delay_{};
 };
 
--- a/routing/src/document_source.cc
+++ b/routing/src/document_source.cc
@@ -36,13 +36,11 @@
     OnDocumentReceived();
     return "";
   }
-  if (newest != awaited_version_) {
-    awaited_version_ = newest;
+  if (!spread_until_)
     spread_until_ = now + kSpreadDelay;
-  }
   const auto ready = std::ranges::count_if(
       connected, [&](const auto& item) { return item.version == newest; });
-  if (now < spread_until_ &&
+  if (now < *spread_until_ &&
       2 * static_cast<std::size_t>(ready) < connected.size())
     return "";
   const Candidate* best = nullptr;
@@ -72,6 +70,7 @@
 void DocumentSource::OnDocumentReceived() {
   requested_controller_.clear();
   request_counts_.clear();
+  spread_until_.reset();
 }
 
 }  // namespace goldcrest::routing
--- a/routing/tests/document_source_test.cc
+++ b/routing/tests/document_source_test.cc
@@ -117,4 +117,15 @@
   }
 }
 
+// Guards against an entry that gets no document while versions follow each
+// other faster than the other controllers get them.
+TEST_CASE("New versions do not put the request off", "[routing]") {
+  DocumentSource source(1);
+  std::string asked;
+  for (int version = 6; version < 9; ++version)
+    asked = source.NextController(kStart + milliseconds(100) * (version - 6), 5,
+                                  {{"a", version}, {"b", 5}, {"c", 5}});
+  CHECK(asked == "a");
+}
+
 }  // namespace goldcrest::routing
