Announce a new control leader to all instances

Callers saw a write answered as unknown (501) when control members were stopped one soon after the other, although each stop was planned.

Cause: an entry that waits 0.4 s for an answer of a stopped leader takes it for unresponsive for a second and ignores hints to it. A member that is restarted within that second and elected leader is named by the others in vain; the entry sends no report to it, and the lease of the coordinator (1.2 s) lapses. The leader itself told the entries nothing until they had asked.

Ruled out: the leader's grant. The leaders renewed each lease that they were asked for.

Change: a new leader tells all registered instances that it leads, and they report to it at once.

--- a/control/include/goldcrest/control/leader.h
+++ b/control/include/goldcrest/control/leader.h
@@ -142,6 +142,7 @@
                std::vector<std::string> missing);
   bool IsLapsed(const std::string& instance, Time now) const;
   Duration WithDrift(std::chrono::milliseconds lease) const;
+  void AnnounceLeadership();
   LeaderEffects TakeEffects();
 
   const ControlState* state_;
--- a/control/src/leader.cc
+++ b/control/src/leader.cc
@@ -35,6 +35,19 @@
     coordinator_lease_until_[name] =
         now + WithDrift(options_.coordinator_lease);
   RefreshLimits(now);
+  AnnounceLeadership();
+}
+
+// Until an entry knows the new leader it gets no leases, and the other members
+// name the new leader only when they are asked.
+void Leader::AnnounceLeadership() {
+  messages::PeerMessage message;
+  messages::ControlUpdate update;
+  update.leader_term = term_;
+  update.leader = self_;
+  message.__set_update(update);
+  for (const auto& [name, info] : state_->instances())
+    effects_.messages.emplace_back(name, message);
 }
 
 LeaderEffects Leader::OnReport(const messages::EntryReport& report, Time now) {
--- a/entry/src/control_client.cc
+++ b/entry/src/control_client.cc
@@ -87,8 +87,15 @@
     OnTargetFailed(update.leader, now);
     return result;
   }
-  if (update.leader_term > newest_leader_term_)
+  if (update.leader_term > newest_leader_term_) {
     holder_->OnOwnerChange(now);
+    if (update.report_sequence == 0) {
+      // Leases of the previous leader run out soon.
+      immediate_report_ = true;
+      next_report_ = now;
+      unanswered_since_.reset();
+    }
+  }
   newest_leader_term_ = update.leader_term;
   result.accepted = true;
   target_ = update.leader;
--- a/sessions/tests/stop_test.cc
+++ b/sessions/tests/stop_test.cc
@@ -203,4 +203,49 @@
   CHECK(fleet.CoordinatorOf("bookings") != stopping);
 }
 
+// Guards against a coordinator's lease that lapses because a control member
+// that has just been restarted, and leads, is still taken for unresponsive.
+TEST_CASE("Control members that are restarted in turn renew all leases",
+          "[sessions][guarantee]") {
+  const int gap_ms = GENERATE(range(0, 1'200, 100));
+  CAPTURE(gap_ms);
+  Fleet fleet(5, 3);
+  fleet.AddGroup("bookings", 3, 3);
+  REQUIRE(SetUpBookings(fleet));
+  fleet.Run(seconds(4));
+  int writes = 0;
+  const auto run_with_load = [&](Duration duration) {
+    for (const Time end = fleet.now() + duration; fleet.now() < end; ++writes) {
+      const std::string id = std::to_string(writes);
+      fleet.Call("write " + id, writes % 2 == 0 ? "e4" : "e5",
+                 Write("incr n", id));
+      fleet.Run(milliseconds(20));
+    }
+  };
+  const auto stop_and_restart_leader = [&] {
+    REQUIRE(fleet.RunUntil([&] { return !fleet.ControlLeader().empty(); },
+                           seconds(5)));
+    const std::string leader = fleet.ControlLeader();
+    fleet.Drain(leader);
+    run_with_load(milliseconds(500));
+    fleet.Kill(leader);
+    run_with_load(milliseconds(100));
+    fleet.Restart(leader);
+  };
+  for (int stops = 0; stops < 6; ++stops) {
+    run_with_load(milliseconds(gap_ms));
+    stop_and_restart_leader();
+  }
+  run_with_load(seconds(3));
+  fleet.Run(seconds(10));
+  int unknown = 0;
+  for (int i = 0; i < writes; ++i) {
+    const auto* answer = fleet.AnswerTo("write " + std::to_string(i));
+    REQUIRE(answer != nullptr);
+    unknown += answer->code == ResultCode::kOutcomeUnknown ? 1 : 0;
+  }
+  CHECK(unknown == 0);
+  CHECK(fleet.transcript().find("lapsed") == std::string::npos);
+}
+
 }  // namespace goldcrest::sessions
