--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -1,6 +1,7 @@
 #ifndef GOLDCREST_FLEET_CONTROLLER_H_
 #define GOLDCREST_FLEET_CONTROLLER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -18,6 +19,7 @@
 #include "goldcrest/fleet/membership_planner.h"
 #include "goldcrest/quota/owner.h"
 #include "goldcrest/routing/endpoint_directory.h"
+#include "goldcrest/routing/heartbeat_guard.h"
 #include "goldcrest/routing/routing_table.h"
 
 namespace goldcrest::fleet {
@@ -42,6 +44,8 @@
   std::function<routing::RoutingTablePtr(const std::string& text)> decode;
   //! Called with all known controllers after new ones became known.
   std::function<void(const std::set<std::string>&)> known_controllers;
+  //! The time of day, which may be wrong.
+  std::function<std::chrono::system_clock::time_point()> unix_time;
   std::function<void(const routing::EndpointDirectory::Entry&, ProbePurpose)>
       probe;
   std::function<void(const messages::PrimaryAssignment&)> promote;
@@ -60,6 +64,8 @@
   int tolerated_losses = 1;
   quota::LimitWindow limit_window;
   std::set<std::string> seeds;  //!< Controllers known at the start.
+  //! How much the clocks of endpoints and controllers may differ.
+  Duration max_clock_skew = std::chrono::seconds(20);
 };
 
 //! One controller of the fleet. Keeps a copy of the replicated log and the
@@ -83,7 +89,7 @@
   void OnLink(const std::string& peer, bool up);
 
   //! Handles a heartbeat that an endpoint sent to this controller.
-  void OnHeartbeat(Time now, const messages::EndpointRecord& record);
+  void OnHeartbeat(Time now, const messages::EndpointRecord& heartbeat);
   //! Handles the deregistration of an endpoint.
   void OnDeparture(Time now, const messages::EndpointRecord& departure);
 
@@ -173,11 +179,14 @@
                 const messages::ControllerNotice& notice);
   const std::string& CompressedDocument();
   void AddPositions(Entry& entry, messages::ProxyUpdate& update) const;
+  bool ApplyHeartbeat(Time now, const messages::EndpointRecord& heartbeat);
+  void PassOn(Time now, const messages::EndpointRecord& record);
   void MergeEndpoint(Time now, const messages::EndpointRecord& record);
   void OnEndpointChanged(Time now, const messages::EndpointRecord& record);
   messages::ControllerNotice MakeNotice() const;
   void RecordEndpoint(Time now, const messages::EndpointRecord& record);
   void SendNotices(Time now);
+  void SendToPeers(const messages::ControllerNotice& notice);
   void SendToEntries(const messages::ProxyUpdate& update);
   void PlanMembership(Time now);
   void FailLostPuts();
@@ -193,6 +202,7 @@
   std::int64_t reported_term_ = 0;
   std::string reported_leader_;
   routing::EndpointDirectory directory_;
+  routing::HeartbeatGuard heartbeat_guard_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, ControllerPeer> peers_;
   std::set<std::string> known_controllers_;
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -4,6 +4,7 @@
 
 #include "goldcrest/fleet/controller.h"
 #include "goldcrest/routing/document_codec.h"
+#include "goldcrest/routing/endpoint_record.h"
 
 namespace goldcrest::fleet {
 namespace {
@@ -17,16 +18,42 @@
 
 }  // namespace
 
-void Controller::OnHeartbeat(Time now, const messages::EndpointRecord& record) {
+void Controller::OnHeartbeat(Time now,
+                             const messages::EndpointRecord& heartbeat) {
+  if (ApplyHeartbeat(now, heartbeat))
+    return;
+  // The heartbeats of one endpoint reach different controllers, and each has to
+  // count those that were held back.
+  messages::ControllerNotice notice = MakeNotice();
+  notice.held_back.push_back(heartbeat);
+  SendToPeers(notice);
+}
+
+// Returns false if the heartbeat is held back.
+bool Controller::ApplyHeartbeat(Time now,
+                                const messages::EndpointRecord& heartbeat) {
+  const auto* known = directory_.Find(heartbeat.endpoint);
+  const auto record =
+      heartbeat_guard_.Admit(now, hooks_.unix_time(), known, heartbeat);
+  if (!record) {
+    hooks_.log_decision("heartbeat_held_back",
+                        heartbeat.group + " " + heartbeat.endpoint,
+                        "started " + std::to_string(heartbeat.started_ms) +
+                            ", sequence " + std::to_string(heartbeat.sequence) +
+                            ", address " + heartbeat.address);
+    return false;
+  }
+  PassOn(now, *record);
+  return true;
+}
+
+void Controller::PassOn(Time now, const messages::EndpointRecord& record) {
   const auto merge = directory_.Apply(now, record);
   if (merge == routing::EndpointDirectory::MergeResult::kStale)
     return;
-  messages::PeerMessage message;
   messages::ControllerNotice notice = MakeNotice();
   notice.endpoints.push_back(record);
-  message.__set_controller_notice(notice);
-  for (const auto& [name, peer] : peers_)
-    hooks_.send(name, message);
+  SendToPeers(notice);
   if (merge != routing::EndpointDirectory::MergeResult::kChanged)
     return;
   hooks_.log_decision("endpoint_changed", record.group + " " + record.endpoint,
@@ -54,7 +81,8 @@
                   : known && it->second.primary == record.primary &&
                         it->second.draining == record.draining &&
                         it->second.address == record.address &&
-                        it->second.started_ms == record.started_ms)
+                        it->second.started_ms == record.started_ms &&
+                        it->second.epoch == record.epoch)
     return;
   messages::FleetCommand command;
   command.__set_endpoint(record);
@@ -63,19 +91,27 @@
 
 void Controller::OnDeparture(Time now,
                              const messages::EndpointRecord& departure) {
-  const auto* known = directory_.Find(departure.endpoint);
-  if (known == nullptr || known->record.gone)
-    return;
-  messages::EndpointRecord record = known->record;
-  if (departure.started_ms != 0 && departure.started_ms < record.started_ms)
-    return;  // Sent by an earlier process of the endpoint.
-  record.sequence = std::max(record.sequence, departure.sequence) + 1;
-  record.gone = true;
-  OnHeartbeat(now, record);
+  const auto record = heartbeat_guard_.AdmitDeparture(
+      hooks_.unix_time(), directory_.Find(departure.endpoint), departure);
+  if (record)
+    PassOn(now, *record);
+}
+
+void Controller::SendToPeers(const messages::ControllerNotice& notice) {
+  messages::PeerMessage message;
+  message.__set_controller_notice(notice);
+  for (const auto& [name, peer] : peers_)
+    hooks_.send(name, message);
 }
 
 void Controller::MergeEndpoint(Time now,
                                const messages::EndpointRecord& record) {
+  // Older releases logged and sent records without checking them.
+  if (const std::string problem = routing::FindRecordProblem(record);
+      !problem.empty()) {
+    hooks_.log_decision("endpoint_dropped", record.endpoint, problem);
+    return;
+  }
   if (directory_.Apply(now, record) ==
       routing::EndpointDirectory::MergeResult::kChanged)
     OnEndpointChanged(now, record);
@@ -219,6 +255,8 @@
   AddControllers(names);
   for (const messages::EndpointRecord& record : notice.endpoints)
     MergeEndpoint(now, record);
+  for (const messages::EndpointRecord& heartbeat : notice.held_back)
+    ApplyHeartbeat(now, heartbeat);
 }
 
 void Controller::AddControllers(const std::set<std::string>& names) {
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -1,13 +1,12 @@
 #include "goldcrest/fleet/controller.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <deque>
-#include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
+#include "controller_cluster.h"
 #include "goldcrest/messages/codec.h"
 #include "goldcrest/routing/document_codec.h"
 
@@ -18,157 +17,6 @@
 using std::chrono::seconds;
 using Kind = ConfigurationResult::Kind;
 
-constexpr Duration kStep = milliseconds(10);
-
-// Controllers that run in simulated time. A message takes one step. `disks`
-// holds what each controller has persisted, which survives its restart; an
-// empty entry is a lost disk.
-class Cluster {
- public:
-  explicit Cluster(int size) {
-    for (int i = 0; i < size; ++i)
-      names_.insert(std::string(1, static_cast<char>('a' + i)));
-    for (const std::string& name : names_)
-      Start(name, true);
-  }
-
-  void Start(const std::string& name, bool first) {
-    ControllerOptions options;
-    options.replica.self = name;
-    if (first)
-      options.replica.bootstrap_members = {names_.begin(), names_.end()};
-    options.seeds = names_;
-    ControllerHooks hooks;
-    hooks.send = [this, name](const std::string& to,
-                              const messages::PeerMessage& message) {
-      if (disconnected.count(name) == 0 && disconnected.count(to) == 0)
-        in_transit_.push_back({name, to, message});
-    };
-    hooks.persist = [this, name](const auto& writes) {
-      Persist(disks[name], writes);
-      return true;
-    };
-    hooks.decode = [](const std::string& text) {
-      auto table = std::make_shared<routing::RoutingTable>();
-      table->version = std::stoll(text);
-      table->customers.push_back({"customer", {"key"}, 100, 100});
-      return table;
-    };
-    hooks.known_controllers = [this, name](const auto& names) {
-      last_known[name] = names;
-    };
-    hooks.probe = [](const auto&, ProbePurpose) {};
-    hooks.promote = [](const auto&) {};
-    hooks.log_decision = [this](const std::string& event, const auto&,
-                                const auto&) {
-      reserve_grants += event == "reserve_given_out" ? 1 : 0;
-    };
-    nodes[name] = std::make_unique<Controller>(now, options, disks[name],
-                                               std::mt19937_64(name[0]), hooks);
-  }
-
-  void Stop(const std::string& name) { nodes.erase(name); }
-
-  void Run(Duration duration) {
-    for (const Time end = now + duration; now < end;) {
-      now += kStep;
-      for (SentMessage& sent : std::exchange(in_transit_, {})) {
-        if (sent.message.__isset.controller_notice)
-          ++notices_to[sent.to];
-        const auto it = nodes.find(sent.to);
-        if (it != nodes.end())
-          it->second->OnMessage(now, sent.from, sent.message);
-        else if (sent.to.starts_with("entry") &&
-                 sent.message.__isset.proxy_update)
-          updates[sent.to].push_back(sent.message.proxy_update);
-      }
-      for (auto& [name, node] : nodes)
-        node->Tick(now);
-    }
-  }
-
-  std::string Leader() const {
-    for (const auto& [name, node] : nodes) {
-      if (disconnected.count(name) == 0 && node->Get(now).kind == Kind::kDone)
-        return name;
-    }
-    return "";
-  }
-
-  ConfigurationResult Put(const std::string& name, std::int64_t version) {
-    ConfigurationResult result;
-    result.leader = "none yet";
-    nodes.at(name)->Put(
-        now, version, std::to_string(version),
-        [&result](ConfigurationResult got) { result = std::move(got); });
-    Run(milliseconds(300));
-    return result;
-  }
-
-  void Report(const std::string& entry,
-              const std::string& controller,
-              const messages::ProxyReport& report) {
-    messages::PeerMessage message;
-    message.__set_proxy_report(report);
-    nodes.at(controller)->OnMessage(now, entry, message);
-    Run(milliseconds(50));
-  }
-
-  // Returns the number of endpoint records sent to the entry since the last
-  // call.
-  std::size_t TakeEndpoints(const std::string& entry) {
-    std::size_t count = 0;
-    for (const messages::ProxyUpdate& update :
-         std::exchange(updates[entry], {}))
-      count += update.endpoints.size();
-    return count;
-  }
-
-  int reserve_grants = 0;
-  Time now = TimeFromMicros(100'000'000);
-  std::map<std::string, std::unique_ptr<Controller>> nodes;
-  std::map<std::string, consensus::RestoredState> disks;
-  std::map<std::string, std::vector<messages::ProxyUpdate>> updates;
-  std::map<std::string, std::set<std::string>> last_known;
-  std::map<std::string, int> notices_to;
-  std::set<std::string> disconnected;
-
- private:
-  struct SentMessage {
-    std::string from;
-    std::string to;
-    messages::PeerMessage message;
-  };
-
-  static void Persist(consensus::RestoredState& disk,
-                      const std::vector<consensus::LogWrite>& writes) {
-    disk.fresh = false;
-    for (const consensus::LogWrite& write : writes) {
-      if (const auto* state = std::get_if<consensus::HardState>(&write)) {
-        disk.hard_state = *state;
-      } else if (const auto* truncate =
-                     std::get_if<consensus::TruncateLog>(&write)) {
-        std::erase_if(disk.entries, [&](const messages::LogEntry& entry) {
-          return entry.index >= truncate->index;
-        });
-      } else if (const auto* add =
-                     std::get_if<consensus::AppendEntries>(&write)) {
-        disk.entries.insert(disk.entries.end(), add->entries.begin(),
-                            add->entries.end());
-      } else if (const auto* save =
-                     std::get_if<consensus::SaveSnapshot>(&write)) {
-        disk.snapshot = save->snapshot;
-        std::erase_if(disk.entries, [&](const messages::LogEntry& entry) {
-          return entry.index <= save->snapshot.last_index;
-        });
-      }
-    }
-  }
-
-  std::set<std::string> names_;
-  std::deque<SentMessage> in_transit_;
-};
-
 std::string OtherThan(const std::string& leader) {
   return leader == "a" ? "b" : "a";
 }
@@ -329,20 +177,20 @@
   Cluster cluster(3);
   cluster.Run(seconds(1));
   REQUIRE(cluster.Put(cluster.Leader(), 5).kind == Kind::kDone);
-  CHECK(cluster.reserve_grants == 0);
+  CHECK(cluster.decisions["reserve_given_out"] == 0);
   for (int i = 0; i < 3; ++i) {
     const std::string leader = cluster.Leader();
     cluster.Stop(leader);
     cluster.Run(seconds(2));
     cluster.Start(leader, false);
     cluster.Run(milliseconds(300));
-    CHECK(cluster.reserve_grants == 1);
+    CHECK(cluster.decisions["reserve_given_out"] == 1);
   }
   cluster.Run(quota::kReserveGrantInterval + seconds(1));
-  CHECK(cluster.reserve_grants == 1);
+  CHECK(cluster.decisions["reserve_given_out"] == 1);
   cluster.Stop(cluster.Leader());
   cluster.Run(seconds(2));
-  CHECK(cluster.reserve_grants == 2);
+  CHECK(cluster.decisions["reserve_given_out"] == 2);
 }
 
 // Guards against entries that learn of a new leader only by their next report,
--- a/fleet/tests/fleet_simulation.cc
+++ b/fleet/tests/fleet_simulation.cc
@@ -135,6 +135,9 @@
   hooks.known_controllers = [this, name](const std::set<std::string>& names) {
     network_.SetPeers(name, names);
   };
+  hooks.unix_time = [this] {
+    return std::chrono::system_clock::time_point(network_.Now() - Time());
+  };
   hooks.probe = [this, &node](const routing::EndpointDirectory::Entry& entry,
                               ProbePurpose) {
     const std::string endpoint = entry.record.endpoint;
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -8255,6 +8255,10 @@
 void EndpointRecord::__set_gone(const bool val) {
   this->gone = val;
 }
+
+void EndpointRecord::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj)
 {
   obj.printTo(out);
@@ -8355,6 +8359,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          this->__isset.epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8408,6 +8420,10 @@
   xfer += oprot->writeBool(this->gone);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8424,6 +8440,7 @@
   swap(a.started_ms, b.started_ms);
   swap(a.sequence, b.sequence);
   swap(a.gone, b.gone);
+  swap(a.epoch, b.epoch);
   swap(a.__isset, b.__isset);
 }
 
@@ -8437,6 +8454,7 @@
   started_ms = other273.started_ms;
   sequence = other273.sequence;
   gone = other273.gone;
+  epoch = other273.epoch;
   __isset = other273.__isset;
 }
 EndpointRecord::EndpointRecord(EndpointRecord&& other274) noexcept {
@@ -8449,6 +8467,7 @@
   started_ms = other274.started_ms;
   sequence = other274.sequence;
   gone = other274.gone;
+  epoch = other274.epoch;
   __isset = other274.__isset;
 }
 EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other275) {
@@ -8461,6 +8480,7 @@
   started_ms = other275.started_ms;
   sequence = other275.sequence;
   gone = other275.gone;
+  epoch = other275.epoch;
   __isset = other275.__isset;
   return *this;
 }
@@ -8474,6 +8494,7 @@
   started_ms = other276.started_ms;
   sequence = other276.sequence;
   gone = other276.gone;
+  epoch = other276.epoch;
   __isset = other276.__isset;
   return *this;
 }
@@ -8489,6 +8510,7 @@
   out << ", " << "started_ms=" << to_string(started_ms);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "gone=" << to_string(gone);
+  out << ", " << "epoch=" << to_string(epoch);
   out << ")";
 }
 
@@ -9735,6 +9757,10 @@
 void ControllerNotice::__set_draining(const bool val) {
   this->draining = val;
 }
+
+void ControllerNotice::__set_held_back(const std::vector<EndpointRecord> & val) {
+  this->held_back = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControllerNotice& obj)
 {
   obj.printTo(out);
@@ -9827,6 +9853,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->held_back.clear();
+            uint32_t _size349;
+            ::apache::thrift::protocol::TType _etype352;
+            xfer += iprot->readListBegin(_etype352, _size349);
+            this->held_back.resize(_size349);
+            uint32_t _i353;
+            for (_i353 = 0; _i353 < _size349; ++_i353)
+            {
+              xfer += this->held_back[_i353].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.held_back = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9855,10 +9901,10 @@
   xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
-    std::vector<std::string> ::const_iterator _iter349;
-    for (_iter349 = this->controllers.begin(); _iter349 != this->controllers.end(); ++_iter349)
+    std::vector<std::string> ::const_iterator _iter354;
+    for (_iter354 = this->controllers.begin(); _iter354 != this->controllers.end(); ++_iter354)
     {
-      xfer += oprot->writeString((*_iter349));
+      xfer += oprot->writeString((*_iter354));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9867,10 +9913,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter350;
-    for (_iter350 = this->endpoints.begin(); _iter350 != this->endpoints.end(); ++_iter350)
+    std::vector<EndpointRecord> ::const_iterator _iter355;
+    for (_iter355 = this->endpoints.begin(); _iter355 != this->endpoints.end(); ++_iter355)
     {
-      xfer += (*_iter350).write(oprot);
+      xfer += (*_iter355).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9880,6 +9926,18 @@
   xfer += oprot->writeBool(this->draining);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("held_back", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held_back.size()));
+    std::vector<EndpointRecord> ::const_iterator _iter356;
+    for (_iter356 = this->held_back.begin(); _iter356 != this->held_back.end(); ++_iter356)
+    {
+      xfer += (*_iter356).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9892,41 +9950,46 @@
   swap(a.controllers, b.controllers);
   swap(a.endpoints, b.endpoints);
   swap(a.draining, b.draining);
+  swap(a.held_back, b.held_back);
   swap(a.__isset, b.__isset);
 }
 
-ControllerNotice::ControllerNotice(const ControllerNotice& other351) {
-  has_disk = other351.has_disk;
-  joining = other351.joining;
-  controllers = other351.controllers;
-  endpoints = other351.endpoints;
-  draining = other351.draining;
-  __isset = other351.__isset;
-}
-ControllerNotice::ControllerNotice(ControllerNotice&& other352) noexcept {
-  has_disk = other352.has_disk;
-  joining = other352.joining;
-  controllers = std::move(other352.controllers);
-  endpoints = std::move(other352.endpoints);
-  draining = other352.draining;
-  __isset = other352.__isset;
-}
-ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other353) {
-  has_disk = other353.has_disk;
-  joining = other353.joining;
-  controllers = other353.controllers;
-  endpoints = other353.endpoints;
-  draining = other353.draining;
-  __isset = other353.__isset;
+ControllerNotice::ControllerNotice(const ControllerNotice& other357) {
+  has_disk = other357.has_disk;
+  joining = other357.joining;
+  controllers = other357.controllers;
+  endpoints = other357.endpoints;
+  draining = other357.draining;
+  held_back = other357.held_back;
+  __isset = other357.__isset;
+}
+ControllerNotice::ControllerNotice(ControllerNotice&& other358) noexcept {
+  has_disk = other358.has_disk;
+  joining = other358.joining;
+  controllers = std::move(other358.controllers);
+  endpoints = std::move(other358.endpoints);
+  draining = other358.draining;
+  held_back = std::move(other358.held_back);
+  __isset = other358.__isset;
+}
+ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other359) {
+  has_disk = other359.has_disk;
+  joining = other359.joining;
+  controllers = other359.controllers;
+  endpoints = other359.endpoints;
+  draining = other359.draining;
+  held_back = other359.held_back;
+  __isset = other359.__isset;
   return *this;
 }
-ControllerNotice& ControllerNotice::operator=(ControllerNotice&& other354) noexcept {
-  has_disk = other354.has_disk;
-  joining = other354.joining;
-  controllers = std::move(other354.controllers);
-  endpoints = std::move(other354.endpoints);
-  draining = other354.draining;
-  __isset = other354.__isset;
+ControllerNotice& ControllerNotice::operator=(ControllerNotice&& other360) noexcept {
+  has_disk = other360.has_disk;
+  joining = other360.joining;
+  controllers = std::move(other360.controllers);
+  endpoints = std::move(other360.endpoints);
+  draining = other360.draining;
+  held_back = std::move(other360.held_back);
+  __isset = other360.__isset;
   return *this;
 }
 void ControllerNotice::printTo(std::ostream& out) const {
@@ -9937,6 +10000,7 @@
   out << ", " << "controllers=" << to_string(controllers);
   out << ", " << "endpoints=" << to_string(endpoints);
   out << ", " << "draining=" << to_string(draining);
+  out << ", " << "held_back=" << to_string(held_back);
   out << ")";
 }
 
@@ -10050,30 +10114,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisterHolder::RegisterHolder(const RegisterHolder& other355) {
-  instance = other355.instance;
-  process = other355.process;
-  released = other355.released;
-  __isset = other355.__isset;
+RegisterHolder::RegisterHolder(const RegisterHolder& other361) {
+  instance = other361.instance;
+  process = other361.process;
+  released = other361.released;
+  __isset = other361.__isset;
 }
-RegisterHolder::RegisterHolder(RegisterHolder&& other356) noexcept {
-  instance = std::move(other356.instance);
-  process = other356.process;
-  released = other356.released;
-  __isset = other356.__isset;
+RegisterHolder::RegisterHolder(RegisterHolder&& other362) noexcept {
+  instance = std::move(other362.instance);
+  process = other362.process;
+  released = other362.released;
+  __isset = other362.__isset;
 }
-RegisterHolder& RegisterHolder::operator=(const RegisterHolder& other357) {
-  instance = other357.instance;
-  process = other357.process;
-  released = other357.released;
-  __isset = other357.__isset;
+RegisterHolder& RegisterHolder::operator=(const RegisterHolder& other363) {
+  instance = other363.instance;
+  process = other363.process;
+  released = other363.released;
+  __isset = other363.__isset;
   return *this;
 }
-RegisterHolder& RegisterHolder::operator=(RegisterHolder&& other358) noexcept {
-  instance = std::move(other358.instance);
-  process = other358.process;
-  released = other358.released;
-  __isset = other358.__isset;
+RegisterHolder& RegisterHolder::operator=(RegisterHolder&& other364) noexcept {
+  instance = std::move(other364.instance);
+  process = other364.process;
+  released = other364.released;
+  __isset = other364.__isset;
   return *this;
 }
 void RegisterHolder::printTo(std::ostream& out) const {
@@ -10178,26 +10242,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderState::HolderState(const HolderState& other359) noexcept {
-  process = other359.process;
-  incarnation = other359.incarnation;
-  __isset = other359.__isset;
+HolderState::HolderState(const HolderState& other365) noexcept {
+  process = other365.process;
+  incarnation = other365.incarnation;
+  __isset = other365.__isset;
 }
-HolderState::HolderState(HolderState&& other360) noexcept {
-  process = other360.process;
-  incarnation = other360.incarnation;
-  __isset = other360.__isset;
+HolderState::HolderState(HolderState&& other366) noexcept {
+  process = other366.process;
+  incarnation = other366.incarnation;
+  __isset = other366.__isset;
 }
-HolderState& HolderState::operator=(const HolderState& other361) noexcept {
-  process = other361.process;
-  incarnation = other361.incarnation;
-  __isset = other361.__isset;
+HolderState& HolderState::operator=(const HolderState& other367) noexcept {
+  process = other367.process;
+  incarnation = other367.incarnation;
+  __isset = other367.__isset;
   return *this;
 }
-HolderState& HolderState::operator=(HolderState&& other362) noexcept {
-  process = other362.process;
-  incarnation = other362.incarnation;
-  __isset = other362.__isset;
+HolderState& HolderState::operator=(HolderState&& other368) noexcept {
+  process = other368.process;
+  incarnation = other368.incarnation;
+  __isset = other368.__isset;
   return *this;
 }
 void HolderState::printTo(std::ostream& out) const {
@@ -10301,26 +10365,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ReserveUse::ReserveUse(const ReserveUse& other363) noexcept {
-  term = other363.term;
-  used = other363.used;
-  __isset = other363.__isset;
+ReserveUse::ReserveUse(const ReserveUse& other369) noexcept {
+  term = other369.term;
+  used = other369.used;
+  __isset = other369.__isset;
 }
-ReserveUse::ReserveUse(ReserveUse&& other364) noexcept {
-  term = other364.term;
-  used = other364.used;
-  __isset = other364.__isset;
+ReserveUse::ReserveUse(ReserveUse&& other370) noexcept {
+  term = other370.term;
+  used = other370.used;
+  __isset = other370.__isset;
 }
-ReserveUse& ReserveUse::operator=(const ReserveUse& other365) noexcept {
-  term = other365.term;
-  used = other365.used;
-  __isset = other365.__isset;
+ReserveUse& ReserveUse::operator=(const ReserveUse& other371) noexcept {
+  term = other371.term;
+  used = other371.used;
+  __isset = other371.__isset;
   return *this;
 }
-ReserveUse& ReserveUse::operator=(ReserveUse&& other366) noexcept {
-  term = other366.term;
-  used = other366.used;
-  __isset = other366.__isset;
+ReserveUse& ReserveUse::operator=(ReserveUse&& other372) noexcept {
+  term = other372.term;
+  used = other372.used;
+  __isset = other372.__isset;
   return *this;
 }
 void ReserveUse::printTo(std::ostream& out) const {
@@ -10424,26 +10488,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PutDocument::PutDocument(const PutDocument& other367) {
-  version = other367.version;
-  text = other367.text;
-  __isset = other367.__isset;
+PutDocument::PutDocument(const PutDocument& other373) {
+  version = other373.version;
+  text = other373.text;
+  __isset = other373.__isset;
 }
-PutDocument::PutDocument(PutDocument&& other368) noexcept {
-  version = other368.version;
-  text = std::move(other368.text);
-  __isset = other368.__isset;
+PutDocument::PutDocument(PutDocument&& other374) noexcept {
+  version = other374.version;
+  text = std::move(other374.text);
+  __isset = other374.__isset;
 }
-PutDocument& PutDocument::operator=(const PutDocument& other369) {
-  version = other369.version;
-  text = other369.text;
-  __isset = other369.__isset;
+PutDocument& PutDocument::operator=(const PutDocument& other375) {
+  version = other375.version;
+  text = other375.text;
+  __isset = other375.__isset;
   return *this;
 }
-PutDocument& PutDocument::operator=(PutDocument&& other370) noexcept {
-  version = other370.version;
-  text = std::move(other370.text);
-  __isset = other370.__isset;
+PutDocument& PutDocument::operator=(PutDocument&& other376) noexcept {
+  version = other376.version;
+  text = std::move(other376.text);
+  __isset = other376.__isset;
   return *this;
 }
 void PutDocument::printTo(std::ostream& out) const {
@@ -10589,34 +10653,34 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetCommand::FleetCommand(const FleetCommand& other371) {
-  put = other371.put;
-  holder = other371.holder;
-  endpoint = other371.endpoint;
-  reserve = other371.reserve;
-  __isset = other371.__isset;
-}
-FleetCommand::FleetCommand(FleetCommand&& other372) noexcept {
-  put = std::move(other372.put);
-  holder = std::move(other372.holder);
-  endpoint = std::move(other372.endpoint);
-  reserve = std::move(other372.reserve);
-  __isset = other372.__isset;
-}
-FleetCommand& FleetCommand::operator=(const FleetCommand& other373) {
-  put = other373.put;
-  holder = other373.holder;
-  endpoint = other373.endpoint;
-  reserve = other373.reserve;
-  __isset = other373.__isset;
+FleetCommand::FleetCommand(const FleetCommand& other377) {
+  put = other377.put;
+  holder = other377.holder;
+  endpoint = other377.endpoint;
+  reserve = other377.reserve;
+  __isset = other377.__isset;
+}
+FleetCommand::FleetCommand(FleetCommand&& other378) noexcept {
+  put = std::move(other378.put);
+  holder = std::move(other378.holder);
+  endpoint = std::move(other378.endpoint);
+  reserve = std::move(other378.reserve);
+  __isset = other378.__isset;
+}
+FleetCommand& FleetCommand::operator=(const FleetCommand& other379) {
+  put = other379.put;
+  holder = other379.holder;
+  endpoint = other379.endpoint;
+  reserve = other379.reserve;
+  __isset = other379.__isset;
   return *this;
 }
-FleetCommand& FleetCommand::operator=(FleetCommand&& other374) noexcept {
-  put = std::move(other374.put);
-  holder = std::move(other374.holder);
-  endpoint = std::move(other374.endpoint);
-  reserve = std::move(other374.reserve);
-  __isset = other374.__isset;
+FleetCommand& FleetCommand::operator=(FleetCommand&& other380) noexcept {
+  put = std::move(other380.put);
+  holder = std::move(other380.holder);
+  endpoint = std::move(other380.endpoint);
+  reserve = std::move(other380.reserve);
+  __isset = other380.__isset;
   return *this;
 }
 void FleetCommand::printTo(std::ostream& out) const {
@@ -10689,17 +10753,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->holders.clear();
-            uint32_t _size375;
-            ::apache::thrift::protocol::TType _ktype376;
-            ::apache::thrift::protocol::TType _vtype377;
-            xfer += iprot->readMapBegin(_ktype376, _vtype377, _size375);
-            uint32_t _i379;
-            for (_i379 = 0; _i379 < _size375; ++_i379)
+            uint32_t _size381;
+            ::apache::thrift::protocol::TType _ktype382;
+            ::apache::thrift::protocol::TType _vtype383;
+            xfer += iprot->readMapBegin(_ktype382, _vtype383, _size381);
+            uint32_t _i385;
+            for (_i385 = 0; _i385 < _size381; ++_i385)
             {
-              std::string _key380;
-              xfer += iprot->readString(_key380);
-              HolderState& _val381 = this->holders[_key380];
-              xfer += _val381.read(iprot);
+              std::string _key386;
+              xfer += iprot->readString(_key386);
+              HolderState& _val387 = this->holders[_key386];
+              xfer += _val387.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10712,17 +10776,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->endpoints.clear();
-            uint32_t _size382;
-            ::apache::thrift::protocol::TType _ktype383;
-            ::apache::thrift::protocol::TType _vtype384;
-            xfer += iprot->readMapBegin(_ktype383, _vtype384, _size382);
-            uint32_t _i386;
-            for (_i386 = 0; _i386 < _size382; ++_i386)
+            uint32_t _size388;
+            ::apache::thrift::protocol::TType _ktype389;
+            ::apache::thrift::protocol::TType _vtype390;
+            xfer += iprot->readMapBegin(_ktype389, _vtype390, _size388);
+            uint32_t _i392;
+            for (_i392 = 0; _i392 < _size388; ++_i392)
             {
-              std::string _key387;
-              xfer += iprot->readString(_key387);
-              EndpointRecord& _val388 = this->endpoints[_key387];
-              xfer += _val388.read(iprot);
+              std::string _key393;
+              xfer += iprot->readString(_key393);
+              EndpointRecord& _val394 = this->endpoints[_key393];
+              xfer += _val394.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10763,11 +10827,11 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::map<std::string, HolderState> ::const_iterator _iter389;
-    for (_iter389 = this->holders.begin(); _iter389 != this->holders.end(); ++_iter389)
+    std::map<std::string, HolderState> ::const_iterator _iter395;
+    for (_iter395 = this->holders.begin(); _iter395 != this->holders.end(); ++_iter395)
     {
-      xfer += oprot->writeString(_iter389->first);
-      xfer += _iter389->second.write(oprot);
+      xfer += oprot->writeString(_iter395->first);
+      xfer += _iter395->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10776,11 +10840,11 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::map<std::string, EndpointRecord> ::const_iterator _iter390;
-    for (_iter390 = this->endpoints.begin(); _iter390 != this->endpoints.end(); ++_iter390)
+    std::map<std::string, EndpointRecord> ::const_iterator _iter396;
+    for (_iter396 = this->endpoints.begin(); _iter396 != this->endpoints.end(); ++_iter396)
     {
-      xfer += oprot->writeString(_iter390->first);
-      xfer += _iter390->second.write(oprot);
+      xfer += oprot->writeString(_iter396->first);
+      xfer += _iter396->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10804,34 +10868,34 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshot::FleetSnapshot(const FleetSnapshot& other391) {
-  document = other391.document;
-  holders = other391.holders;
-  endpoints = other391.endpoints;
-  reserve_used = other391.reserve_used;
-  __isset = other391.__isset;
-}
-FleetSnapshot::FleetSnapshot(FleetSnapshot&& other392) noexcept {
-  document = std::move(other392.document);
-  holders = std::move(other392.holders);
-  endpoints = std::move(other392.endpoints);
-  reserve_used = other392.reserve_used;
-  __isset = other392.__isset;
-}
-FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other393) {
-  document = other393.document;
-  holders = other393.holders;
-  endpoints = other393.endpoints;
-  reserve_used = other393.reserve_used;
-  __isset = other393.__isset;
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other397) {
+  document = other397.document;
+  holders = other397.holders;
+  endpoints = other397.endpoints;
+  reserve_used = other397.reserve_used;
+  __isset = other397.__isset;
+}
+FleetSnapshot::FleetSnapshot(FleetSnapshot&& other398) noexcept {
+  document = std::move(other398.document);
+  holders = std::move(other398.holders);
+  endpoints = std::move(other398.endpoints);
+  reserve_used = other398.reserve_used;
+  __isset = other398.__isset;
+}
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other399) {
+  document = other399.document;
+  holders = other399.holders;
+  endpoints = other399.endpoints;
+  reserve_used = other399.reserve_used;
+  __isset = other399.__isset;
   return *this;
 }
-FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other394) noexcept {
-  document = std::move(other394.document);
-  holders = std::move(other394.holders);
-  endpoints = std::move(other394.endpoints);
-  reserve_used = other394.reserve_used;
-  __isset = other394.__isset;
+FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other400) noexcept {
+  document = std::move(other400.document);
+  holders = std::move(other400.holders);
+  endpoints = std::move(other400.endpoints);
+  reserve_used = other400.reserve_used;
+  __isset = other400.__isset;
   return *this;
 }
 void FleetSnapshot::printTo(std::ostream& out) const {
@@ -11207,82 +11271,82 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other395) {
-  hello = other395.hello;
-  ping = other395.ping;
-  pong = other395.pong;
-  consensus = other395.consensus;
-  report = other395.report;
-  update = other395.update;
-  forward = other395.forward;
-  forward_response = other395.forward_response;
-  propose = other395.propose;
-  propose_response = other395.propose_response;
-  query = other395.query;
-  query_response = other395.query_response;
-  drain = other395.drain;
-  proxy_report = other395.proxy_report;
-  proxy_update = other395.proxy_update;
-  controller_notice = other395.controller_notice;
-  __isset = other395.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other396) noexcept {
-  hello = std::move(other396.hello);
-  ping = other396.ping;
-  pong = other396.pong;
-  consensus = std::move(other396.consensus);
-  report = std::move(other396.report);
-  update = std::move(other396.update);
-  forward = std::move(other396.forward);
-  forward_response = std::move(other396.forward_response);
-  propose = std::move(other396.propose);
-  propose_response = std::move(other396.propose_response);
-  query = std::move(other396.query);
-  query_response = std::move(other396.query_response);
-  drain = other396.drain;
-  proxy_report = std::move(other396.proxy_report);
-  proxy_update = std::move(other396.proxy_update);
-  controller_notice = std::move(other396.controller_notice);
-  __isset = other396.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other397) {
-  hello = other397.hello;
-  ping = other397.ping;
-  pong = other397.pong;
-  consensus = other397.consensus;
-  report = other397.report;
-  update = other397.update;
-  forward = other397.forward;
-  forward_response = other397.forward_response;
-  propose = other397.propose;
-  propose_response = other397.propose_response;
-  query = other397.query;
-  query_response = other397.query_response;
-  drain = other397.drain;
-  proxy_report = other397.proxy_report;
-  proxy_update = other397.proxy_update;
-  controller_notice = other397.controller_notice;
-  __isset = other397.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other401) {
+  hello = other401.hello;
+  ping = other401.ping;
+  pong = other401.pong;
+  consensus = other401.consensus;
+  report = other401.report;
+  update = other401.update;
+  forward = other401.forward;
+  forward_response = other401.forward_response;
+  propose = other401.propose;
+  propose_response = other401.propose_response;
+  query = other401.query;
+  query_response = other401.query_response;
+  drain = other401.drain;
+  proxy_report = other401.proxy_report;
+  proxy_update = other401.proxy_update;
+  controller_notice = other401.controller_notice;
+  __isset = other401.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other402) noexcept {
+  hello = std::move(other402.hello);
+  ping = other402.ping;
+  pong = other402.pong;
+  consensus = std::move(other402.consensus);
+  report = std::move(other402.report);
+  update = std::move(other402.update);
+  forward = std::move(other402.forward);
+  forward_response = std::move(other402.forward_response);
+  propose = std::move(other402.propose);
+  propose_response = std::move(other402.propose_response);
+  query = std::move(other402.query);
+  query_response = std::move(other402.query_response);
+  drain = other402.drain;
+  proxy_report = std::move(other402.proxy_report);
+  proxy_update = std::move(other402.proxy_update);
+  controller_notice = std::move(other402.controller_notice);
+  __isset = other402.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other403) {
+  hello = other403.hello;
+  ping = other403.ping;
+  pong = other403.pong;
+  consensus = other403.consensus;
+  report = other403.report;
+  update = other403.update;
+  forward = other403.forward;
+  forward_response = other403.forward_response;
+  propose = other403.propose;
+  propose_response = other403.propose_response;
+  query = other403.query;
+  query_response = other403.query_response;
+  drain = other403.drain;
+  proxy_report = other403.proxy_report;
+  proxy_update = other403.proxy_update;
+  controller_notice = other403.controller_notice;
+  __isset = other403.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other398) noexcept {
-  hello = std::move(other398.hello);
-  ping = other398.ping;
-  pong = other398.pong;
-  consensus = std::move(other398.consensus);
-  report = std::move(other398.report);
-  update = std::move(other398.update);
-  forward = std::move(other398.forward);
-  forward_response = std::move(other398.forward_response);
-  propose = std::move(other398.propose);
-  propose_response = std::move(other398.propose_response);
-  query = std::move(other398.query);
-  query_response = std::move(other398.query_response);
-  drain = other398.drain;
-  proxy_report = std::move(other398.proxy_report);
-  proxy_update = std::move(other398.proxy_update);
-  controller_notice = std::move(other398.controller_notice);
-  __isset = other398.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other404) noexcept {
+  hello = std::move(other404.hello);
+  ping = other404.ping;
+  pong = other404.pong;
+  consensus = std::move(other404.consensus);
+  report = std::move(other404.report);
+  update = std::move(other404.update);
+  forward = std::move(other404.forward);
+  forward_response = std::move(other404.forward_response);
+  propose = std::move(other404.propose);
+  propose_response = std::move(other404.propose_response);
+  query = std::move(other404.query);
+  query_response = std::move(other404.query_response);
+  drain = other404.drain;
+  proxy_report = std::move(other404.proxy_report);
+  proxy_update = std::move(other404.proxy_update);
+  controller_notice = std::move(other404.controller_notice);
+  __isset = other404.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -11417,30 +11481,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other399) {
-  change_id = other399.change_id;
-  fingerprint = other399.fingerprint;
-  result = other399.result;
-  __isset = other399.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other405) {
+  change_id = other405.change_id;
+  fingerprint = other405.fingerprint;
+  result = other405.result;
+  __isset = other405.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other400) noexcept {
-  change_id = std::move(other400.change_id);
-  fingerprint = std::move(other400.fingerprint);
-  result = std::move(other400.result);
-  __isset = other400.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other406) noexcept {
+  change_id = std::move(other406.change_id);
+  fingerprint = std::move(other406.fingerprint);
+  result = std::move(other406.result);
+  __isset = other406.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other401) {
-  change_id = other401.change_id;
-  fingerprint = other401.fingerprint;
-  result = other401.result;
-  __isset = other401.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other407) {
+  change_id = other407.change_id;
+  fingerprint = other407.fingerprint;
+  result = other407.result;
+  __isset = other407.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other402) noexcept {
-  change_id = std::move(other402.change_id);
-  fingerprint = std::move(other402.fingerprint);
-  result = std::move(other402.result);
-  __isset = other402.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other408) noexcept {
+  change_id = std::move(other408.change_id);
+  fingerprint = std::move(other408.fingerprint);
+  result = std::move(other408.result);
+  __isset = other408.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -11532,14 +11596,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size403;
-            ::apache::thrift::protocol::TType _etype406;
-            xfer += iprot->readListBegin(_etype406, _size403);
-            this->objects.resize(_size403);
-            uint32_t _i407;
-            for (_i407 = 0; _i407 < _size403; ++_i407)
+            uint32_t _size409;
+            ::apache::thrift::protocol::TType _etype412;
+            xfer += iprot->readListBegin(_etype412, _size409);
+            this->objects.resize(_size409);
+            uint32_t _i413;
+            for (_i413 = 0; _i413 < _size409; ++_i413)
             {
-              xfer += this->objects[_i407].read(iprot);
+              xfer += this->objects[_i413].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11552,14 +11616,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size408;
-            ::apache::thrift::protocol::TType _etype411;
-            xfer += iprot->readListBegin(_etype411, _size408);
-            this->changes.resize(_size408);
-            uint32_t _i412;
-            for (_i412 = 0; _i412 < _size408; ++_i412)
+            uint32_t _size414;
+            ::apache::thrift::protocol::TType _etype417;
+            xfer += iprot->readListBegin(_etype417, _size414);
+            this->changes.resize(_size414);
+            uint32_t _i418;
+            for (_i418 = 0; _i418 < _size414; ++_i418)
             {
-              xfer += this->changes[_i412].read(iprot);
+              xfer += this->changes[_i418].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11580,14 +11644,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size413;
-            ::apache::thrift::protocol::TType _etype416;
-            xfer += iprot->readListBegin(_etype416, _size413);
-            this->groups.resize(_size413);
-            uint32_t _i417;
-            for (_i417 = 0; _i417 < _size413; ++_i417)
+            uint32_t _size419;
+            ::apache::thrift::protocol::TType _etype422;
+            xfer += iprot->readListBegin(_etype422, _size419);
+            this->groups.resize(_size419);
+            uint32_t _i423;
+            for (_i423 = 0; _i423 < _size419; ++_i423)
             {
-              xfer += this->groups[_i417].read(iprot);
+              xfer += this->groups[_i423].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11600,14 +11664,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size418;
-            ::apache::thrift::protocol::TType _etype421;
-            xfer += iprot->readListBegin(_etype421, _size418);
-            this->endpoints.resize(_size418);
-            uint32_t _i422;
-            for (_i422 = 0; _i422 < _size418; ++_i422)
+            uint32_t _size424;
+            ::apache::thrift::protocol::TType _etype427;
+            xfer += iprot->readListBegin(_etype427, _size424);
+            this->endpoints.resize(_size424);
+            uint32_t _i428;
+            for (_i428 = 0; _i428 < _size424; ++_i428)
             {
-              xfer += this->endpoints[_i422].read(iprot);
+              xfer += this->endpoints[_i428].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11620,14 +11684,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size423;
-            ::apache::thrift::protocol::TType _etype426;
-            xfer += iprot->readListBegin(_etype426, _size423);
-            this->instances.resize(_size423);
-            uint32_t _i427;
-            for (_i427 = 0; _i427 < _size423; ++_i427)
+            uint32_t _size429;
+            ::apache::thrift::protocol::TType _etype432;
+            xfer += iprot->readListBegin(_etype432, _size429);
+            this->instances.resize(_size429);
+            uint32_t _i433;
+            for (_i433 = 0; _i433 < _size429; ++_i433)
             {
-              xfer += this->instances[_i427].read(iprot);
+              xfer += this->instances[_i433].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11640,14 +11704,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size428;
-            ::apache::thrift::protocol::TType _etype431;
-            xfer += iprot->readListBegin(_etype431, _size428);
-            this->journal.resize(_size428);
-            uint32_t _i432;
-            for (_i432 = 0; _i432 < _size428; ++_i432)
+            uint32_t _size434;
+            ::apache::thrift::protocol::TType _etype437;
+            xfer += iprot->readListBegin(_etype437, _size434);
+            this->journal.resize(_size434);
+            uint32_t _i438;
+            for (_i438 = 0; _i438 < _size434; ++_i438)
             {
-              xfer += this->journal[_i432].read(iprot);
+              xfer += this->journal[_i438].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11688,10 +11752,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter433;
-    for (_iter433 = this->objects.begin(); _iter433 != this->objects.end(); ++_iter433)
+    std::vector<Object> ::const_iterator _iter439;
+    for (_iter439 = this->objects.begin(); _iter439 != this->objects.end(); ++_iter439)
     {
-      xfer += (*_iter433).write(oprot);
+      xfer += (*_iter439).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11700,10 +11764,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter434;
-    for (_iter434 = this->changes.begin(); _iter434 != this->changes.end(); ++_iter434)
+    std::vector<AppliedChange> ::const_iterator _iter440;
+    for (_iter440 = this->changes.begin(); _iter440 != this->changes.end(); ++_iter440)
     {
-      xfer += (*_iter434).write(oprot);
+      xfer += (*_iter440).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11716,10 +11780,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter435;
-    for (_iter435 = this->groups.begin(); _iter435 != this->groups.end(); ++_iter435)
+    std::vector<GroupState> ::const_iterator _iter441;
+    for (_iter441 = this->groups.begin(); _iter441 != this->groups.end(); ++_iter441)
     {
-      xfer += (*_iter435).write(oprot);
+      xfer += (*_iter441).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11728,10 +11792,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter436;
-    for (_iter436 = this->endpoints.begin(); _iter436 != this->endpoints.end(); ++_iter436)
+    std::vector<EndpointInfo> ::const_iterator _iter442;
+    for (_iter442 = this->endpoints.begin(); _iter442 != this->endpoints.end(); ++_iter442)
     {
-      xfer += (*_iter436).write(oprot);
+      xfer += (*_iter442).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11740,10 +11804,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter437;
-    for (_iter437 = this->instances.begin(); _iter437 != this->instances.end(); ++_iter437)
+    std::vector<InstanceInfo> ::const_iterator _iter443;
+    for (_iter443 = this->instances.begin(); _iter443 != this->instances.end(); ++_iter443)
     {
-      xfer += (*_iter437).write(oprot);
+      xfer += (*_iter443).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11752,10 +11816,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter438;
-    for (_iter438 = this->journal.begin(); _iter438 != this->journal.end(); ++_iter438)
+    std::vector<JournalEntry> ::const_iterator _iter444;
+    for (_iter444 = this->journal.begin(); _iter444 != this->journal.end(); ++_iter444)
     {
-      xfer += (*_iter438).write(oprot);
+      xfer += (*_iter444).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11784,54 +11848,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other439) {
-  revision = other439.revision;
-  objects = other439.objects;
-  changes = other439.changes;
-  groups_revision = other439.groups_revision;
-  groups = other439.groups;
-  endpoints = other439.endpoints;
-  instances = other439.instances;
-  journal = other439.journal;
-  session_secret = other439.session_secret;
-  __isset = other439.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other440) noexcept {
-  revision = other440.revision;
-  objects = std::move(other440.objects);
-  changes = std::move(other440.changes);
-  groups_revision = other440.groups_revision;
-  groups = std::move(other440.groups);
-  endpoints = std::move(other440.endpoints);
-  instances = std::move(other440.instances);
-  journal = std::move(other440.journal);
-  session_secret = std::move(other440.session_secret);
-  __isset = other440.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other441) {
-  revision = other441.revision;
-  objects = other441.objects;
-  changes = other441.changes;
-  groups_revision = other441.groups_revision;
-  groups = other441.groups;
-  endpoints = other441.endpoints;
-  instances = other441.instances;
-  journal = other441.journal;
-  session_secret = other441.session_secret;
-  __isset = other441.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other445) {
+  revision = other445.revision;
+  objects = other445.objects;
+  changes = other445.changes;
+  groups_revision = other445.groups_revision;
+  groups = other445.groups;
+  endpoints = other445.endpoints;
+  instances = other445.instances;
+  journal = other445.journal;
+  session_secret = other445.session_secret;
+  __isset = other445.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other446) noexcept {
+  revision = other446.revision;
+  objects = std::move(other446.objects);
+  changes = std::move(other446.changes);
+  groups_revision = other446.groups_revision;
+  groups = std::move(other446.groups);
+  endpoints = std::move(other446.endpoints);
+  instances = std::move(other446.instances);
+  journal = std::move(other446.journal);
+  session_secret = std::move(other446.session_secret);
+  __isset = other446.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other447) {
+  revision = other447.revision;
+  objects = other447.objects;
+  changes = other447.changes;
+  groups_revision = other447.groups_revision;
+  groups = other447.groups;
+  endpoints = other447.endpoints;
+  instances = other447.instances;
+  journal = other447.journal;
+  session_secret = other447.session_secret;
+  __isset = other447.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other442) noexcept {
-  revision = other442.revision;
-  objects = std::move(other442.objects);
-  changes = std::move(other442.changes);
-  groups_revision = other442.groups_revision;
-  groups = std::move(other442.groups);
-  endpoints = std::move(other442.endpoints);
-  instances = std::move(other442.instances);
-  journal = std::move(other442.journal);
-  session_secret = std::move(other442.session_secret);
-  __isset = other442.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other448) noexcept {
+  revision = other448.revision;
+  objects = std::move(other448.objects);
+  changes = std::move(other448.changes);
+  groups_revision = other448.groups_revision;
+  groups = std::move(other448.groups);
+  endpoints = std::move(other448.endpoints);
+  instances = std::move(other448.instances);
+  journal = std::move(other448.journal);
+  session_secret = std::move(other448.session_secret);
+  __isset = other448.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -3069,7 +3069,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _EndpointRecord__isset {
-  _EndpointRecord__isset() : endpoint(false), group(false), address(false), zone(false), draining(false), primary(false), started_ms(false), sequence(false), gone(false) {}
+  _EndpointRecord__isset() : endpoint(false), group(false), address(false), zone(false), draining(false), primary(false), started_ms(false), sequence(false), gone(false), epoch(false) {}
   bool endpoint :1;
   bool group :1;
   bool address :1;
@@ -3079,6 +3079,7 @@
   bool started_ms :1;
   bool sequence :1;
   bool gone :1;
+  bool epoch :1;
 } _EndpointRecord__isset;
 
 class EndpointRecord : public virtual ::apache::thrift::TBase {
@@ -3097,7 +3098,8 @@
                    primary(0),
                    started_ms(0),
                    sequence(0),
-                   gone(0) {
+                   gone(0),
+                   epoch(0) {
   }
 
   virtual ~EndpointRecord() noexcept;
@@ -3110,6 +3112,7 @@
   int64_t started_ms;
   int64_t sequence;
   bool gone;
+  int64_t epoch;
 
   _EndpointRecord__isset __isset;
 
@@ -3131,6 +3134,8 @@
 
   void __set_gone(const bool val);
 
+  void __set_epoch(const int64_t val);
+
   bool operator == (const EndpointRecord & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -3151,6 +3156,8 @@
       return false;
     if (!(gone == rhs.gone))
       return false;
+    if (!(epoch == rhs.epoch))
+      return false;
     return true;
   }
   bool operator != (const EndpointRecord &rhs) const {
@@ -3572,12 +3579,13 @@
 std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj);
 
 typedef struct _ControllerNotice__isset {
-  _ControllerNotice__isset() : has_disk(false), joining(false), controllers(false), endpoints(false), draining(false) {}
+  _ControllerNotice__isset() : has_disk(false), joining(false), controllers(false), endpoints(false), draining(false), held_back(false) {}
   bool has_disk :1;
   bool joining :1;
   bool controllers :1;
   bool endpoints :1;
   bool draining :1;
+  bool held_back :1;
 } _ControllerNotice__isset;
 
 class ControllerNotice : public virtual ::apache::thrift::TBase {
@@ -3599,6 +3607,7 @@
   std::vector<std::string>  controllers;
   std::vector<EndpointRecord>  endpoints;
   bool draining;
+  std::vector<EndpointRecord>  held_back;
 
   _ControllerNotice__isset __isset;
 
@@ -3612,6 +3621,8 @@
 
   void __set_draining(const bool val);
 
+  void __set_held_back(const std::vector<EndpointRecord> & val);
+
   bool operator == (const ControllerNotice & rhs) const
   {
     if (!(has_disk == rhs.has_disk))
@@ -3624,6 +3635,8 @@
       return false;
     if (!(draining == rhs.draining))
       return false;
+    if (!(held_back == rhs.held_back))
+      return false;
     return true;
   }
   bool operator != (const ControllerNotice &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -393,6 +393,8 @@
   7: i64 started_ms,                     // Unix time of its start, 0: unknown
   8: i64 sequence,                       // increases within one start
   9: bool gone,
+  10: i64 epoch,                         // raised when a record that is older
+                                         // by start and sequence takes over
 }
 
 // The endpoint that leads a group since `term` of the controllers' order.
@@ -455,6 +457,8 @@
   3: list<string> controllers,
   4: list<EndpointRecord> endpoints,
   5: bool draining,                      // a planned stop has begun
+  6: list<EndpointRecord> held_back,     // heartbeats that do not continue the
+                                         // known records of their endpoints
 }
 
 // An entry process that may hold shares of customers' rates.
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -77,6 +77,7 @@
   options.has_disk = store_ != nullptr;
   options.tolerated_losses = settings_.tolerated_losses;
   options.limit_window = LimitWindowOf(settings_);
+  options.max_clock_skew = settings_.max_clock_skew;
   options.seeds = ControllerNames(settings_);
   if (settings_.first_start)
     options.replica.bootstrap_members = {options.seeds.begin(),
@@ -126,6 +127,7 @@
   hooks.decode = [](const std::string& text) {
     return platform::DecodeRoutingDocument(text).table;
   };
+  hooks.unix_time = [] { return std::chrono::system_clock::now(); };
   hooks.known_controllers = [this](const std::set<std::string>& names) {
     peers_->SetPeers(PeerAddresses(names));
   };
@@ -190,10 +192,7 @@
     case platform::HttpRequestKind::kHeartbeat:
       return respond(HandleHeartbeat(call->endpoint, request.body));
     case platform::HttpRequestKind::kDeregistration:
-      controller_->OnDeparture(
-          SystemClock::Now(),
-          platform::DecodeDeregistration(call->endpoint, request.body));
-      return respond(HttpResponse());
+      return respond(HandleDeregistration(call->endpoint, request.body));
     case platform::HttpRequestKind::kPutConfiguration:
       return HandlePutConfiguration(request.body, respond);
     case platform::HttpRequestKind::kGetConfiguration:
@@ -225,6 +224,21 @@
   return response;
 }
 
+HttpResponse ControllerService::HandleDeregistration(
+    const std::string& endpoint,
+    const std::string& body) {
+  std::string problem;
+  const auto departure =
+      platform::DecodeDeregistration(endpoint, body, problem);
+  if (!departure) {
+    log_.LogEvent("deregistration_refused",
+                  {{"endpoint", endpoint}, {"cause", problem}});
+    return ErrorResponse(400, problem);
+  }
+  controller_->OnDeparture(SystemClock::Now(), *departure);
+  return HttpResponse();
+}
+
 void ControllerService::HandlePutConfiguration(
     const std::string& body,
     const adapters::HttpServer::Respond& respond) {
--- a/programs/goldcrestd/controller_service.h
+++ b/programs/goldcrestd/controller_service.h
@@ -52,6 +52,8 @@
                   const adapters::HttpServer::Respond& respond);
   adapters::HttpResponse HandleHeartbeat(const std::string& endpoint,
                                          const std::string& body);
+  adapters::HttpResponse HandleDeregistration(const std::string& endpoint,
+                                              const std::string& body);
   void HandlePutConfiguration(const std::string& body,
                               const adapters::HttpServer::Respond& respond);
   adapters::HttpResponse ToResponse(const fleet::ConfigurationResult& result,
--- a/routing/include/goldcrest/routing/endpoint_directory.h
+++ b/routing/include/goldcrest/routing/endpoint_directory.h
@@ -10,18 +10,17 @@
 
 namespace goldcrest::routing {
 
-//! The endpoint's state in a record, for logs, such as "primary draining".
-std::string DescribeState(const messages::EndpointRecord& record);
-
 //! The latest record of each endpoint, merged from any number of sources in any
-//! order. Of two records of an endpoint, the one with the later start takes
-//! precedence, then the one with the higher sequence.
+//! order. Of two records of an endpoint, the one of the higher epoch takes
+//! precedence, then the one with the later start, then the one with the higher
+//! sequence.
 class EndpointDirectory {
  public:
   struct Entry {
     messages::EndpointRecord record;
     Time received_at;  //!< When `record` arrived.
     Time changed_at;   //!< When a field other than the sequence changed.
+    bool expired;      //!< Gone because no record arrived, not deregistered.
   };
 
   //! The effect of a merged record.
--- a/routing/src/endpoint_directory.cc
+++ b/routing/src/endpoint_directory.cc
@@ -6,7 +6,8 @@
 namespace {
 
 auto FreshnessKey(const messages::EndpointRecord& record) {
-  return std::tuple(record.started_ms, record.sequence, record.gone);
+  return std::tuple(record.epoch, record.started_ms, record.sequence,
+                    record.gone);
 }
 
 bool HasSameState(const messages::EndpointRecord& left,
@@ -14,25 +15,16 @@
   return left.group == right.group && left.address == right.address &&
          left.zone == right.zone && left.draining == right.draining &&
          left.primary == right.primary && left.gone == right.gone &&
-         left.started_ms == right.started_ms;
+         left.started_ms == right.started_ms && left.epoch == right.epoch;
 }
 
 }  // namespace
 
-std::string DescribeState(const messages::EndpointRecord& record) {
-  std::string state = record.primary ? "primary" : "replica";
-  if (record.draining)
-    state += " draining";
-  if (record.gone)
-    state += " gone";
-  return state;
-}
-
 EndpointDirectory::MergeResult EndpointDirectory::Apply(
     Time now,
     const messages::EndpointRecord& record) {
   const auto [it, inserted] =
-      entries_.try_emplace(record.endpoint, Entry{record, now, now});
+      entries_.try_emplace(record.endpoint, Entry{record, now, now, false});
   if (inserted)
     return MergeResult::kChanged;
   Entry& entry = it->second;
@@ -41,6 +33,7 @@
   const bool same = HasSameState(entry.record, record);
   entry.record = record;
   entry.received_at = now;
+  entry.expired = false;
   if (same)
     return MergeResult::kRefreshed;
   entry.changed_at = now;
@@ -53,6 +46,7 @@
     if (entry.record.gone || entry.received_at >= oldest)
       continue;
     entry.record.gone = true;
+    entry.expired = true;
     expired.push_back(entry.record);
   }
   return expired;
--- a/statements/src/proxy_updates.cc
+++ b/statements/src/proxy_updates.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <utility>
 
+#include "goldcrest/routing/endpoint_record.h"
 #include "goldcrest/statements/statement_proxy.h"
 
 namespace goldcrest::statements {
@@ -95,8 +96,9 @@
 
 void StatementProxy::OnEndpoint(Time now,
                                 const messages::EndpointRecord& record) {
-  if (directory_.Apply(now, record) !=
-      routing::EndpointDirectory::MergeResult::kChanged)
+  if (!routing::FindRecordProblem(record).empty() ||
+      directory_.Apply(now, record) !=
+          routing::EndpointDirectory::MergeResult::kChanged)
     return;
   hooks_.log_decision({"endpoint_changed",
                        "",
