Do not promote because of a database that only claims to lead

An odd entry that calls itself primary of a group made a new leader probe it, find it unreachable and promote a replica, while the primary was running.

Change: an endpoint that fails its probes and has not led since it was chosen is passed over while another one calls itself primary. "An endpoint that only claims to lead does not cause a promotion" failed before (a promotion ordered).

--- a/fleet/include/goldcrest/fleet/failover_planner.h
+++ b/fleet/include/goldcrest/fleet/failover_planner.h
@@ -92,7 +92,11 @@
   };
   struct Group {
     Phase phase = Phase::kMonitoring;
-    std::string primary;  // the one monitored; empty if none is known
+    std::string primary;   // the one monitored; empty if none is known
+    bool has_led = false;  // a probe of `primary` has succeeded
+    // Endpoints that call themselves primary and have failed their probes
+    // without having led. Passed over while another one claims the lead.
+    std::set<std::string> disproved;
     Time phase_since;
     Time next_probe;
     std::optional<Time> leads_at;
@@ -114,6 +118,10 @@
   void SendOrder(Time now, const std::string& name, Group& group);
   void Confirm(Time now, const std::string& name, Group& group);
   void EnterPhase(Time now, Group& group, Phase phase);
+  void MonitorEndpoint(Time now,
+                       const std::string& name,
+                       Group& group,
+                       const std::string& endpoint);
   void BeginSurvey(Time now,
                    const std::string& name,
                    Group& group,
--- a/fleet/src/failover_planner.cc
+++ b/fleet/src/failover_planner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <tuple>
+#include <utility>
 
 namespace goldcrest::fleet {
 namespace {
@@ -88,15 +89,34 @@
   group.next_probe = now;
 }
 
+void FailoverPlanner::MonitorEndpoint(Time now,
+                                      const std::string& name,
+                                      Group& group,
+                                      const std::string& endpoint) {
+  hooks_.log_decision("primary_seen", name, endpoint, "heartbeat");
+  group.primary = endpoint;
+  group.has_led = false;
+  group.failing_since.reset();
+  group.failures = 0;
+  group.phase_since = now;
+  group.next_probe = now;
+}
+
 std::string FailoverPlanner::FindPrimary(const std::string& name,
                                          const Group& group) const {
+  const auto is_disproved =
+      [&](const routing::EndpointDirectory::Entry* entry) {
+        return group.disproved.count(entry->record.endpoint) > 0;
+      };
   const routing::EndpointDirectory::Entry* newest = nullptr;
   for (const auto* member : directory_->MembersOf(name)) {
     if (!member->record.primary)
       continue;
     if (group.assigned && member->record.endpoint == group.assigned->endpoint)
       return member->record.endpoint;
-    if (newest == nullptr || member->changed_at > newest->changed_at)
+    if (newest == nullptr ||
+        std::pair(!is_disproved(member), member->changed_at) >
+            std::pair(!is_disproved(newest), newest->changed_at))
       newest = member;
   }
   return newest == nullptr ? "" : newest->record.endpoint;
@@ -106,14 +126,8 @@
   const auto* known = directory_->Find(group.primary);
   if (known == nullptr || known->record.gone || !known->record.primary) {
     const std::string found = FindPrimary(name, group);
-    if (!found.empty() && found != group.primary) {
-      hooks_.log_decision("primary_seen", name, found, "heartbeat");
-      group.primary = found;
-      group.failing_since.reset();
-      group.failures = 0;
-      group.phase_since = now;
-      group.next_probe = now;
-    }
+    if (!found.empty() && found != group.primary)
+      MonitorEndpoint(now, name, group, found);
   }
   const auto* primary = directory_->Find(group.primary);
   if (primary == nullptr || primary->record.gone) {
@@ -125,8 +139,16 @@
   }
   if (primary->record.draining)
     return BeginSurvey(now, name, group, "primary drains");
-  if (IsLost(now, group))
+  if (IsLost(now, group)) {
+    if (!group.has_led) {
+      // Another writer may have named it the primary.
+      group.disproved.insert(group.primary);
+      const std::string found = FindPrimary(name, group);
+      if (!found.empty() && group.disproved.count(found) == 0)
+        return MonitorEndpoint(now, name, group, found);
+    }
     return BeginSurvey(now, name, group, "primary unreachable");
+  }
   if (now < group.next_probe)
     return;
   group.next_probe =
@@ -173,6 +195,7 @@
   group.cause = cause;
   group.survey.clear();
   group.asked.clear();
+  group.disproved.clear();
   EnterPhase(now, group, Phase::kSurveying);
   for (const auto* member : directory_->MembersOf(name)) {
     const std::string& endpoint = member->record.endpoint;
@@ -253,6 +276,7 @@
   }
   group.assigned = assignment;
   group.primary = assignment.endpoint;
+  group.has_led = false;
   group.failing_since.reset();
   group.failures = 0;
   group.contacts.clear();
@@ -288,6 +312,8 @@
   switch (result.kind) {
     case ProbeResult::Kind::kLeads:
       group.leads_at = now;
+      group.has_led = true;
+      group.disproved.erase(endpoint);
       group.failing_since.reset();
       group.failures = 0;
       if (group.phase != Phase::kConfirming)
@@ -300,8 +326,10 @@
       // A heartbeat may have named another endpoint as the primary.
       group.failing_since.reset();
       group.failures = 0;
+      if (!group.has_led)
+        group.disproved.insert(endpoint);
       if (const std::string found = FindPrimary(name, group); found != endpoint)
-        group.primary = found;
+        MonitorEndpoint(now, name, group, found);
       else if (group.leads_at && now - *group.leads_at > kMissingPrimaryTimeout)
         BeginSurvey(now, name, group, "no endpoint leads");
       return;
--- a/fleet/tests/planners_test.cc
+++ b/fleet/tests/planners_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "goldcrest/fleet/failover_planner.h"
@@ -165,6 +166,45 @@
   }));
 }
 
+// Guards against the promotion of a replica beside a running primary, because
+// an odd entry of another writer calls itself primary as well.
+TEST_CASE("An endpoint that only claims to lead does not cause a promotion",
+          "[fleet][guarantee]") {
+  Group group;
+  const bool seen_first = GENERATE(true, false);
+  if (seen_first) {
+    // A new leader finds both, the odd one newer.
+    group.now += milliseconds(1);
+    group.SetRole("odd", true);
+    FailoverHooks hooks;
+    hooks.probe = [&](const auto& entry, ProbePurpose purpose) {
+      group.probes.emplace_back(entry.record.endpoint, purpose);
+    };
+    hooks.promote = [&](const auto& order) { group.orders.push_back(order); };
+    hooks.assigned = [](const auto&) {};
+    hooks.request_contacts = [] {};
+    hooks.log_decision = [](const auto&, const auto&, const auto&,
+                            const auto&) {};
+    group.planner = std::make_unique<FailoverPlanner>(group.now, 4,
+                                                      &group.directory, hooks);
+    group.planner->SetGroups(group.now, {"g"});
+  } else {
+    group.Answer("p", ProbeResult::Kind::kLeads);
+    group.SetRole("odd", true);
+  }
+  const auto odd_answer =
+      GENERATE(ProbeResult::Kind::kUnreachable, ProbeResult::Kind::kFollows);
+  for (int i = 0; i < 200; ++i) {
+    group.Advance(milliseconds(50));
+    for (const auto& [endpoint, purpose] : std::exchange(group.probes, {})) {
+      CHECK(purpose == ProbePurpose::kLeadership);
+      group.Answer(endpoint,
+                   endpoint == "p" ? ProbeResult::Kind::kLeads : odd_answer);
+    }
+  }
+  CHECK(group.orders.empty());
+}
+
 TEST_CASE("A draining primary is replaced", "[fleet]") {
   Group group;
   group.SetRole("p", true, true);
