Prefer a primary that can be reached

An entry that had not used a group yet chose the endpoint that called itself primary last, also when no connection to it succeeded. With an odd entry of another writer the group's writes were refused at that entry for as long as the odd one was listed. Of several that claim to lead, one that can be reached now goes first. "A write goes to the primary that can be reached" failed before.

--- a/statements/src/primary_view.cc
+++ b/statements/src/primary_view.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/statements/primary_view.h"
 
 #include <chrono>
+#include <utility>
 
 namespace goldcrest::statements {
 namespace {
@@ -89,11 +90,19 @@
     return state.confirmed;
   if (usable(state.assigned) && state.refused_at.count(state.assigned) == 0)
     return state.assigned;
+  // Of several endpoints that call themselves primary, one that can't be
+  // reached may have been named by another writer.
+  const auto is_reachable = [&](const std::string& endpoint) {
+    return !state.failing_since || state.contacted != endpoint;
+  };
   const routing::EndpointDirectory::Entry* newest = nullptr;
   for (const auto* member : directory_->MembersOf(group)) {
     if (!member->record.primary || !usable(member->record.endpoint))
       continue;
-    if (newest == nullptr || member->changed_at > newest->changed_at)
+    if (newest == nullptr ||
+        std::pair(is_reachable(member->record.endpoint), member->changed_at) >
+            std::pair(is_reachable(newest->record.endpoint),
+                      newest->changed_at))
       newest = member;
   }
   if (newest != nullptr)
--- a/statements/tests/proxy_outcomes_test.cc
+++ b/statements/tests/proxy_outcomes_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <utility>
 
 #include "proxy_fixture.h"
 
@@ -52,6 +53,31 @@
   CHECK(fixture.LastAnswer(kCaller).outcome == Outcome::kDone);
 }
 
+// Guards against a group that is not served because an odd entry of another
+// writer calls itself primary as well, at an address where nothing answers.
+TEST_CASE("A write goes to the primary that can be reached",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.Advance(milliseconds(1));
+  fixture.SetRole("odd", true);
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+  for (int i = 0; i < 20 && fixture.AnswerCount(1) < 2; ++i) {
+    for (const auto& [id, target] :
+         std::exchange(fixture.opening_connections, {})) {
+      if (target.endpoint == "odd") {
+        fixture.proxy->OnOpenFailed(fixture.now, id, Outcome::kFailed);
+        continue;
+      }
+      fixture.proxy->OnOpened(fixture.now, id);
+      fixture.Reply(id, {1, 5});
+    }
+    fixture.Advance(milliseconds(20));
+  }
+  REQUIRE(fixture.AnswerCount(1) == 2);
+  CHECK(fixture.LastAnswer(1).outcome == Outcome::kDone);
+}
+
 // Guards against statements of one transaction on two connections, and against
 // a commit of unknown outcome that is reported as done or refused.
 TEST_CASE("A transaction keeps its connection", "[statements][guarantee]") {
