Let controllers without a disk name the leader

Hypothesis: 15 of the 20 controllers there have no disk. They are no members of the log, did not know the leader and answered 503, so that an operator that chooses at random needed several tries with increasing backoff.

Change: the leader says in its notices that it leads, at once after it has won, and a controller without a disk redirects to it as the members do. It names none when it has not heard of a leader for 1.5 s.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -164,7 +164,8 @@
   void LoadEndpoints(Time now);
   void ReleaseSilentHolders(Time now);
   void ReleaseHolder(Time now, const std::string& instance);
-  ConfigurationResult RedirectToLeader() const;
+  std::string KnownLeader(Time now) const;
+  ConfigurationResult RedirectToLeader(Time now) const;
   bool HoldsLeadership(Time now) const;
   std::int64_t Propose(Time now, const messages::FleetCommand& command);
   void OnReport(Time now,
@@ -183,7 +184,7 @@
   void PassOn(Time now, const messages::EndpointRecord& record);
   void MergeEndpoint(Time now, const messages::EndpointRecord& record);
   void OnEndpointChanged(Time now, const messages::EndpointRecord& record);
-  messages::ControllerNotice MakeNotice() const;
+  messages::ControllerNotice MakeNotice(Time now) const;
   void RecordEndpoint(Time now, const messages::EndpointRecord& record);
   void SendNotices(Time now);
   void SendToPeers(const messages::ControllerNotice& notice);
@@ -201,6 +202,8 @@
   std::int64_t applied_index_ = 0;
   std::int64_t reported_term_ = 0;
   std::string reported_leader_;
+  std::string announced_leader_;  // by its notices
+  Time leader_announced_at_;
   routing::EndpointDirectory directory_;
   routing::HeartbeatGuard heartbeat_guard_;
   std::map<std::string, Entry> entries_;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -249,7 +249,7 @@
                      std::string text,
                      Done done) {
   if (!HoldsLeadership(now))
-    return done(RedirectToLeader());
+    return done(RedirectToLeader(now));
   if (!state_.text().empty() && version <= state_.version()) {
     done({ConfigurationResult::Kind::kDone, "", ""});
     return;
@@ -287,11 +287,19 @@
 ConfigurationResult Controller::Get(Time now) const {
   if (HoldsLeadership(now))
     return {ConfigurationResult::Kind::kDone, "", state_.text()};
-  return RedirectToLeader();
+  return RedirectToLeader(now);
 }
 
-ConfigurationResult Controller::RedirectToLeader() const {
-  const std::string leader = replica_.Leader();
+// A controller without a disk is not a member of the log, and knows the leader
+// from its notices only.
+std::string Controller::KnownLeader(Time now) const {
+  if (options_.has_disk)
+    return replica_.Leader();
+  return now - leader_announced_at_ < kPeerTimeout ? announced_leader_ : "";
+}
+
+ConfigurationResult Controller::RedirectToLeader(Time now) const {
+  const std::string leader = KnownLeader(now);
   if (!leader.empty() && leader != options_.replica.self)
     return {ConfigurationResult::Kind::kNotLeader, leader, ""};
   return {};
--- a/fleet/src/controller_leadership.cc
+++ b/fleet/src/controller_leadership.cc
@@ -75,6 +75,7 @@
     ProposeReserveUse(now, true);
   for (const messages::EndpointRecord& record : directory_.All())
     RecordEndpoint(now, record);
+  SendNotices(now);
   // The answers to the reports tell the entries that this controller leads.
   messages::ProxyUpdate update;
   update.report_now = true;
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -24,7 +24,7 @@
     return;
   // The heartbeats of one endpoint reach different controllers, and each has to
   // count those that were held back.
-  messages::ControllerNotice notice = MakeNotice();
+  messages::ControllerNotice notice = MakeNotice(now);
   notice.held_back.push_back(heartbeat);
   SendToPeers(notice);
 }
@@ -51,7 +51,7 @@
   const auto merge = directory_.Apply(now, record);
   if (merge == routing::EndpointDirectory::MergeResult::kStale)
     return;
-  messages::ControllerNotice notice = MakeNotice();
+  messages::ControllerNotice notice = MakeNotice(now);
   notice.endpoints.push_back(record);
   SendToPeers(notice);
   if (merge != routing::EndpointDirectory::MergeResult::kChanged)
@@ -249,6 +249,12 @@
   if (notice.draining && !peer.draining)
     next_membership_check_ = now;
   peer.draining = notice.draining;
+  if (notice.leads) {
+    announced_leader_ = from;
+    leader_announced_at_ = now;
+  } else if (announced_leader_ == from) {
+    announced_leader_.clear();
+  }
   std::set<std::string> names(notice.controllers.begin(),
                               notice.controllers.end());
   names.insert(from);
@@ -266,16 +272,17 @@
     hooks_.known_controllers(known_controllers_);
 }
 
-messages::ControllerNotice Controller::MakeNotice() const {
+messages::ControllerNotice Controller::MakeNotice(Time now) const {
   messages::ControllerNotice notice;
   notice.has_disk = options_.has_disk;
   notice.joining = replica_.IsJoining();
   notice.draining = draining_;
+  notice.leads = HoldsLeadership(now);
   return notice;
 }
 
 void Controller::SendNotices(Time now) {
-  messages::ControllerNotice notice = MakeNotice();
+  messages::ControllerNotice notice = MakeNotice(now);
   notice.controllers.assign(known_controllers_.begin(),
                             known_controllers_.end());
   for (const std::string& name : known_controllers_) {
--- a/fleet/tests/controller_cluster.h
+++ b/fleet/tests/controller_cluster.h
@@ -33,12 +33,19 @@
       Start(name, true);
   }
 
+  // Starts a controller without a disk, which is no member of the log.
+  void StartWithoutDisk(const std::string& name) {
+    without_disk_.insert(name);
+    Start(name, false);
+  }
+
   void Start(const std::string& name, bool first) {
     ControllerOptions options;
     options.replica.self = name;
     if (first)
       options.replica.bootstrap_members = {names_.begin(), names_.end()};
     options.seeds = names_;
+    options.has_disk = without_disk_.count(name) == 0;
     ControllerHooks hooks;
     hooks.send = [this, name](const std::string& to,
                               const messages::PeerMessage& message) {
@@ -192,6 +199,7 @@
   }
 
   std::set<std::string> names_;
+  std::set<std::string> without_disk_;
   std::deque<SentMessage> in_transit_;
   std::vector<PendingProbe> probes_;
 };
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -78,6 +78,34 @@
   }
 }
 
+// Guards against an operator that asks one controller after another in vain,
+// because most of a large fleet's controllers have no disk.
+TEST_CASE("A controller without a disk names the leader", "[fleet]") {
+  Cluster cluster(3);
+  cluster.StartWithoutDisk("d");
+  cluster.Run(seconds(3));
+  const std::string leader = cluster.Leader();
+  REQUIRE_FALSE(leader.empty());
+  ConfigurationResult result = cluster.nodes.at("d")->Get(cluster.now);
+  CHECK(result.kind == Kind::kNotLeader);
+  CHECK(result.leader == leader);
+  CHECK(cluster.Put("d", 5).leader == leader);
+
+  SECTION("It names the next leader when that has taken over") {
+    cluster.Stop(leader);
+    cluster.Run(seconds(2));
+    REQUIRE_FALSE(cluster.Leader().empty());
+    result = cluster.nodes.at("d")->Get(cluster.now);
+    CHECK(result.leader == cluster.Leader());
+  }
+  SECTION("It names none when no controller leads") {
+    for (const char* name : {"a", "b", "c"})
+      cluster.Stop(name);
+    cluster.Run(seconds(2));
+    CHECK(cluster.nodes.at("d")->Get(cluster.now).kind == Kind::kUnknown);
+  }
+}
+
 TEST_CASE("Entries learn of a new configuration and get it on request",
           "[fleet]") {
   Cluster cluster(3);
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -9761,6 +9761,10 @@
 void ControllerNotice::__set_held_back(const std::vector<EndpointRecord> & val) {
   this->held_back = val;
 }
+
+void ControllerNotice::__set_leads(const bool val) {
+  this->leads = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControllerNotice& obj)
 {
   obj.printTo(out);
@@ -9873,6 +9877,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leads);
+          this->__isset.leads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -9938,6 +9950,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leads", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->leads);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -9951,6 +9967,7 @@
   swap(a.endpoints, b.endpoints);
   swap(a.draining, b.draining);
   swap(a.held_back, b.held_back);
+  swap(a.leads, b.leads);
   swap(a.__isset, b.__isset);
 }
 
@@ -9961,6 +9978,7 @@
   endpoints = other357.endpoints;
   draining = other357.draining;
   held_back = other357.held_back;
+  leads = other357.leads;
   __isset = other357.__isset;
 }
 ControllerNotice::ControllerNotice(ControllerNotice&& other358) noexcept {
@@ -9970,6 +9988,7 @@
   endpoints = std::move(other358.endpoints);
   draining = other358.draining;
   held_back = std::move(other358.held_back);
+  leads = other358.leads;
   __isset = other358.__isset;
 }
 ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other359) {
@@ -9979,6 +9998,7 @@
   endpoints = other359.endpoints;
   draining = other359.draining;
   held_back = other359.held_back;
+  leads = other359.leads;
   __isset = other359.__isset;
   return *this;
 }
@@ -9989,6 +10009,7 @@
   endpoints = std::move(other360.endpoints);
   draining = other360.draining;
   held_back = std::move(other360.held_back);
+  leads = other360.leads;
   __isset = other360.__isset;
   return *this;
 }
@@ -10001,6 +10022,7 @@
   out << ", " << "endpoints=" << to_string(endpoints);
   out << ", " << "draining=" << to_string(draining);
   out << ", " << "held_back=" << to_string(held_back);
+  out << ", " << "leads=" << to_string(leads);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -3579,13 +3579,14 @@
 std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj);
 
 typedef struct _ControllerNotice__isset {
-  _ControllerNotice__isset() : has_disk(false), joining(false), controllers(false), endpoints(false), draining(false), held_back(false) {}
+  _ControllerNotice__isset() : has_disk(false), joining(false), controllers(false), endpoints(false), draining(false), held_back(false), leads(false) {}
   bool has_disk :1;
   bool joining :1;
   bool controllers :1;
   bool endpoints :1;
   bool draining :1;
   bool held_back :1;
+  bool leads :1;
 } _ControllerNotice__isset;
 
 class ControllerNotice : public virtual ::apache::thrift::TBase {
@@ -3598,7 +3599,8 @@
   ControllerNotice() noexcept
                    : has_disk(0),
                      joining(0),
-                     draining(0) {
+                     draining(0),
+                     leads(0) {
   }
 
   virtual ~ControllerNotice() noexcept;
@@ -3608,6 +3610,7 @@
   std::vector<EndpointRecord>  endpoints;
   bool draining;
   std::vector<EndpointRecord>  held_back;
+  bool leads;
 
   _ControllerNotice__isset __isset;
 
@@ -3623,6 +3626,8 @@
 
   void __set_held_back(const std::vector<EndpointRecord> & val);
 
+  void __set_leads(const bool val);
+
   bool operator == (const ControllerNotice & rhs) const
   {
     if (!(has_disk == rhs.has_disk))
@@ -3637,6 +3642,8 @@
       return false;
     if (!(held_back == rhs.held_back))
       return false;
+    if (!(leads == rhs.leads))
+      return false;
     return true;
   }
   bool operator != (const ControllerNotice &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -459,6 +459,7 @@
   5: bool draining,                      // a planned stop has begun
   6: list<EndpointRecord> held_back,     // heartbeats that do not continue the
                                          // known records of their endpoints
+  7: bool leads,                         // the sender is the leader
 }
 
 // An entry process that may hold shares of customers' rates.
