Keep a controller up while its disk is full

Change: when a write fails, the service drops the controller core and the log, answers 503 to heartbeats and operators, whose pending calls it answers as unknown, and opens the log again every 0.3 s. It goes on from what is on the disk, the path that a restart takes. A leader first tells the member that has received most to stand for election, without waiting for the entry that it could not store itself. A damaged log still ends the process.

--- a/consensus/include/goldcrest/consensus/replica.h
+++ b/consensus/include/goldcrest/consensus/replica.h
@@ -75,6 +75,11 @@
   //! target, and remains leader if the target never caught up.
   Output TransferLeadership(Time now);
 
+  //! Tells the member that has received most to start an election at once,
+  //! without waiting until it has everything. For a leader whose writes fail:
+  //! this replica must not be used afterwards.
+  Output Abdicate(Time now);
+
   //! When to call Tick() next: the epoch before the first call, kNever if no
   //! timer is running.
   Time NextDeadline() const;
--- a/consensus/internal/replica_core.h
+++ b/consensus/internal/replica_core.h
@@ -38,6 +38,7 @@
   Proposal ProposeMembers(Time now, std::vector<std::string> members);
   Output Compact(std::int64_t index, std::string data);
   Output TransferLeadership(Time now);
+  Output Abdicate(Time now);
 
   Time NextDeadline() const;
   bool IsLeader() const { return role_ == Role::kLeader; }
@@ -123,7 +124,9 @@
                       const messages::VoteResponse& response);
   void OnTimeoutNow(const std::string& from,
                     const messages::TimeoutNow& message);
+  std::string FindSuccessor();
   void ContinueTransfer();
+  void SendTimeoutNow(const std::string& peer);
 
   // replication.cc
   void SendHeartbeats();
--- a/consensus/src/election.cc
+++ b/consensus/src/election.cc
@@ -217,6 +217,23 @@
   BeginCall(now);
   if (!IsLeader() || transfer_)
     return TakeOutput();
+  const std::string target = FindSuccessor();
+  if (!target.empty()) {
+    transfer_ = Transfer{target, now_ + options_.election_timeout_min};
+    ContinueTransfer();
+  }
+  return TakeOutput();
+}
+
+Output ReplicaCore::Abdicate(Time now) {
+  BeginCall(now);
+  const std::string target = IsLeader() ? FindSuccessor() : "";
+  if (!target.empty())
+    SendTimeoutNow(target);
+  return TakeOutput();
+}
+
+std::string ReplicaCore::FindSuccessor() {
   std::string target;
   std::int64_t best = -1;
   for (const std::string& peer : Peers()) {
@@ -226,11 +243,7 @@
     best = progress.match_index;
     target = peer;
   }
-  if (!target.empty()) {
-    transfer_ = Transfer{target, now_ + options_.election_timeout_min};
-    ContinueTransfer();
-  }
-  return TakeOutput();
+  return target;
 }
 
 void ReplicaCore::ContinueTransfer() {
@@ -238,11 +251,15 @@
       progress_[transfer_->target].match_index < log_.LastIndex())
     return;
   transfer_->timeout_now_sent = true;
+  SendTimeoutNow(transfer_->target);
+}
+
+void ReplicaCore::SendTimeoutNow(const std::string& peer) {
   messages::TimeoutNow timeout_now;
   timeout_now.term = hard_state_.term;
   messages::ConsensusMessage message;
   message.__set_timeout_now(timeout_now);
-  Send(transfer_->target, std::move(message));
+  Send(peer, std::move(message));
 }
 
 }  // namespace goldcrest::consensus
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -43,6 +43,10 @@
   return core_->TransferLeadership(now);
 }
 
+Output Replica::Abdicate(Time now) {
+  return core_->Abdicate(now);
+}
+
 Time Replica::NextDeadline() const {
   return core_->NextDeadline();
 }
--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -38,8 +38,8 @@
 
 struct ControllerHooks {
   std::function<void(const std::string& to, messages::PeerMessage)> send;
-  //! Makes the writes durable. Returns false on failure; the process must then
-  //! stop.
+  //! Makes the writes durable. Returns false on failure; the controller then
+  //! has failed.
   std::function<bool(const std::vector<consensus::LogWrite>&)> persist;
   std::function<routing::RoutingTablePtr(const std::string& text)> decode;
   //! Called with all known controllers after new ones became known.
@@ -113,7 +113,12 @@
   //! Transfers leadership to another controller before a planned stop.
   void BeginDrain(Time now);
 
+  //! Ends a controller that has failed: hands leadership over if it can, and
+  //! answers all calls as unknown. The next one starts from what is on the disk.
+  void Abandon(Time now);
+
   bool IsLeader() const { return replica_.IsLeader(); }
+  //! True after a failed write, or after reading data that can't be decoded.
   bool HasFailed() const { return failed_; }
   const routing::EndpointDirectory& directory() const { return directory_; }
   const FleetState& state() const { return state_; }
@@ -191,6 +196,7 @@
   void SendToEntries(const messages::ProxyUpdate& update);
   void PlanMembership(Time now);
   void FailLostPuts();
+  void SendMessages(std::vector<consensus::Outbound> messages);
 
   ControllerOptions options_;
   ControllerHooks hooks_;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -136,11 +136,7 @@
     failed_ = true;
     return;
   }
-  for (consensus::Outbound& outbound : output.messages) {
-    messages::PeerMessage message;
-    message.__set_consensus(outbound.message);
-    hooks_.send(outbound.to, std::move(message));
-  }
+  SendMessages(std::move(output.messages));
   if (output.installed) {
     auto snapshot = messages::DecodeFleetSnapshot(output.installed->data);
     if (!snapshot) {
@@ -157,6 +153,14 @@
   ReportTermChange();
 }
 
+void Controller::SendMessages(std::vector<consensus::Outbound> messages) {
+  for (consensus::Outbound& outbound : messages) {
+    messages::PeerMessage message;
+    message.__set_consensus(std::move(outbound.message));
+    hooks_.send(outbound.to, std::move(message));
+  }
+}
+
 void Controller::ReportTermChange() {
   if (replica_.Term() == reported_term_ &&
       replica_.Leader() == reported_leader_)
@@ -323,6 +327,12 @@
     leadership_->failover->OnPromotion(now, assignment, result);
 }
 
+void Controller::Abandon(Time now) {
+  SendMessages(replica_.Abdicate(now).messages);
+  for (PendingPut& put : std::exchange(pending_puts_, {}))
+    put.done({ConfigurationResult::Kind::kUnknown, "", ""});
+}
+
 void Controller::BeginDrain(Time now) {
   draining_ = true;
   SendNotices(now);
--- a/fleet/tests/fleet_simulation.cc
+++ b/fleet/tests/fleet_simulation.cc
@@ -17,8 +17,8 @@
 constexpr Duration kHeartbeatInterval = milliseconds(1'200);
 constexpr Duration kSyncTime = milliseconds(1);
 constexpr Duration kSlowSyncTime = milliseconds(30);
-// The platform starts a process that ended by itself after this time.
-constexpr Duration kRestartDelay = milliseconds(600);
+// A controller whose disk refuses writes tries again after this time.
+constexpr Duration kReopenInterval = milliseconds(300);
 constexpr std::size_t kBootstrapMembers = 3;
 constexpr const char* kEndpoint = "e1";
 
@@ -94,7 +94,7 @@
 bool FleetSimulation::IsRunning(const std::string& name) const {
   const auto controller = controllers_.find(name);
   if (controller != controllers_.end())
-    return controller->second->core != nullptr;
+    return controller->second->core != nullptr || controller->second->suspended;
   const auto entry = entries_.find(name);
   return entry != entries_.end() && entry->second->controllers != nullptr;
 }
@@ -105,6 +105,7 @@
     return;
   ++node.process;
   node.draining = false;
+  node.suspended = false;
   ControllerOptions options;
   options.replica = DefaultReplicaOptions();
   options.replica.self = name;
@@ -261,6 +262,7 @@
   const auto controller = controllers_.find(name);
   if (controller != controllers_.end()) {
     controller->second->core.reset();
+    controller->second->suspended = false;
     return;
   }
   EntryNode& node = *entries_.at(name);
@@ -279,11 +281,14 @@
     node->core->Tick(now);
     if (!node->core->HasFailed())
       continue;
-    Log(name + " ends: its disk refuses writes");
-    StopProcess(name);
-    network_.OnProcessStopped(name, false);
-    network_.After(kRestartDelay,
-                   [this, name = name] { StartController(name); });
+    Log(name + " is suspended: its disk refuses writes");
+    node->core->Abandon(now);
+    node->core.reset();
+    node->suspended = true;
+    network_.After(kReopenInterval, [this, &node = *node] {
+      if (node.suspended)
+        StartController(node.name);
+    });
   }
   for (const auto& [name, node] : entries_) {
     if (node->controllers == nullptr || network_.IsBlocked(name))
@@ -329,8 +334,11 @@
                               const messages::PeerMessage& message) {
   const Time now = network_.Now();
   const auto controller = controllers_.find(to);
-  if (controller != controllers_.end())
-    return controller->second->core->OnMessage(now, from, message);
+  if (controller != controllers_.end()) {
+    if (controller->second->core != nullptr)
+      controller->second->core->OnMessage(now, from, message);
+    return;
+  }
   if (message.__isset.proxy_update)
     entries_.at(to)->controllers->OnUpdate(now, from, message.proxy_update);
 }
@@ -339,8 +347,11 @@
                              const std::string& peer,
                              bool up) {
   const auto controller = controllers_.find(at);
-  if (controller != controllers_.end())
-    return controller->second->core->OnLink(peer, up);
+  if (controller != controllers_.end()) {
+    if (controller->second->core != nullptr)
+      controller->second->core->OnLink(peer, up);
+    return;
+  }
   entries_.at(at)->controllers->OnLink(network_.Now(), peer, up);
 }
 
--- a/fleet/tests/fleet_simulation_test.cc
+++ b/fleet/tests/fleet_simulation_test.cc
@@ -114,6 +114,27 @@
   PlaySeeds(options, 1, kSeeds);
 }
 
+// Guards against a leader whose disk is full that leaves the fleet without a
+// leader until the election timeout has passed, 0.3 s at least.
+TEST_CASE("A leader with a full disk hands over at once",
+          "[fleet][guarantee]") {
+  SimulationOptions options;
+  options.seed = GENERATE(1, 2, 3, 4, 5);
+  FleetSimulation simulation(options);
+  simulation.Start();
+  const std::string leader = simulation.Leader();
+  REQUIRE_FALSE(leader.empty());
+  simulation.FillDisk(leader, seconds(4));
+  const std::int64_t version = simulation.Change();
+  simulation.Run(milliseconds(250));
+  INFO(simulation.Trace());
+  CHECK_FALSE(simulation.Leader().empty());
+  CHECK(simulation.Leader() != leader);
+  simulation.Run(seconds(3));
+  CHECK(simulation.Acknowledged(version));
+  CHECK(simulation.Violations().empty());
+}
+
 // Guards against controllers that refuse changes for good after their disks
 // were full, one after another.
 TEST_CASE("Changes are acknowledged after disks were full in turn",
--- a/fleet/tests/simulated_nodes.h
+++ b/fleet/tests/simulated_nodes.h
@@ -43,6 +43,7 @@
   std::uint64_t process = 0;  // changes with each start
   bool first_start = true;
   bool draining = false;
+  bool suspended = false;  // the process runs, but its disk refuses writes
   bool removed = false;
   // Lost by a fault, or catching up, until this time.
   Time lost_until;
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -32,6 +32,8 @@
 // The failover planner resends a promotion that was not answered in this time.
 constexpr Duration kPromotionTimeout = milliseconds(900);
 
+constexpr Duration kReopenInterval = milliseconds(300);
+
 constexpr std::size_t kMaxConfigurationBytes = std::size_t{8} << 20U;
 
 // Delay between the start of a planned stop and the exit of the process: a
@@ -52,47 +54,39 @@
 ControllerService::ControllerService(boost::asio::io_context& context,
                                      const platform::BootSettings& settings,
                                      storage::OpenedLog opened_log,
+                                     OpenLog open_log,
                                      PlatformLog& log)
     : context_(context),
       settings_(settings),
       log_(log),
       scheduler_(context),
+      open_log_(std::move(open_log)),
       store_(std::move(opened_log.store)),
       prober_(context,
               scheduler_,
               [this](const std::string& group,
                      const std::string& endpoint,
                      const fleet::ProbeResult& result) {
-                controller_->OnProbe(SystemClock::Now(), group, endpoint,
-                                     result);
+                if (controller_ != nullptr)
+                  controller_->OnProbe(SystemClock::Now(), group, endpoint,
+                                       result);
               }) {
   adapters::HttpClientOptions api;
   api.host = settings_.platform_api.host;
   api.port = settings_.platform_api.port;
   platform_api_ = std::make_unique<adapters::HttpClient>(context_, api);
 
-  fleet::ControllerOptions options;
-  options.replica = fleet::DefaultReplicaOptions();
-  options.replica.self = PeerName(settings_, kControllerPortOffset);
-  options.has_disk = store_ != nullptr;
-  options.tolerated_losses = settings_.tolerated_losses;
-  options.limit_window = LimitWindowOf(settings_);
-  options.max_clock_skew = settings_.max_clock_skew;
-  options.seeds = ControllerNames(settings_);
-  if (settings_.first_start)
-    options.replica.bootstrap_members = {options.seeds.begin(),
-                                         options.seeds.end()};
-  controller_ = std::make_unique<fleet::Controller>(
-      SystemClock::Now(), options, std::move(opened_log.state),
-      std::mt19937_64(std::random_device()()), MakeHooks());
+  MakeController(std::move(opened_log.state));
 
   peers_ = std::make_unique<adapters::PeerTransport>(
       context_, PeerOptions(settings_, kControllerPortOffset), log_.logger(),
       [this](const std::string& from, const messages::PeerMessage& message) {
-        controller_->OnMessage(SystemClock::Now(), from, message);
+        if (controller_ != nullptr)
+          controller_->OnMessage(SystemClock::Now(), from, message);
       },
       [this](const std::string& peer, bool up) {
-        controller_->OnLink(peer, up);
+        if (controller_ != nullptr)
+          controller_->OnLink(peer, up);
       });
   adapters::HttpServerOptions http;
   http.host = settings_.controller_listen.host;
@@ -108,6 +102,23 @@
 
 ControllerService::~ControllerService() = default;
 
+void ControllerService::MakeController(consensus::RestoredState state) {
+  fleet::ControllerOptions options;
+  options.replica = fleet::DefaultReplicaOptions();
+  options.replica.self = PeerName(settings_, kControllerPortOffset);
+  options.has_disk = store_ != nullptr;
+  options.tolerated_losses = settings_.tolerated_losses;
+  options.limit_window = LimitWindowOf(settings_);
+  options.max_clock_skew = settings_.max_clock_skew;
+  options.seeds = ControllerNames(settings_);
+  if (settings_.first_start)
+    options.replica.bootstrap_members = {options.seeds.begin(),
+                                         options.seeds.end()};
+  controller_ = std::make_unique<fleet::Controller>(
+      SystemClock::Now(), options, std::move(state),
+      std::mt19937_64(std::random_device()()), MakeHooks());
+}
+
 void ControllerService::Start() {
   peers_->SetPeers(PeerAddresses(ControllerNames(settings_)));
   peers_->Start();
@@ -171,15 +182,45 @@
 
 void ControllerService::Tick() {
   const Time now = SystemClock::Now();
-  controller_->Tick(now);
   prober_.CloseIdleConnections(now);
-  if (controller_->HasFailed()) {
-    log_.LogEvent("log_failed", {{"folder", settings_.data_folder}});
-    if (on_failure_)
-      on_failure_();
+  if (controller_ != nullptr)
+    controller_->Tick(now);
+  if (controller_ != nullptr && controller_->HasFailed())
+    Suspend();
+  scheduler_.After(kTickInterval, [this] { Tick(); });
+}
+
+void ControllerService::Suspend() {
+  log_.LogEvent("suspended", {{"folder", settings_.data_folder}});
+  controller_->Abandon(SystemClock::Now());
+  controller_.reset();
+  store_.reset();
+  scheduler_.After(kReopenInterval, [this] { TryResume(); });
+}
+
+void ControllerService::TryResume() {
+  enum class Result { kOpened, kNoRoom, kDamaged };
+  const Result result = leaf::try_handle_all(
+      [this]() -> leaf::result<Result> {
+        BOOST_LEAF_AUTO(opened, open_log_());
+        store_ = std::move(opened.store);
+        MakeController(std::move(opened.state));
+        return Result::kOpened;
+      },
+      [this](const storage::StorageError& error) {
+        log_.LogEvent("log_not_opened", {{"cause", error.message}});
+        return error.code == ResultCode::kLogWriteFailed ? Result::kNoRoom
+                                                         : Result::kDamaged;
+      },
+      [] { return Result::kDamaged; });
+  if (result == Result::kOpened)
+    return log_.LogEvent("resumed", {});
+  if (result == Result::kNoRoom) {
+    scheduler_.After(kReopenInterval, [this] { TryResume(); });
     return;
   }
-  scheduler_.After(kTickInterval, [this] { Tick(); });
+  if (on_failure_)
+    on_failure_();
 }
 
 void ControllerService::HandleHttp(
@@ -188,6 +229,10 @@
   const auto call = platform::DecodeHttpRequest(request.method, request.path);
   if (!call)
     return respond(ErrorResponse(404, "no such call"));
+  if (controller_ == nullptr &&
+      call->kind != platform::HttpRequestKind::kMetrics &&
+      call->kind != platform::HttpRequestKind::kReadiness)
+    return respond(ErrorResponse(503, "the log can't be written"));
   switch (call->kind) {
     case platform::HttpRequestKind::kHeartbeat:
       return respond(HandleHeartbeat(call->endpoint, request.body));
@@ -300,20 +345,24 @@
                                              {"order", assignment.order},
                                              {"status", result.status},
                                              {"cause", result.error}});
-        controller_->OnPromotion(SystemClock::Now(), assignment, outcome);
+        if (controller_ != nullptr)
+          controller_->OnPromotion(SystemClock::Now(), assignment, outcome);
       });
 }
 
 void ControllerService::BeginDrain(std::function<void()> done) {
   log_.LogEvent("stop_requested", {});
-  controller_->BeginDrain(SystemClock::Now());
+  if (controller_ != nullptr)
+    controller_->BeginDrain(SystemClock::Now());
   scheduler_.After(kLeadershipTransferTime, std::move(done));
 }
 
 void ControllerService::OnSettings(const platform::BootSettings& settings) {
   log_.LogEvent("settings_loaded",
                 {{"seeds", settings.controller_seeds.size()}});
-  controller_->AddControllers(ControllerNames(settings));
+  settings_.controller_seeds = settings.controller_seeds;
+  if (controller_ != nullptr)
+    controller_->AddControllers(ControllerNames(settings));
 }
 
 }  // namespace goldcrest
--- a/programs/goldcrestd/controller_service.h
+++ b/programs/goldcrestd/controller_service.h
@@ -2,6 +2,7 @@
 #define GOLDCREST_PROGRAMS_GOLDCRESTD_CONTROLLER_SERVICE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/leaf/result.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,11 +24,20 @@
 //! configuration requests of operators. Connects a fleet::Controller to its
 //! HTTP server, its log on disk, its peers and the endpoint prober. Runs on one
 //! thread, which blocks while the log is written.
+//!
+//! While the log can't be written, since the disk is full, the service answers
+//! 503 and takes part in nothing. Once it can, it goes on from what is on the
+//! disk, as after a restart.
 class ControllerService {
  public:
+  using OpenLog = std::function<boost::leaf::result<storage::OpenedLog>()>;
+
+  //! `open_log` opens the log of an instance with a disk, and is called again
+  //! after a write to it has failed. Null without a disk.
   ControllerService(boost::asio::io_context& context,
                     const platform::BootSettings& settings,
                     storage::OpenedLog opened_log,
+                    OpenLog open_log,
                     PlatformLog& log);
   ~ControllerService();
 
@@ -37,7 +47,7 @@
   //! process may exit.
   void BeginDrain(std::function<void()> done);
 
-  //! `hook` runs when the log can't be written; the process must stop then.
+  //! `hook` runs when the log is damaged; the process must stop then.
   void SetFailureHook(std::function<void()> hook) {
     on_failure_ = std::move(hook);
   }
@@ -45,6 +55,9 @@
   void OnSettings(const platform::BootSettings& settings);
 
  private:
+  void MakeController(consensus::RestoredState state);
+  void Suspend();
+  void TryResume();
   fleet::ControllerHooks MakeHooks();
   bool Persist(const std::vector<consensus::LogWrite>& writes);
   void Tick();
@@ -65,10 +78,11 @@
   PlatformLog& log_;
   adapters::Counters counters_;
   adapters::Scheduler scheduler_;
+  OpenLog open_log_;
   std::unique_ptr<storage::LogStore> store_;
   EndpointProber prober_;
   std::unique_ptr<adapters::HttpClient> platform_api_;
-  std::unique_ptr<fleet::Controller> controller_;
+  std::unique_ptr<fleet::Controller> controller_;  // null while suspended
   std::unique_ptr<adapters::PeerTransport> peers_;
   std::unique_ptr<adapters::HttpServer> http_;
   std::function<void()> on_failure_;
--- a/programs/goldcrestd/platform_main.cc
+++ b/programs/goldcrestd/platform_main.cc
@@ -117,15 +117,19 @@
 }
 
 leaf::result<int> TryController() {
+  // A write beyond a file size limit has to fail as one to a full disk does.
+  std::signal(SIGXFSZ, SIG_IGN);
   BOOST_LEAF_AUTO(settings, platform::LoadBootSettings());
   PlatformLog log(settings.instance + "/controller", settings.zone);
   storage::OpenedLog opened;
+  ControllerService::OpenLog open_log;
   if (!settings.data_folder.empty()) {
     storage::LogStoreOptions options;
     options.folder = settings.data_folder;
     options.cluster = kLogClusterName;
     options.instance = settings.host;
-    BOOST_LEAF_ASSIGN(opened, storage::LogStore::Open(options));
+    open_log = [options] { return storage::LogStore::Open(options); };
+    BOOST_LEAF_ASSIGN(opened, open_log());
     log.LogEvent("log_opened", {{"empty", opened.state.fresh},
                                 {"term", opened.state.hard_state.term},
                                 {"joining", opened.state.hard_state.joining},
@@ -133,7 +137,8 @@
                                 {"entries", opened.state.entries.size()}});
   }
   boost::asio::io_context context(1);
-  ControllerService service(context, settings, std::move(opened), log);
+  ControllerService service(context, settings, std::move(opened), open_log,
+                            log);
   ServiceRunner runner(context, service, log);
   service.SetFailureHook([&] { runner.Stop(EX_IOERR); });
   return runner.Run();
