Keep departed endpoints over a restart of all controllers

Change: the state keeps the records of the 500 gone endpoints that started last. "A deregistered database stays gone over a restart of all controllers" failed before at all three controllers.

--- a/fleet/include/goldcrest/fleet/fleet_state.h
+++ b/fleet/include/goldcrest/fleet/fleet_state.h
@@ -28,6 +28,7 @@
   const std::map<std::string, messages::HolderState>& holders() const {
     return state_.holders;
   }
+  //! By name. Includes the latest ones that are gone.
   const std::map<std::string, messages::EndpointRecord>& endpoints() const {
     return state_.endpoints;
   }
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -77,12 +77,13 @@
     return;
   const auto it = state_.endpoints().find(record.endpoint);
   const bool known = it != state_.endpoints().end();
-  if (record.gone ? !known
-                  : known && it->second.primary == record.primary &&
-                        it->second.draining == record.draining &&
-                        it->second.address == record.address &&
-                        it->second.started_ms == record.started_ms &&
-                        it->second.epoch == record.epoch)
+  if (record.gone
+          ? !known || it->second.gone
+          : known && !it->second.gone && it->second.primary == record.primary &&
+                it->second.draining == record.draining &&
+                it->second.address == record.address &&
+                it->second.started_ms == record.started_ms &&
+                it->second.epoch == record.epoch)
     return;
   messages::FleetCommand command;
   command.__set_endpoint(record);
--- a/fleet/src/fleet_state.cc
+++ b/fleet/src/fleet_state.cc
@@ -1,18 +1,35 @@
 #include "goldcrest/fleet/fleet_state.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace goldcrest::fleet {
+namespace {
+
+// Gone endpoints are kept, so that their delayed heartbeats are recognised
+// after a restart of all controllers as well.
+constexpr std::ptrdiff_t kMaxGoneEndpoints = 500;
+
+void DropOldestGone(std::map<std::string, messages::EndpointRecord>& records) {
+  const auto is_gone = [](const auto& item) { return item.second.gone; };
+  if (std::ranges::count_if(records, is_gone) <= kMaxGoneEndpoints)
+    return;
+  const auto rank = [](const auto& item) {
+    return std::pair(!item.second.gone, item.second.started_ms);
+  };
+  records.erase(std::ranges::min_element(records, {}, rank));
+}
+
+}  // namespace
 
 void FleetState::Apply(const messages::FleetCommand& command) {
   if (command.__isset.put && (state_.document.text.empty() ||
                               command.put.version > state_.document.version))
     state_.document = command.put;
   if (command.__isset.endpoint) {
-    if (command.endpoint.gone)
-      state_.endpoints.erase(command.endpoint.endpoint);
-    else
-      state_.endpoints[command.endpoint.endpoint] = command.endpoint;
+    state_.endpoints[command.endpoint.endpoint] = command.endpoint;
+    DropOldestGone(state_.endpoints);
   }
   if (command.__isset.reserve)
     state_.reserve_used = command.reserve.used;
--- a/fleet/tests/odd_heartbeats_test.cc
+++ b/fleet/tests/odd_heartbeats_test.cc
@@ -201,6 +201,55 @@
   CHECK(group.longest_absence <= kReturnBound);
 }
 
+// Guards against a server that has left and is in use again, because a delayed
+// heartbeat of it arrives after all controllers were restarted.
+TEST_CASE(
+    "A deregistered database stays gone over a restart of all controllers",
+    "[fleet][guarantee]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(2));
+  messages::EndpointRecord record;
+  record.endpoint = "e1";
+  record.group = "g";
+  record.address = "10.0.0.1:1";
+  record.sequence = 5;
+  cluster.nodes.at("a")->OnHeartbeat(cluster.now, record);
+  cluster.Run(milliseconds(500));
+  messages::EndpointRecord departure;
+  departure.endpoint = "e1";
+  departure.sequence = 7;
+  cluster.nodes.at("b")->OnDeparture(cluster.now, departure);
+  cluster.Run(milliseconds(500));
+  const std::string state =
+      messages::Encode(cluster.nodes.at("a")->state().Save());
+  for (const char* name : {"a", "b", "c"}) {
+    cluster.Stop(name);
+    // A snapshot has replaced the log.
+    consensus::RestoredState& disk = cluster.disks[name];
+    disk.snapshot.last_index = disk.entries.back().index;
+    disk.snapshot.last_term = disk.entries.back().term;
+    disk.snapshot.members = {"a", "b", "c"};
+    disk.snapshot.data = state;
+    disk.entries.clear();
+  }
+  for (const char* name : {"a", "b", "c"})
+    cluster.Start(name, false);
+  cluster.Run(seconds(2));
+  record.sequence = 6;
+  cluster.nodes.at("c")->OnHeartbeat(cluster.now, record);
+  cluster.Run(milliseconds(500));
+  for (const auto& [name, node] : cluster.nodes)
+    CHECK(node->directory().MembersOf("g").empty());
+
+  SECTION("It is in use again when it goes on") {
+    record.sequence = 9;
+    cluster.nodes.at("c")->OnHeartbeat(cluster.now, record);
+    cluster.Run(milliseconds(500));
+    for (const auto& [name, node] : cluster.nodes)
+      CHECK(node->directory().MembersOf("g").size() == 1);
+  }
+}
+
 // Guards against a record that an older release has accepted, and that ends
 // each process that reads it from its disk.
 TEST_CASE("An odd record in the log or the snapshot is dropped on load",
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -496,7 +496,7 @@
 struct FleetSnapshot {
   1: PutDocument document,
   2: map<string, HolderState> holders,   // by instance
-  3: map<string, EndpointRecord> endpoints,  // by name; none that are gone
+  3: map<string, EndpointRecord> endpoints,  // by name
   4: bool reserve_used,
 }
 
