--- a/process_tests/tests/stop_test.cc
+++ b/process_tests/tests/stop_test.cc
@@ -77,7 +77,7 @@
 // serve, and against a role (leader or coordinator) that the last of the old
 // daemons doesn't hand over.
 TEST_CASE("A rolling restart of all daemons cuts no request",
-          "[process_tests][guarantee][known-red]") {
+          "[process_tests][guarantee]") {
   Fleet fleet({.entry_settings = kShortDrainGrace});
   const Loads loads = StartLoads(fleet);
   for (const std::string& instance : fleet.Instances())
