--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -114,7 +114,8 @@
   void BeginDrain(Time now);
 
   //! Ends a controller that has failed: hands leadership over if it can, and
-  //! answers all calls as unknown. The next one starts from what is on the disk.
+  //! answers all calls as unknown. The next one starts from what is on the
+  //! disk.
   void Abandon(Time now);
 
   bool IsLeader() const { return replica_.IsLeader(); }
