--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -197,7 +197,7 @@
   void SendToEntries(const messages::ProxyUpdate& update);
   void PlanMembership(Time now);
   void FailLostPuts();
-  void SendMessages(std::vector<consensus::Outbound> messages);
+  void SendMessages(const std::vector<consensus::Outbound>& messages);
 
   ControllerOptions options_;
   ControllerHooks hooks_;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -136,7 +136,7 @@
     failed_ = true;
     return;
   }
-  SendMessages(std::move(output.messages));
+  SendMessages(output.messages);
   if (output.installed) {
     auto snapshot = messages::DecodeFleetSnapshot(output.installed->data);
     if (!snapshot) {
@@ -153,10 +153,11 @@
   ReportTermChange();
 }
 
-void Controller::SendMessages(std::vector<consensus::Outbound> messages) {
-  for (consensus::Outbound& outbound : messages) {
+void Controller::SendMessages(
+    const std::vector<consensus::Outbound>& messages) {
+  for (const consensus::Outbound& outbound : messages) {
     messages::PeerMessage message;
-    message.__set_consensus(std::move(outbound.message));
+    message.__set_consensus(outbound.message);
     hooks_.send(outbound.to, std::move(message));
   }
 }
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -76,7 +76,7 @@
   api.port = settings_.platform_api.port;
   platform_api_ = std::make_unique<adapters::HttpClient>(context_, api);
 
-  MakeController(std::move(opened_log.state));
+  MakeController(opened_log.state);
 
   peers_ = std::make_unique<adapters::PeerTransport>(
       context_, PeerOptions(settings_, kControllerPortOffset), log_.logger(),
@@ -102,7 +102,7 @@
 
 ControllerService::~ControllerService() = default;
 
-void ControllerService::MakeController(consensus::RestoredState state) {
+void ControllerService::MakeController(const consensus::RestoredState& state) {
   fleet::ControllerOptions options;
   options.replica = fleet::DefaultReplicaOptions();
   options.replica.self = PeerName(settings_, kControllerPortOffset);
@@ -115,7 +115,7 @@
     options.replica.bootstrap_members = {options.seeds.begin(),
                                          options.seeds.end()};
   controller_ = std::make_unique<fleet::Controller>(
-      SystemClock::Now(), options, std::move(state),
+      SystemClock::Now(), options, state,
       std::mt19937_64(std::random_device()()), MakeHooks());
 }
 
@@ -204,7 +204,7 @@
       [this]() -> leaf::result<Result> {
         BOOST_LEAF_AUTO(opened, open_log_());
         store_ = std::move(opened.store);
-        MakeController(std::move(opened.state));
+        MakeController(opened.state);
         return Result::kOpened;
       },
       [this](const storage::StorageError& error) {
--- a/programs/goldcrestd/controller_service.h
+++ b/programs/goldcrestd/controller_service.h
@@ -55,7 +55,7 @@
   void OnSettings(const platform::BootSettings& settings);
 
  private:
-  void MakeController(consensus::RestoredState state);
+  void MakeController(const consensus::RestoredState& state);
   void Suspend();
   void TryResume();
   fleet::ControllerHooks MakeHooks();
