--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 
@@ -12,20 +13,23 @@
 
 
 def run_case(folder, coroutine):
-    """coroutine(record, trouble) returns (fleet, violations).
+    """coroutine(record, trouble) returns the violations of the rule.
 
-    It hands its fleet over with record.fleet, so that it is always ended.
+    It hands its fleet over in record.fleet, so that it is always ended.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(os.path.join(folder, "record.txt"))
     record.note(f"trouble: {'yes' if trouble else 'no'}")
     record.fleet = None
+    # A test that is stopped from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = 2
     try:
         violations = asyncio.run(asyncio.wait_for(
             coroutine(record, trouble), MAX_SECONDS))
-        for violation in violations[:20]:
+        for violation in violations:
             record.note(f"BROKEN {violation}")
+        for violation in violations[:20]:
             print(violation)
         print(f"{len(violations)} violations")
         code = 1 if violations else 0
