Serve callers only once the leader has confirmed the configuration

What callers saw: after a kill of all processes an entry handled a request as a configuration allows that had been replaced before the kill.

Cause: a claim that is older than what it is used for. An entry took what the first controller offered for the newest configuration; only a refusal asked for the word of a leader, and what the old version allows was not guarded at all.

Change: an entry is ready, and accepts or refuses sessions, once a leader with a valid lease has named the newest version in answer to a report of this process, and the entry has that version or a newer one. It also takes the endpoints as known only from the leader. Answers to reports of a former process count for nothing, nor does a time that this process's clock has not reached. A controller announces a version when it has applied all that had been committed when the current leader last wrote to it (Replica::IsCaughtUp), once for all entries of a replay, and only the leader decodes it. Logs: configuration_confirmed, configuration_announced, snapshot_loaded.

ProxyHooks tests: "Only a current configuration denies a database or a key" now waits for the refusal of an unconfirmed entry, which was immediate; what is refused, and how, is unchanged.

--- a/consensus/include/goldcrest/consensus/replica.h
+++ b/consensus/include/goldcrest/consensus/replica.h
@@ -96,6 +96,10 @@
   //! which may be before it is committed.
   std::vector<std::string> Members() const;
   bool IsJoining() const;
+  //! True if CommitIndex() covers every entry that had been committed when the
+  //! current leader sent its newest message, or on the leader every entry of
+  //! earlier terms. False until this process has heard from a leader.
+  bool IsCaughtUp() const;
 
   //! True if no other member can be leader at or before `now` and this replica
   //! knows every entry committed under earlier leaders.
--- a/consensus/internal/replica_core.h
+++ b/consensus/internal/replica_core.h
@@ -46,6 +46,7 @@
   const HardState& GetHardState() const { return hard_state_; }
   std::int64_t CommitIndex() const { return commit_index_; }
   const ReplicaLog& Log() const { return log_; }
+  bool IsCaughtUp() const;
   Time LeaderLeaseEnd() const;
 
  private:
@@ -134,6 +135,7 @@
   void SendAppend(const std::string& to, Progress& progress);
   void OnAppendRequest(const std::string& from,
                        const messages::AppendRequest& request);
+  void RecordLeaderCommit(const messages::AppendRequest& request);
   bool TryAppend(const messages::AppendRequest& request);
   std::int64_t BackOffIndex(std::int64_t prev_index) const;
   void OnAppendResponse(const std::string& from,
@@ -157,7 +159,7 @@
 
   // membership.cc
   void UpdateTrackedMembers();
-  bool IsCaughtUp(const std::string& name) const;
+  bool HasCaughtUp(const std::string& name) const;
   bool IsMembershipChangePending() const;
   bool MajorityCaughtUp(const std::vector<std::string>& members,
                         const std::string& added) const;
@@ -207,6 +209,10 @@
   std::optional<Transfer> transfer_;
 
   // Follower state.
+  // The highest commit index that a leader of `leader_commit_term_` has named
+  // to this process.
+  std::int64_t leader_commit_term_ = 0;
+  std::int64_t leader_commit_index_ = 0;
   std::optional<PendingSnapshot> pending_snapshot_;
   // While joining: for each term, the index at which this replica first held
   // the whole log of that term's leader. An entry of that term with a higher
--- a/consensus/src/membership.cc
+++ b/consensus/src/membership.cc
@@ -73,7 +73,7 @@
   }
 }
 
-bool ReplicaCore::IsCaughtUp(const std::string& name) const {
+bool ReplicaCore::HasCaughtUp(const std::string& name) const {
   if (name == options_.self)
     return true;
   const auto it = progress_.find(name);
@@ -91,7 +91,7 @@
 bool ReplicaCore::MajorityCaughtUp(const std::vector<std::string>& members,
                                    const std::string& added) const {
   const auto count = std::ranges::count_if(members, [&](const auto& name) {
-    return name == added || IsCaughtUp(name);
+    return name == added || HasCaughtUp(name);
   });
   return static_cast<std::size_t>(count) > members.size() / 2;
 }
@@ -105,7 +105,7 @@
     return false;  // The bootstrap entry adds no member to a running cluster.
   const auto added = Difference(log_.Members(), before);
   return !added.empty() && added.front() != removed &&
-         !IsCaughtUp(added.front());
+         !HasCaughtUp(added.front());
 }
 
 void ReplicaCore::AppendMembershipEntry(
--- a/consensus/src/replica.cc
+++ b/consensus/src/replica.cc
@@ -83,6 +83,10 @@
   return core_->GetHardState().joining;
 }
 
+bool Replica::IsCaughtUp() const {
+  return core_->IsCaughtUp();
+}
+
 bool Replica::HoldsLeaderLease(Time now) const {
   return now < core_->LeaderLeaseEnd();
 }
--- a/consensus/src/replication.cc
+++ b/consensus/src/replication.cc
@@ -83,6 +83,7 @@
     return;  // Invalid: a term has at most one leader.
   } else {
     FollowLeader(request.term, from);
+    RecordLeaderCommit(request);
     response.success = TryAppend(request);
     if (response.success) {
       response.match_index = request.prev_index +
@@ -98,6 +99,23 @@
   Send(from, std::move(message));
 }
 
+void ReplicaCore::RecordLeaderCommit(const messages::AppendRequest& request) {
+  if (leader_commit_term_ != request.term) {
+    leader_commit_term_ = request.term;
+    leader_commit_index_ = 0;
+  }
+  leader_commit_index_ = std::max(leader_commit_index_, request.commit_index);
+}
+
+bool ReplicaCore::IsCaughtUp() const {
+  // A leader that has committed no entry of its own term does not know yet what
+  // earlier leaders have committed.
+  if (log_.TermAt(commit_index_) != hard_state_.term)
+    return false;
+  return IsLeader() || (leader_commit_term_ == hard_state_.term &&
+                        commit_index_ >= leader_commit_index_);
+}
+
 bool ReplicaCore::TryAppend(const messages::AppendRequest& request) {
   // Committed entries need no check: every later leader's log contains them.
   if (request.prev_index > commit_index_ &&
--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -68,6 +68,9 @@
   int tolerated_losses = 1;
   quota::LimitWindow limit_window;
   std::set<std::string> seeds;  //!< Controllers known at the start.
+  //! Bytes of commands in the log after which a snapshot replaces it. Documents
+  //! have some kB to some 100 kB.
+  std::size_t snapshot_log_bytes = std::size_t{4} << 20U;
   //! How much the clocks of endpoints and controllers may differ.
   Duration max_clock_skew = std::chrono::seconds(20);
 };
@@ -166,6 +169,8 @@
   void ReportTermChange();
   void ApplyCommitted(Time now, const messages::LogEntry& entry);
   void OnDocumentChanged(Time now);
+  void AnnounceDocument();
+  const routing::RoutingTable* Table();
   void UpdateLeadership(Time now);
   void SetLimits(Time now);
   void ProposeReserveUse(Time now, bool used);
@@ -207,7 +212,10 @@
   ControllerHooks hooks_;
   consensus::Replica replica_;
   FleetState state_;
-  routing::RoutingTablePtr table_;
+  std::int64_t applied_version_ = -1;     // of the document; -1: none
+  std::int64_t announced_version_ = 0;    // to the entries; 0: none
+  routing::RoutingTablePtr table_;        // of the version below
+  std::int64_t decoded_version_ = -1;     // -1: none
   std::string compressed_document_;       // of the version below
   std::int64_t compressed_version_ = -1;  // -1: none
   std::int64_t applied_index_ = 0;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -31,10 +31,6 @@
 // membership.
 constexpr Duration kJoinTimeout = milliseconds(2'000);
 
-// Bytes of commands in the log after which a snapshot replaces it. Documents
-// have some kB to some 100 kB.
-constexpr std::size_t kSnapshotLogBytes = std::size_t{4} << 20U;
-
 }  // namespace
 
 consensus::ReplicaOptions DefaultReplicaOptions() {
@@ -71,6 +67,8 @@
   applied_index_ = restored.snapshot.last_index;
   LoadEndpoints(now);
   OnDocumentChanged(now);
+  hooks_.log_decision("snapshot_loaded", std::to_string(applied_index_),
+                      "version " + std::to_string(state_.version()));
 }
 
 void Controller::LoadEndpoints(Time now) {
@@ -100,7 +98,7 @@
       OnEndpointChanged(now, record);
     }
   }
-  if (log_bytes_ < kSnapshotLogBytes ||
+  if (log_bytes_ < options_.snapshot_log_bytes ||
       applied_index_ <= replica_.SnapshotIndex())
     return;
   log_bytes_ = 0;
@@ -146,10 +144,12 @@
     state_.Load(*std::move(snapshot));
     applied_index_ = output.installed->last_index;
     LoadEndpoints(now);
-    OnDocumentChanged(now);
   }
   for (const messages::LogEntry& entry : output.committed)
     ApplyCommitted(now, entry);
+  // After a restart, one output may commit hundreds of documents.
+  OnDocumentChanged(now);
+  AnnounceDocument();
   ReportTermChange();
 }
 
@@ -190,11 +190,7 @@
     failed_ = true;
     return;
   }
-  const std::int64_t before = state_.version();
-  const bool first = state_.text().empty();
   state_.Apply(*command);
-  if (state_.version() != before || first)
-    OnDocumentChanged(now);
   if (command->__isset.endpoint)
     MergeEndpoint(now, command->endpoint);
   if (command->__isset.reserve)
@@ -208,7 +204,7 @@
       leadership_->owner->Register(it->first, it->second.incarnation);
       // Asks for a report at once, since requests may wait for the first share.
       messages::ProxyUpdate update;
-      update.document_version = state_.version();
+      update.document_version = announced_version_;
       update.report_now = true;
       messages::PeerMessage message;
       message.__set_proxy_update(update);
@@ -227,16 +223,39 @@
 }
 
 void Controller::OnDocumentChanged(Time now) {
-  if (state_.text().empty())
+  if (state_.text().empty() || applied_version_ == state_.version())
     return;
-  table_ = hooks_.decode(state_.text());
-  hooks_.log_decision("configuration_applied", std::to_string(state_.version()),
-                      table_ ? "" : "the document can't be decoded");
+  applied_version_ = state_.version();
+  hooks_.log_decision("configuration_applied", std::to_string(applied_version_),
+                      "log index " + std::to_string(applied_index_));
   if (leadership_ != nullptr)
     SetLimits(now);
-  messages::ProxyUpdate update;
-  update.document_version = state_.version();
-  SendToEntries(update);
+}
+
+// Tells the entries of the newest document. A controller that has started or
+// lagged must not offer them what it holds before it has all that had been
+// committed: they would serve callers by a configuration that is out of date.
+void Controller::AnnounceDocument() {
+  if (failed_ || state_.text().empty() ||
+      announced_version_ == state_.version() || !replica_.IsCaughtUp())
+    return;
+  announced_version_ = state_.version();
+  hooks_.log_decision("configuration_announced",
+                      std::to_string(announced_version_),
+                      "log index " + std::to_string(applied_index_));
+  SendToEntries({});
+}
+
+// The newest document, decoded; null if it can't be decoded.
+const routing::RoutingTable* Controller::Table() {
+  if (decoded_version_ != state_.version()) {
+    decoded_version_ = state_.version();
+    table_ = hooks_.decode(state_.text());
+    if (table_ == nullptr)
+      hooks_.log_decision("configuration_unreadable",
+                          std::to_string(decoded_version_), "");
+  }
+  return table_.get();
 }
 
 std::int64_t Controller::Propose(Time now,
--- a/fleet/src/controller_leadership.cc
+++ b/fleet/src/controller_leadership.cc
@@ -116,14 +116,17 @@
 }
 
 void Controller::SetLimits(Time now) {
-  if (!table_ || leadership_->version == table_->version)
+  if (state_.text().empty() || leadership_->version == state_.version())
     return;
-  leadership_->version = table_->version;
+  const routing::RoutingTable* table = Table();
+  if (table == nullptr)
+    return;
+  leadership_->version = state_.version();
   std::map<std::string, int> sync_replicas;
-  for (const auto& [name, group] : table_->groups)
+  for (const auto& [name, group] : table->groups)
     sync_replicas[name] = group.sync_replicas;
   leadership_->failover->SetGroups(now, sync_replicas);
-  for (const routing::Customer& customer : table_->customers)
+  for (const routing::Customer& customer : table->customers)
     leadership_->owner->SetLimit(
         now, customer.name,
         quota::LimitFor(customer.rate_per_second, customer.burst,
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -120,8 +120,7 @@
 
 void Controller::SendToEntries(const messages::ProxyUpdate& update) {
   messages::ProxyUpdate filled = update;
-  if (filled.document_version == 0)
-    filled.document_version = state_.version();
+  filled.document_version = announced_version_;
   messages::PeerMessage message;
   message.__set_proxy_update(filled);
   for (const auto& [name, entry] : entries_) {
@@ -148,8 +147,8 @@
   messages::ProxyUpdate update;
   update.report_sent_micros = report.sent_micros;
   update.leader = HoldsLeadership(now);
-  update.document_version = state_.version();
-  if (report.wants_document && state_.version() > report.document_version)
+  update.document_version = announced_version_;
+  if (report.wants_document && announced_version_ > report.document_version)
     update.__set_document(CompressedDocument());
   if (new_link)
     update.endpoints = directory_.All();
--- a/fleet/tests/controller_cluster.h
+++ b/fleet/tests/controller_cluster.h
@@ -56,7 +56,8 @@
       Persist(disks[name], writes);
       return true;
     };
-    hooks.decode = [](const std::string& text) {
+    hooks.decode = [this](const std::string& text) {
+      ++decoded;
       auto table = std::make_shared<routing::RoutingTable>();
       table->version = std::stoll(text);
       table->customers.push_back({"customer", {"key"}, 100, 100});
@@ -145,6 +146,7 @@
   }
 
   int promotions = 0;  // ordered
+  int decoded = 0;     // documents
   // Answers probes; null if they are never answered.
   std::function<ProbeResult(const messages::EndpointRecord&, ProbePurpose)>
       probe;
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -117,6 +117,87 @@
   }
 }
 
+// Guards against entries that get the configuration of a snapshot, and then
+// each later one, from controllers that have restarted.
+TEST_CASE("A restarted controller announces only the newest configuration",
+          "[fleet][guarantee]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(3));
+  const std::string first = cluster.Leader();
+  REQUIRE_FALSE(first.empty());
+  // The first documents fill the log, so that a snapshot replaces it.
+  const std::string padding(ControllerOptions().snapshot_log_bytes / 5, ' ');
+  for (std::int64_t version = 1; version <= 5; ++version) {
+    cluster.nodes.at(first)->Put(cluster.now, version,
+                                 std::to_string(version) + padding,
+                                 [](const ConfigurationResult&) {});
+    cluster.Run(seconds(1));
+  }
+  for (std::int64_t version = 6; version <= 65; ++version)
+    REQUIRE(cluster.Put(first, version).kind == Kind::kDone);
+  for (const char* name : {"a", "b", "c"}) {
+    REQUIRE(cluster.disks.at(name).snapshot.last_index > 0);
+    cluster.Stop(name);
+  }
+  cluster.decoded = 0;
+  for (const char* name : {"a", "b", "c"}) {
+    cluster.Start(name, false);
+    CHECK(cluster.nodes.at(name)->state().version() == 5);
+  }
+  messages::ProxyReport report;
+  report.process = 1;
+  report.first = true;
+  report.wants_document = true;
+  for (int i = 1; i < 40; ++i) {
+    report.sent_micros = i;
+    for (const char* name : {"a", "b", "c"})
+      cluster.Report("entry", name, report);
+    report.first = false;
+  }
+  REQUIRE_FALSE(cluster.Leader().empty());
+  std::set<std::int64_t> announced;
+  std::set<std::string> documents;
+  for (const messages::ProxyUpdate& update : cluster.updates["entry"]) {
+    announced.insert(update.document_version);
+    if (update.__isset.document)
+      documents.insert(routing::DecompressDocument(update.document).value());
+  }
+  CHECK(announced == std::set<std::int64_t>{0, 65});
+  CHECK(documents == std::set<std::string>{"65"});
+  // Only the leader needs what is in it.
+  CHECK(cluster.decoded == 1);
+}
+
+// Guards against a follower that has missed changes and offers an entry that
+// has just started what it has.
+TEST_CASE("A controller that lags announces nothing older than it did before",
+          "[fleet][guarantee]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(3));
+  const std::string leader = cluster.Leader();
+  const std::string follower = OtherThan(leader);
+  REQUIRE(cluster.Put(leader, 5).kind == Kind::kDone);
+  cluster.Stop(follower);
+  REQUIRE(cluster.Put(leader, 6).kind == Kind::kDone);
+  cluster.disconnected.insert(follower);
+  cluster.Start(follower, false);
+  messages::ProxyReport report;
+  report.process = 1;
+  report.first = true;
+  report.wants_document = true;
+  report.sent_micros = 1;
+  cluster.Report("entry", follower, report);
+  CHECK(cluster.updates["entry"].empty());
+  cluster.disconnected.clear();
+  cluster.Report("entry", follower, report);
+  cluster.Run(seconds(1));
+  report.first = false;
+  cluster.Report("entry", follower, report);
+  for (const messages::ProxyUpdate& update : cluster.updates["entry"])
+    CHECK((update.document_version == 0 || update.document_version == 6));
+  CHECK(cluster.updates["entry"].back().document_version == 6);
+}
+
 TEST_CASE("Entries learn of a new configuration and get it on request",
           "[fleet]") {
   Cluster cluster(3);
--- a/fleet/tests/fleet_simulation.cc
+++ b/fleet/tests/fleet_simulation.cc
@@ -113,6 +113,7 @@
     options.replica.bootstrap_members = {seeds_.begin(), seeds_.end()};
   node.first_start = false;
   options.tolerated_losses = options_.tolerated_losses;
+  options.snapshot_log_bytes = options_.snapshot_log_bytes;
   options.seeds = seeds_;
   node.core = std::make_unique<Controller>(network_.Now(), options, node.disk,
                                            std::mt19937_64(generator_()),
@@ -186,6 +187,7 @@
   if (node.controllers != nullptr)
     return;
   ++node.process;
+  node.acknowledged_at_start = NewestAcknowledged(network_.Now());
   MakeEntryCore(node);
   network_.SetPeers(name, node.controllers->KnownControllers());
 }
--- a/fleet/tests/fleet_simulation.h
+++ b/fleet/tests/fleet_simulation.h
@@ -32,6 +32,8 @@
   Duration catch_up = std::chrono::seconds(4);
   Duration acknowledgment_bound = std::chrono::seconds(5);
   Duration recovery_bound = std::chrono::seconds(12);
+  // Small enough for snapshots to be taken between changes.
+  std::size_t snapshot_log_bytes = 600;
 };
 
 //! Controllers and entries of a fleet in one process and in simulated time,
--- a/fleet/tests/fleet_simulation_checks.cc
+++ b/fleet/tests/fleet_simulation_checks.cc
@@ -132,6 +132,14 @@
               ", which was acknowledged " +
               ToMillisecondsText(now - acknowledged_.at(due)) +
               " before; it has " + std::to_string(node->proxy->Version()));
+    const auto answer = node->answers.find(session);
+    if (answer != node->answers.end() &&
+        answer->second.outcome == statements::Outcome::kDone &&
+        node->proxy->Version() < node->acknowledged_at_start)
+      Violate(name + " serves with version " +
+              std::to_string(node->proxy->Version()) + "; " +
+              std::to_string(node->acknowledged_at_start) +
+              " was acknowledged before it started");
     node->proxy->OnSessionClosed(now, session);
     node->answers.erase(session);
     const bool in_touch = now - node->disturbed_at >= options_.contact_window &&
--- a/fleet/tests/simulated_nodes.h
+++ b/fleet/tests/simulated_nodes.h
@@ -54,6 +54,7 @@
   std::unique_ptr<statements::StatementProxy> proxy;
   std::unique_ptr<statements::ControllerClient> controllers;
   std::uint64_t process = 0;
+  std::int64_t acknowledged_at_start = 0;  // newest version
   Time disturbed_at;
   // By session: the answer, once there is one.
   std::map<statements::SessionId, statements::Answer> answers;
--- a/statements/include/goldcrest/statements/controller_client.h
+++ b/statements/include/goldcrest/statements/controller_client.h
@@ -60,8 +60,11 @@
   const std::set<std::string>& KnownControllers() const {
     return known_controllers_;
   }
-  //! True once the entry has a configuration and the endpoints.
-  bool IsReady() const { return proxy_.Version() != 0 && endpoints_known_; }
+  //! True once the leader has confirmed the configuration and has sent the
+  //! endpoints, since this object was made.
+  bool IsReady() const {
+    return proxy_.HasConfirmedConfiguration() && endpoints_known_;
+  }
 
  private:
   struct ControllerState {
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -81,8 +81,9 @@
   void OnRoutingTable(Time now, routing::RoutingTablePtr table);
   //! A controller has this version.
   void OnVersionAnnounced(std::int64_t version);
-  //! The version in force was the newest one at `time` or later.
-  void OnConfigurationConfirmed(Time time);
+  //! By the word of the leading controller, no version newer than `version`
+  //! had been acknowledged at `time`.
+  void OnNewestVersion(Time now, std::int64_t version, Time time);
   void OnEndpoint(Time now, const messages::EndpointRecord& record);
   void OnAssignment(Time now, const messages::PrimaryAssignment& assignment);
   //! A primary confirmed `position` after this entry's clock showed
@@ -111,6 +112,12 @@
   //! Returns the number of statements that an endpoint had not answered.
   int EndSessions(Time now);
 
+  //! True once the configuration has been confirmed as the newest one since
+  //! this object was made. Until then it serves and denies nothing.
+  bool HasConfirmedConfiguration() const {
+    return table_ != nullptr && configuration_confirmed_at_.has_value();
+  }
+
   //! Sessions, with those that wait for the first configuration.
   std::size_t SessionCount() const {
     return sessions_.size() + pending_session_starts_.size();
@@ -170,7 +177,7 @@
     bool operation_ended = false;  // by the last answer
   };
 
-  // A session that was opened before the entry had a configuration.
+  // A session that was opened before the configuration was confirmed.
   struct PendingSessionStart {
     SessionId session = 0;
     std::string database;
@@ -212,6 +219,7 @@
   bool AdmitOperation(Time now, Session& session);
 
   void SetLimits(const routing::RoutingTable& table);
+  void ConfirmConfiguration(Time now);
   //! False if a newer configuration may be in force elsewhere.
   bool IsConfigurationCurrent(Time now) const;
   //! The refusal of a caller whose database or key is not configured:
@@ -294,6 +302,8 @@
   ProxyHooks hooks_;
   routing::RoutingTablePtr table_;
   std::int64_t announced_version_ = 0;  // newest that a controller has
+  // The leader's last word: the newest version, and when it was the newest.
+  std::optional<std::pair<std::int64_t, Time>> newest_version_;
   std::optional<Time> configuration_confirmed_at_;
   routing::EndpointDirectory directory_;
   PrimaryView primaries_{&directory_};
--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -88,7 +88,12 @@
 void ControllerClient::OnReportAnswer(Time now,
                                       const std::string& from,
                                       const messages::ProxyUpdate& update) {
-  endpoints_known_ = true;
+  // The answer to a report of a former process says nothing of the time since
+  // this one has started. After a restart of the instance, the former clock can
+  // be ahead.
+  const Time sent_at = TimeFromMicros(update.report_sent_micros);
+  if (sent_at < started_at_ || sent_at > now)
+    return;
   if (update.leader && leader_ != from) {
     hooks_.log_decision("controller_leads", from, "");
     leader_ = from;
@@ -100,12 +105,12 @@
   proxy_.OnEntryCount(update.entries);
   if (!update.leader)
     return;
+  // Another controller may lag and offer endpoints that have left.
+  endpoints_known_ = true;
   // The leader held its lease after the report had been sent, so that no newer
   // version had been acknowledged at that time.
-  if (update.document_version <= proxy_.Version())
-    proxy_.OnConfigurationConfirmed(TimeFromMicros(update.report_sent_micros));
-  proxy_.holder().OnUpdates(now, TimeFromMicros(update.report_sent_micros),
-                            update.shares);
+  proxy_.OnNewestVersion(now, update.document_version, sent_at);
+  proxy_.holder().OnUpdates(now, sent_at, update.shares);
   proxy_.OnShares(now);
 }
 
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -13,8 +13,8 @@
 // entry's share.
 constexpr Duration kMaxTokenWait = std::chrono::milliseconds(300);
 
-// Longest wait of a new session for the first configuration. A caller abandons
-// a session that is not accepted within two seconds.
+// Longest wait of a new session for the first confirmed configuration. A caller
+// abandons a session that is not accepted within two seconds.
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds(1500);
 
 // A statement is refused when it has found no endpoint after 1 / kGiveUpDivisor
@@ -25,7 +25,7 @@
 constexpr const char* kStoppingMessage =
     "not run: planned stop; retry on a new connection";
 constexpr const char* kNoConfigurationMessage =
-    "no configuration yet; retry after 500 ms";
+    "no confirmed configuration yet; retry after 500 ms";
 
 // Whether a statement begins an operation when no transaction is open.
 bool StartsOperation(StatementKind kind) {
@@ -63,7 +63,8 @@
                                     SessionId id,
                                     const std::string& database,
                                     const std::string& key) {
-  if (!table_ && stop_phase_ == StopPhase::kNone) {
+  // A configuration from before a restart may allow what has been withdrawn.
+  if (!HasConfirmedConfiguration() && stop_phase_ == StopPhase::kNone) {
     pending_session_starts_.push_back(
         {id, database, key, now + kMaxConfigurationWait});
     return;
@@ -86,7 +87,7 @@
   };
   if (stop_phase_ == StopPhase::kRefusingOperations)
     return refuse({Outcome::kBusy, kStoppingMessage});
-  if (!table_)
+  if (!HasConfirmedConfiguration())
     return refuse({Outcome::kBusy, kNoConfigurationMessage});
   const routing::Route* route = table_->FindRoute(database);
   if (route == nullptr)
@@ -97,8 +98,8 @@
   hooks_.answer(id, Answer::Completed());
 }
 
-// Refuses new sessions for which no configuration has arrived in time, and all
-// that wait for it once operations are refused.
+// Refuses new sessions for which no configuration was confirmed in time, and
+// all that wait for it once operations are refused.
 void StatementProxy::RefuseSessionStarts(Time now) {
   std::vector<PendingSessionStart> late;
   std::erase_if(pending_session_starts_, [&](PendingSessionStart& start) {
--- a/statements/src/proxy_updates.cc
+++ b/statements/src/proxy_updates.cc
@@ -52,18 +52,38 @@
                        {},
                        table->version});
   table_ = std::move(table);
-  for (const PendingSessionStart& start :
-       std::exchange(pending_session_starts_, {}))
-    OnSessionStart(now, start.session, start.database, start.key);
+  ConfirmConfiguration(now);
 }
 
 void StatementProxy::OnVersionAnnounced(std::int64_t version) {
   announced_version_ = std::max(announced_version_, version);
 }
 
-void StatementProxy::OnConfigurationConfirmed(Time time) {
-  if (!configuration_confirmed_at_ || *configuration_confirmed_at_ < time)
-    configuration_confirmed_at_ = time;
+void StatementProxy::OnNewestVersion(Time now,
+                                     std::int64_t version,
+                                     Time time) {
+  if (newest_version_ && time < newest_version_->second)
+    return;
+  newest_version_ = {version, time};
+  ConfirmConfiguration(now);
+}
+
+// Applies the leader's last word to the version in force.
+void StatementProxy::ConfirmConfiguration(Time now) {
+  if (table_ == nullptr || !newest_version_ ||
+      newest_version_->first > Version())
+    return;
+  const bool first = !HasConfirmedConfiguration();
+  configuration_confirmed_at_ = newest_version_->second;
+  if (!first)
+    return;
+  hooks_.log_decision(
+      {"configuration_confirmed", "", "", "",
+       "the leader has version " + std::to_string(newest_version_->first),
+       now - newest_version_->second, Version()});
+  for (const PendingSessionStart& start :
+       std::exchange(pending_session_starts_, {}))
+    OnSessionStart(now, start.session, start.database, start.key);
 }
 
 bool StatementProxy::IsConfigurationCurrent(Time now) const {
--- a/statements/tests/controller_client_test.cc
+++ b/statements/tests/controller_client_test.cc
@@ -3,9 +3,12 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
+#include "goldcrest/routing/document_codec.h"
+
 namespace goldcrest::statements {
 namespace {
 
@@ -20,8 +23,10 @@
                         const messages::PeerMessage& message) {
       sent.emplace_back(to, message.proxy_report);
     };
-    hooks.decode = [](std::string_view) {
-      return std::make_shared<routing::RoutingTable>();
+    hooks.decode = [](std::string_view text) {
+      auto table = std::make_shared<routing::RoutingTable>();
+      table->version = std::stoll(std::string(text));
+      return table;
     };
     hooks.known_controllers = [](const std::set<std::string>&) {};
     hooks.log_decision = [](std::string_view, const std::string&,
@@ -36,6 +41,25 @@
     client->OnUpdate(now, from, update);
   }
 
+  // Answers the report that was sent at `report_sent`.
+  void Answer(const std::string& from,
+              std::int64_t version,
+              bool leader,
+              Time report_sent) {
+    messages::ProxyUpdate update;
+    update.document_version = version;
+    update.leader = leader;
+    update.report_sent_micros = ToMicros(report_sent);
+    client->OnUpdate(now, from, update);
+  }
+
+  void SendDocument(const std::string& from, std::int64_t version) {
+    messages::ProxyUpdate update;
+    update.document_version = version;
+    update.__set_document(routing::CompressDocument(std::to_string(version)));
+    client->OnUpdate(now, from, update);
+  }
+
   // Returns which controllers were asked for the document since the last call.
   std::vector<std::string> TakeAsked() {
     std::vector<std::string> asked;
@@ -81,4 +105,38 @@
   CHECK(entry.TakeAsked() == std::vector<std::string>{"b"});
 }
 
+// Guards against an entry that takes callers with whatever configuration the
+// first controller offers after a restart of all processes.
+TEST_CASE("An entry is ready once the leader has confirmed its configuration",
+          "[statements][guarantee]") {
+  Client entry;
+  entry.now += milliseconds(10);
+  entry.client->OnLink(entry.now, "a", true);
+  entry.client->OnLink(entry.now, "b", true);
+  entry.SendDocument("a", 5);
+  entry.Answer("a", 5, false, entry.now);
+  CHECK_FALSE(entry.client->IsReady());
+
+  SECTION("The leader has a newer version") {
+    entry.Answer("b", 7, true, entry.now);
+    CHECK_FALSE(entry.client->IsReady());
+    entry.SendDocument("a", 7);
+    CHECK(entry.client->IsReady());
+  }
+  SECTION("The leader has the same version") {
+    entry.Answer("b", 5, true, entry.now);
+    CHECK(entry.client->IsReady());
+  }
+  SECTION("The answer belongs to a report of a former process") {
+    entry.Answer("b", 5, true, entry.now - milliseconds(20));
+    CHECK_FALSE(entry.client->IsReady());
+  }
+  SECTION(
+      "The answer belongs to a report from before the instance restarted, "
+      "when its clock was ahead") {
+    entry.Answer("b", 5, true, entry.now + milliseconds(60'000));
+    CHECK_FALSE(entry.client->IsReady());
+  }
+}
+
 }  // namespace goldcrest::statements
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -8,27 +8,10 @@
 using std::chrono::milliseconds;
 
 ProxyFixture::ProxyFixture(Duration max_configuration_age) {
-  ProxyHooks hooks;
-  hooks.answer = [this](SessionId id, const Answer& answer) {
-    answers[id].push_back(answer);
-  };
-  hooks.close_session = [this](SessionId id) { closed_sessions.push_back(id); };
-  hooks.open = [this](ConnectionId id, const ConnectionTarget& target) {
-    opening_connections.emplace_back(id, target);
-    endpoint_of[id] = target.endpoint;
-  };
-  hooks.send = [this](ConnectionId id,
-                      const std::vector<EndpointCommand>& commands) {
-    sent[id].insert(sent[id].end(), commands.begin(), commands.end());
-  };
-  hooks.close = [this](ConnectionId id) { closed.push_back(id); };
-  hooks.log_decision = [](const Decision&) {};
-  hooks.completed = [](const routing::Route&, Outcome, Duration) {};
-  ProxyOptions options;
-  options.zone = "z1";
-  options.entry_count = 2;
-  options.max_configuration_age = max_configuration_age;
-  proxy = std::make_unique<StatementProxy>(options, hooks);
+  options_.zone = "z1";
+  options_.entry_count = 2;
+  options_.max_configuration_age = max_configuration_age;
+  StartEntry();
 
   const auto add = [this](const std::string& database,
                           routing::Consistency consistency) {
@@ -50,17 +33,42 @@
   table.keys["key"] = 0;
   table.transaction_idle_timeout = milliseconds(3000);
   ApplyTable(1);
+  ConfirmVersion(1);
   proxy->holder().SetLimit("customer", std::nullopt);
   SetRole("p", true);
   SetRole("r1", false);
   SetRole("r2", false);
 }
 
+void ProxyFixture::StartEntry() {
+  ProxyHooks hooks;
+  hooks.answer = [this](SessionId id, const Answer& answer) {
+    answers[id].push_back(answer);
+  };
+  hooks.close_session = [this](SessionId id) { closed_sessions.push_back(id); };
+  hooks.open = [this](ConnectionId id, const ConnectionTarget& target) {
+    opening_connections.emplace_back(id, target);
+    endpoint_of[id] = target.endpoint;
+  };
+  hooks.send = [this](ConnectionId id,
+                      const std::vector<EndpointCommand>& commands) {
+    sent[id].insert(sent[id].end(), commands.begin(), commands.end());
+  };
+  hooks.close = [this](ConnectionId id) { closed.push_back(id); };
+  hooks.log_decision = [](const Decision&) {};
+  hooks.completed = [](const routing::Route&, Outcome, Duration) {};
+  proxy = std::make_unique<StatementProxy>(options_, hooks);
+}
+
 void ProxyFixture::ApplyTable(std::int64_t version) {
   table.version = version;
   proxy->OnRoutingTable(now, std::make_shared<routing::RoutingTable>(table));
 }
 
+void ProxyFixture::ConfirmVersion(std::int64_t version) {
+  proxy->OnNewestVersion(now, version, now);
+}
+
 void ProxyFixture::SetRole(const std::string& endpoint,
                            bool primary,
                            bool draining) {
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -16,6 +16,8 @@
  public:
   explicit ProxyFixture(Duration max_configuration_age = Duration::max());
 
+  //! Replaces the proxy by a new one, which knows nothing yet.
+  void StartEntry();
   void OpenSession(SessionId id,
                    const std::string& database,
                    const std::string& key = "key");
@@ -33,6 +35,8 @@
                bool primary,
                bool draining = false);
   void ApplyTable(std::int64_t version);
+  //! The leader says now that `version` is the newest one.
+  void ConfirmVersion(std::int64_t version);
 
   //! The last answer to a session; fails the test when there is none.
   const Answer& LastAnswer(SessionId id) const;
@@ -50,6 +54,7 @@
   std::unique_ptr<StatementProxy> proxy;
 
  private:
+  ProxyOptions options_;
   std::int64_t sequence_ = 0;
   int statements_ = 0;
 };
--- a/statements/tests/proxy_outcomes_test.cc
+++ b/statements/tests/proxy_outcomes_test.cc
@@ -240,8 +240,9 @@
     fixture.OpenSession(id, database, key);
     return fixture.LastAnswer(id).outcome;
   };
+  fixture.Advance(milliseconds(1'501));
   CHECK(outcome_of(1, "unknown", "key") == Outcome::kBusy);
-  fixture.proxy->OnConfigurationConfirmed(fixture.now);
+  fixture.ConfirmVersion(1);
   CHECK(outcome_of(2, "unknown", "key") == Outcome::kUnknownDatabase);
   CHECK(outcome_of(3, "strict", "no key") == Outcome::kUnknownKey);
   CHECK(outcome_of(4, "strict", "key") == Outcome::kDone);
@@ -270,4 +271,53 @@
   }
 }
 
+// Guards against an entry that has just started and serves or refuses callers
+// by a configuration that was replaced before, because a controller that had
+// restarted as well offered it.
+TEST_CASE("A new entry serves no caller before its configuration is confirmed",
+          "[statements][guarantee]") {
+  ProxyFixture fixture(milliseconds(1'500));
+  fixture.table.customers.front().keys.emplace_back("withdrawn");
+  fixture.table.keys["withdrawn"] = 0;
+  fixture.StartEntry();
+  fixture.ApplyTable(5);
+  CHECK_FALSE(fixture.proxy->HasConfirmedConfiguration());
+  fixture.OpenSession(1, "strict");
+  fixture.OpenSession(2, "strict", "withdrawn");
+  CHECK(fixture.AnswerCount(1) == 0);
+  CHECK(fixture.AnswerCount(2) == 0);
+
+  SECTION("The leader has a newer version, which withdraws a key") {
+    fixture.ConfirmVersion(7);
+    CHECK_FALSE(fixture.proxy->HasConfirmedConfiguration());
+    CHECK(fixture.AnswerCount(1) == 0);
+    fixture.table.customers.front().keys.pop_back();
+    fixture.table.keys.erase("withdrawn");
+    fixture.ApplyTable(7);
+    CHECK(fixture.proxy->HasConfirmedConfiguration());
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kDone);
+    CHECK(fixture.LastAnswer(2).outcome == Outcome::kUnknownKey);
+  }
+  SECTION("The leader has the same version") {
+    fixture.ConfirmVersion(5);
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kDone);
+    CHECK(fixture.LastAnswer(2).outcome == Outcome::kDone);
+  }
+  SECTION("An older word of a leader confirms nothing newer") {
+    fixture.Advance(milliseconds(10));
+    fixture.ConfirmVersion(7);
+    fixture.proxy->OnNewestVersion(fixture.now, 5,
+                                   fixture.now - milliseconds(5));
+    CHECK_FALSE(fixture.proxy->HasConfirmedConfiguration());
+  }
+  SECTION("No leader is heard from") {
+    fixture.Advance(milliseconds(1'499));
+    CHECK(fixture.AnswerCount(1) == 0);
+    fixture.Advance(milliseconds(1));
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kBusy);
+    CHECK(fixture.LastAnswer(2).outcome == Outcome::kBusy);
+    CHECK(fixture.closed_sessions == std::vector<SessionId>{1, 2});
+  }
+}
+
 }  // namespace goldcrest::statements
