Read what has arrived before a planned stop closes a session

What callers saw: during a planned stop of a loaded instance a request got no answer: the connection was closed 214 ms after the request had been sent, 2.3 s after the SIGTERM, when sessions between operations are closed.

Cause: the stop closed a session that was idle as far as the process had read. A request that waited unread, because the process had no processor time or had just read several lines at once, was read after the close and dropped, so that its caller had no answer, and no sign that nothing had been taken.

Change: a session whose caller has sent something that was not passed on is not closed until that is answered or refused. After a close the connection reads nothing: what crosses with the close stays unread, and the connection is reset.

Evidence: without the check, "A planned stop closes no session before its input is read" closes the session at once; with the former read after a close, "A line that crosses with a close resets the connection" sees no reset.

--- a/adapters/include/goldcrest/adapters/line_socket.h
+++ b/adapters/include/goldcrest/adapters/line_socket.h
@@ -42,8 +42,14 @@
   //! disconnected.
   void Write(std::string_view bytes);
 
+  //! True if the peer has sent bytes that were not passed on as lines yet: a
+  //! part of a line, or bytes that have not been read.
+  bool HasUnreadInput();
+
   //! Closes after the queued bytes are written, and after the peer has closed
-  //! or `peer_close_timeout` has passed, so that the peer receives them.
+  //! or `peer_close_timeout` has passed, so that the peer receives them. Reads
+  //! nothing any more: if bytes of the peer cross with the close, it resets the
+  //! connection, which tells the peer that they were not taken.
   void CloseAfterWrites(std::chrono::milliseconds peer_close_timeout);
 
   //! Closes at once; no hook is called any more.
@@ -57,6 +63,7 @@
   void WaitForReadable();
   void OnReadable();
   void DeliverLines(std::string_view bytes);
+  void OnReadableWhileClosing();
   void Flush();
   void Fail(const std::string& cause);
   void PostFailure(std::string cause);
@@ -66,7 +73,8 @@
   boost::asio::steady_timer timer_;
   std::size_t max_line_bytes_;
   Hooks hooks_;
-  std::string partial_line_;  // received without its line end
+  std::string partial_line_;           // received without its line end
+  std::size_t undelivered_bytes_ = 0;  // after the line that is passed on now
   std::string send_buffer_;
   bool open_ = false;
   bool connected_ = false;
--- a/adapters/src/line_socket.cc
+++ b/adapters/src/line_socket.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <cerrno>
 #include <utility>
 
 namespace goldcrest::adapters {
@@ -99,7 +100,28 @@
                      });
 }
 
+bool LineSocket::HasUnreadInput() {
+  if (!partial_line_.empty() || undelivered_bytes_ > 0)
+    return true;
+  char byte = 0;
+  return connected_ && open_ && !closing_ &&
+         ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void LineSocket::OnReadableWhileClosing() {
+  char byte = 0;
+  const auto count =
+      ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0)
+    return;  // The timer closes the connection.
+  if (count < 0 && (errno == EAGAIN || errno == EINTR))
+    return WaitForReadable();
+  Fail("closed by the peer");
+}
+
 void LineSocket::OnReadable() {
+  if (closing_)
+    return OnReadableWhileClosing();
   // Shared by all sockets of the thread, since it holds no data between calls.
   thread_local std::array<char, kReadBufferBytes> buffer;
   error_code error;
@@ -109,8 +131,7 @@
   if (error)
     return Fail(error.message());
   const auto self = shared_from_this();
-  if (!closing_)
-    DeliverLines({buffer.data(), count});
+  DeliverLines({buffer.data(), count});
   if (open_)
     WaitForReadable();
 }
@@ -127,8 +148,10 @@
       break;
     const std::string_view line(text.data() + begin, end - begin);
     begin = end + kLineEnd.size();
+    undelivered_bytes_ = text.size() - begin;
     hooks_.line(line);
   }
+  undelivered_bytes_ = 0;
   if (!open_)
     return;
   partial_line_ = text.substr(begin);
--- a/adapters/tests/line_socket_test.cc
+++ b/adapters/tests/line_socket_test.cc
@@ -1,14 +1,18 @@
 #include "goldcrest/adapters/line_socket.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
 #include <vector>
 
+#include "tests/raw_socket.h"
+
 namespace goldcrest::adapters {
 namespace {
 
+namespace asio = boost::asio;
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
@@ -30,7 +34,11 @@
 
   LineSocket::Hooks HooksFor(std::vector<std::string>& lines) {
     return {
-        [&lines](std::string_view line) { lines.emplace_back(line); },
+        [this, &lines](std::string_view line) {
+          lines.emplace_back(line);
+          if (&lines == &server_lines && on_server_line)
+            on_server_line();
+        },
         [this](const std::string& cause) { close_causes.push_back(cause); }};
   }
 
@@ -47,6 +55,7 @@
   std::vector<std::string> client_lines;
   std::vector<std::string> server_lines;
   std::vector<std::string> close_causes;
+  std::function<void()> on_server_line;
 };
 
 }  // namespace
@@ -97,6 +106,63 @@
   CHECK(pair.client_lines == std::vector<std::string>{"last"});
 }
 
+// Guards against a close that drops a line which has arrived already, since the
+// process was busy or the line is one of several.
+TEST_CASE("Input that was not passed on is known before a close",
+          "[adapters]") {
+  ConnectedPair pair;
+  CHECK_FALSE(pair.server->HasUnreadInput());
+
+  SECTION("A line that has not been read") {
+    pair.client->Write("one\r\n");
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!pair.server->HasUnreadInput() &&
+           std::chrono::steady_clock::now() < end) {
+    }
+    CHECK(pair.server->HasUnreadInput());
+    CHECK(pair.server_lines.size() == 1);
+    pair.RunUntil([&] { return pair.server_lines.size() == 2; });
+    CHECK_FALSE(pair.server->HasUnreadInput());
+  }
+  SECTION("A line that has arrived in part") {
+    pair.client->Write("one\r\ntw");
+    pair.RunUntil([&] { return pair.server_lines.size() == 2; });
+    CHECK(pair.server->HasUnreadInput());
+  }
+  SECTION("A second line that arrived with the first") {
+    std::vector<bool> unread;
+    pair.on_server_line = [&] {
+      unread.push_back(pair.server->HasUnreadInput());
+    };
+    pair.client->Write("one\r\ntwo\r\n");
+    pair.RunUntil([&] { return pair.server_lines.size() == 3; });
+    CHECK(unread == std::vector<bool>{true, false});
+  }
+}
+
+// Guards against a line that is read after the close and dropped: its sender
+// can't tell that it was not taken.
+TEST_CASE("A line that crosses with a close resets the connection",
+          "[adapters]") {
+  asio::io_context context(1);
+  auto server = std::make_shared<LineSocket>(context, 64);
+  const RawSocket client = [&] {
+    tcp::acceptor acceptor(context,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    RawSocket socket = RawSocket::Connect(acceptor.local_endpoint().port());
+    server->Accept(acceptor.accept(),
+                   {[](std::string_view) { FAIL("a line was read"); },
+                    [](const std::string&) {}});
+    return socket;
+  }();
+  server->Write("last\r\n");
+  server->CloseAfterWrites(milliseconds(200));
+  CHECK(client.ReadUntil({}) == "last\r\n");
+  client.Send("one\r\n");
+  context.run_for(std::chrono::seconds(2));
+  CHECK(client.IsReset());
+}
+
 // Guards against a use after free: a hook that ran within Write() could destroy
 // objects that the caller of Write() still uses.
 TEST_CASE("A send queue overflow is reported after the write returns",
--- a/adapters/tests/raw_socket.cc
+++ b/adapters/tests/raw_socket.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 
 namespace goldcrest::adapters {
@@ -58,6 +59,14 @@
   return text;
 }
 
+bool RawSocket::IsReset() const {
+  // After the peer's orderly close, a reset is reported as EPIPE.
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error == ECONNRESET || error == EPIPE;
+}
+
 void RawSocket::StopSending() const {
   shutdown(descriptor_, SHUT_WR);
 }
--- a/adapters/tests/raw_socket.h
+++ b/adapters/tests/raw_socket.h
@@ -30,6 +30,8 @@
   std::string ReadUntil(std::string_view end) const;
   //! Reads until the connection ends; "timeout" when it doesn't.
   std::string ReadAll() const { return ReadUntil({}); }
+  //! True if the peer has reset the connection.
+  bool IsReset() const;
   void StopSending() const;
   void Close();
   //! Closes with a reset.
--- a/fleet/tests/fleet_simulation.cc
+++ b/fleet/tests/fleet_simulation.cc
@@ -210,6 +210,7 @@
     done(false);
   };
   hooks.close_session = [](statements::SessionId) {};
+  hooks.has_unread_input = [](statements::SessionId) { return false; };
   hooks.open = [this, &node, is_current](statements::ConnectionId id,
                                          const statements::ConnectionTarget&) {
     network_.After(milliseconds(12), [this, &node, is_current, id] {
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -119,6 +119,10 @@
       it->second->Write(platform::EncodeRefusal(answer));
   };
   hooks.close_session = [this](SessionId id) { CloseCaller(id); };
+  hooks.has_unread_input = [this](SessionId id) {
+    const auto it = callers_.find(id);
+    return it != callers_.end() && it->second->HasUnreadInput();
+  };
   hooks.open = [this](ConnectionId id,
                       const statements::ConnectionTarget& target) {
     OpenEndpointConnection(id, target);
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -38,6 +38,8 @@
   std::function<void(SessionId, const Answer&)> answer;
   //! Closes the session once the answers before it are sent.
   std::function<void(SessionId)> close_session;
+  //! True if the caller has sent something that was not passed on yet.
+  std::function<bool(SessionId)> has_unread_input;
   std::function<void(ConnectionId, const ConnectionTarget&)> open;
   std::function<void(ConnectionId, const std::vector<EndpointCommand>&)> send;
   std::function<void(ConnectionId)> close;
--- a/statements/src/proxy_stop.cc
+++ b/statements/src/proxy_stop.cc
@@ -62,12 +62,15 @@
     case StopPhase::kNone:
       return false;
     case StopPhase::kClosingSessions:
-      return session.operation_ended ||
-             now - session.answered_at >= kMaxPauseInOperation;
+      if (!session.operation_ended &&
+          now - session.answered_at < kMaxPauseInOperation)
+        return false;
+      break;
     case StopPhase::kRefusingOperations:
-      return true;
+      break;
   }
-  return false;
+  // A statement that has arrived while the process was busy gets its answer.
+  return !hooks_.has_unread_input(session.id);
 }
 
 void StatementProxy::CloseSession(Time now, SessionId id) {
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -46,6 +46,9 @@
     answers[id].push_back(answer);
   };
   hooks.close_session = [this](SessionId id) { closed_sessions.push_back(id); };
+  hooks.has_unread_input = [this](SessionId id) {
+    return unread_input.contains(id);
+  };
   hooks.open = [this](ConnectionId id, const ConnectionTarget& target) {
     opening_connections.emplace_back(id, target);
     endpoint_of[id] = target.endpoint;
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
   std::map<ConnectionId, std::vector<EndpointCommand>> sent;
   std::vector<ConnectionId> closed;
   std::vector<SessionId> closed_sessions;
+  std::set<SessionId> unread_input;
   std::map<SessionId, std::vector<Answer>> answers;
   std::unique_ptr<StatementProxy> proxy;
 
--- a/statements/tests/proxy_stop_test.cc
+++ b/statements/tests/proxy_stop_test.cc
@@ -167,6 +167,35 @@
   }
 }
 
+// Guards against a session that is closed while a statement of its caller has
+// arrived and waits to be read, because the process was busy.
+TEST_CASE("A planned stop closes no session before its input is read",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.Advance(milliseconds(1'000));
+  fixture.unread_input.insert(1);
+
+  SECTION("While operations run") {
+    fixture.proxy->BeginDrain(fixture.now);
+    fixture.Advance(milliseconds(100));
+    CHECK(fixture.closed_sessions.empty());
+    fixture.unread_input.clear();
+    fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+    fixture.Reply(fixture.AcceptConnection(), {1, 5});
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kDone);
+  }
+  SECTION("While operations are refused") {
+    fixture.proxy->RefuseOperations(fixture.now);
+    fixture.Advance(milliseconds(100));
+    CHECK(fixture.closed_sessions.empty());
+    fixture.unread_input.clear();
+    fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kBusy);
+  }
+  CHECK(fixture.closed_sessions == std::vector<SessionId>{1});
+}
+
 // Guards against statements that are passed on so late in a planned stop that
 // the process ends before they are answered.
 TEST_CASE("A planned stop that refuses operations runs nothing new",
