Answer a report in constant time while a new owner misses instances

What callers saw: on the large site, after the leader was killed, nearly all refusals for ten seconds were "customer's rate exceeded", for customers far below their rates.

Cause: one of several. While a new owner of the shares has not heard all instances, each use of a limit counted the missing ones by going through all of them, a dozen times for each customer of a report, and each grant went through all entries that wait, with a look-up each. The leader has a third of a core for the reports of 300 entries.

Change: the number of instances that are missing is kept. The entries that wait are linked to their shares, and adding up what they want ends with what there is.

No decision changes: the tests of the package pass unchanged.

--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -107,7 +106,7 @@
     std::int64_t smoothed_fill_permille = 0;  // rises slowly, falls at once
     std::map<ShareKey, Share> shares;
     // Shares with wanted_micros above 0, ordered by wanted_since.
-    std::set<std::pair<Time, ShareKey>> waiting;
+    std::map<std::pair<Time, ShareKey>, const Share*> waiting;
     Totals held;
     Time next_expiry = kNever;  // no share expires earlier
   };
@@ -123,6 +122,7 @@
   static void AddTotals(Bucket& bucket, const Share& share, int sign);
   std::int64_t UsablePercent() const;
   std::int64_t MaxSharePercent() const;
+  void MarkKnown(Instance& instance);
   void CreditIdleTime(Time now);
   std::int64_t FreeRate(const Bucket& bucket) const;
   std::int64_t FreeCapacity(const Bucket& bucket) const;
@@ -164,6 +164,8 @@
   bool wait_for_expiry_ = false;
   std::int64_t last_sequence_ = 0;
   std::map<std::string, Instance> instances_;
+  // Instances that are not known, counted, since each report needs the number.
+  std::int64_t unknown_count_ = 0;
   std::map<std::string, Bucket> buckets_;
 };
 
--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -82,7 +82,9 @@
 Owner::Owner(std::int64_t term,
              Time takeover,
              const std::map<std::string, std::int64_t>& registered)
-    : term_(term), ready_at_(takeover + kShareExpiry) {
+    : term_(term),
+      ready_at_(takeover + kShareExpiry),
+      unknown_count_(static_cast<std::int64_t>(registered.size())) {
   for (const auto& [name, incarnation] : registered) {
     instances_[name].incarnation = incarnation;
   }
@@ -158,7 +160,12 @@
 
 void Owner::Release(Time now, const std::string& instance) {
   DropShares(now, instance);
-  instances_.erase(instance);
+  const auto place = instances_.find(instance);
+  if (place == instances_.end()) {
+    return;
+  }
+  MarkKnown(place->second);
+  instances_.erase(place);
 }
 
 void Owner::DropShares(Time now, const std::string& instance) {
@@ -286,19 +293,21 @@
   return true;
 }
 
-// Tokens wanted by entries that began to wait before this one. They are served
-// first, so that an entry that reports just when tokens are free does not
-// overtake one that has waited longer.
+// Tokens wanted by entries that began to wait before this one, or all that are
+// available if they want more. They are served first, so that an entry that
+// reports just when tokens are free does not overtake one that has waited
+// longer.
 std::int64_t Owner::TokensWantedEarlier(const Bucket& bucket,
                                         const Share& share) const {
+  const std::int64_t available = bucket.level_micros + bucket.reserve_micros;
   std::int64_t owed = 0;
-  for (const auto& [since, key] : bucket.waiting) {
-    const Share& other = bucket.shares.at(key);
-    if (&other == &share) {
+  for (const auto& [since, other] : bucket.waiting) {
+    // In a large fleet most entries may wait.
+    if (other == &share || owed >= available) {
       break;
     }
-    owed += bucket.refilled_at - other.reported_at <= kWaitingEntryTimeout
-                ? other.wanted_micros
+    owed += bucket.refilled_at - other->reported_at <= kWaitingEntryTimeout
+                ? other->wanted_micros
                 : 0;
   }
   return owed;
@@ -318,7 +327,7 @@
   share.wanted_micros = wanted_micros;
   share.reported_at = now;
   if (wanted_micros > 0) {
-    bucket.waiting.insert({share.wanted_since, key});
+    bucket.waiting[{share.wanted_since, key}] = &share;
   }
 }
 
--- a/quota/src/owner_takeover.cc
+++ b/quota/src/owner_takeover.cc
@@ -2,6 +2,7 @@
 // it may give out until it knows all of them.
 
 #include <algorithm>
+#include <utility>
 
 #include "goldcrest/quota/owner.h"
 #include "percent.h"
@@ -35,17 +36,14 @@
     return;
   }
   DropShares(now, instance);
-  place->second.known = true;
+  MarkKnown(place->second);
 }
 
 bool Owner::Ready(Time now) {
   if (ready_) {
     return true;
   }
-  const bool known =
-      !wait_for_expiry_ &&
-      std::all_of(instances_.begin(), instances_.end(),
-                  [](const auto& instance) { return instance.second.known; });
+  const bool known = !wait_for_expiry_ && unknown_count_ == 0;
   if (!known && now < ready_at_) {
     return false;
   }
@@ -80,12 +78,15 @@
     return 100;
   if (wait_for_expiry_)
     return 0;
-  const auto unknown = std::ranges::count_if(
-      instances_, [](const auto& item) { return !item.second.known; });
-  const std::int64_t unknown_percent = unknown * MaxSharePercent();
+  const std::int64_t unknown_percent = unknown_count_ * MaxSharePercent();
   return std::max<std::int64_t>(0, 100 - unknown_percent);
 }
 
+void Owner::MarkKnown(Instance& instance) {
+  if (!std::exchange(instance.known, true))
+    --unknown_count_;
+}
+
 std::int64_t Owner::MaxSharePercent() const {
   return instances_.size() >= kShareCapMinInstances ? kMaxSharePercent : 100;
 }
@@ -117,7 +118,7 @@
     Instance& instance,
     const std::vector<messages::ShareReport>& reports) {
   instance.confirmed = true;
-  instance.known = true;
+  MarkKnown(instance);
   for (const messages::ShareReport& report : reports) {
     if (report.customer.empty() || report.owner_term >= term_) {
       continue;
