Log how far the takeover of the rate shares is

A new owner that misses instances gives out only a part of each limit, or nothing for 9.9 s if it has lost track of shares. No log told which of these held, nor for how long. The leader now logs shares_unknown each second with the number of instances that are missing, and shares_known once all are known.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -163,6 +163,7 @@
     Time last_reserve_grant;               // the takeover if there was none
     bool reserve_change_proposed = false;  // not committed yet
     bool addition_refused = false;         // of a member, the last time
+    Time next_takeover_log;                // kNever once the owner is ready
   };
 
   void ProcessOutput(Time now, consensus::Output output);
@@ -173,6 +174,7 @@
   const routing::RoutingTable* Table();
   void UpdateLeadership(Time now);
   void SetLimits(Time now);
+  void LogTakeover(Time now);
   void ProposeReserveUse(Time now, bool used);
   void OnReserveUse(Time now, const messages::ReserveUse& reserve);
   void ProposeReserveReset(Time now);
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -82,6 +82,7 @@
   UpdateLeadership(now);
   if (HoldsLeadership(now)) {
     leadership_->failover->Tick(now);
+    LogTakeover(now);
     PlanMembership(now);
     ReleaseSilentHolders(now);
     ProposeReserveReset(now);
--- a/fleet/src/controller_leadership.cc
+++ b/fleet/src/controller_leadership.cc
@@ -15,6 +15,8 @@
 // shares expire, is no longer registered as a holder of shares.
 constexpr Duration kHolderExpiry = 2 * quota::kShareExpiry;
 
+constexpr Duration kTakeoverLogInterval = std::chrono::seconds(1);
+
 }  // namespace
 
 bool Controller::HoldsLeadership(Time now) const {
@@ -133,6 +135,26 @@
                         options_.limit_window));
 }
 
+// Tells how far the new owner of the shares is: until it knows what entries
+// hold it gives out only a part of each limit, or nothing.
+void Controller::LogTakeover(Time now) {
+  if (now < leadership_->next_takeover_log)
+    return;
+  const quota::Owner& owner = *leadership_->owner;
+  const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - leadership_->won_at);
+  const std::string age = std::to_string(taken.count()) + " ms after takeover";
+  if (leadership_->owner->Ready(now)) {
+    leadership_->next_takeover_log = kNever;
+    hooks_.log_decision("shares_known", std::to_string(leadership_->term), age);
+    return;
+  }
+  leadership_->next_takeover_log = now + kTakeoverLogInterval;
+  hooks_.log_decision(
+      "shares_unknown", std::to_string(owner.UnknownCount()),
+      age + (owner.WaitsForExpiry() ? ", waits until they have expired" : ""));
+}
+
 // An instance without reports for much longer than a share lasts holds no share
 // any more. While it is registered as a holder, each new owner waits for it.
 void Controller::ReleaseSilentHolders(Time now) {
--- a/quota/include/goldcrest/quota/owner.h
+++ b/quota/include/goldcrest/quota/owner.h
@@ -69,6 +69,12 @@
   //! known or have expired.
   bool Ready(Time now);
 
+  //! Instances whose shares of earlier owners are not known yet.
+  std::int64_t UnknownCount() const { return unknown_count_; }
+  //! True if shares were lost track of, so that the owner gives out no part of
+  //! a limit until all shares of earlier owners have expired.
+  bool WaitsForExpiry() const { return wait_for_expiry_; }
+
  private:
   // The content of an update: an entry that applies it holds `rate_micros` and
   // `capacity_micros`, and gets `added_micros` tokens.
