Send the leader one report at a time

What callers saw: on the large site, refusals for the rate far below it, for ten seconds after the leading controller was killed.

Cause: overload that feeds itself. Entries whose callers wait for a token report every 25 ms, and at each token that they use, whether or not the leader has answered. While 300 entries wait after a change of the owner, that is more than a leader with a third of a core answers; the answers come after the callers have given up, and refused callers come back.

Change: while a report to the leader is unanswered, the next one waits for the answer, for 250 ms at most, and carries all that has become due. A new leader gets one at once. The round trip is a histogram, and entries log when answers become late and when they are in time again, once a second at most.

--- a/fleet/tests/fleet_simulation.cc
+++ b/fleet/tests/fleet_simulation.cc
@@ -256,6 +256,7 @@
                                       const std::string& cause) {
     Log(node.name + " " + std::string(event) + " " + controller + " " + cause);
   };
+  client.report_answered = [](Duration) {};
   node.controllers = std::make_unique<statements::ControllerClient>(
       network_.Now(), static_cast<std::int64_t>(generator_() >> 2U), seeds_,
       *node.proxy, client);
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -184,6 +184,10 @@
                               const std::string& cause) {
     log_.LogEvent(event, {{"controller", controller}, {"cause", cause}});
   };
+  hooks.report_answered = [this](Duration round_trip) {
+    counters_.GetHistogram("goldcrest_report_round_trip_seconds")
+        .Observe(round_trip);
+  };
   return hooks;
 }
 
--- a/statements/include/goldcrest/statements/controller_client.h
+++ b/statements/include/goldcrest/statements/controller_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,6 +28,8 @@
                      const std::string& controller,
                      const std::string& cause)>
       log_decision;
+  //! The leader has answered a report.
+  std::function<void(Duration round_trip)> report_answered;
 };
 
 //! An entry's side of its links to the controllers: reports to them, fetches
@@ -84,6 +87,8 @@
       bool wants_document,
       ContactReporting contact_reporting = ContactReporting::kAtInterval);
   void FetchDocument(Time now);
+  bool AwaitsAnswer(Time now) const;
+  void OnAnswerTime(Time now, Time sent_at, bool has_lease);
 
   Time started_at_;
   std::int64_t process_;
@@ -91,8 +96,13 @@
   StatementProxy& proxy_;
   ControllerClientHooks hooks_;
   std::map<std::string, ControllerState> controllers_;
-  std::string leader_;
+  std::string leader_;         // the controller that last proved that it leads
   Time contacts_reported_at_;  // to the leader
+  // When the newest report was sent to the leader, until that answers it.
+  std::optional<Time> unanswered_report_at_;
+  bool answers_late_ = false;  // as last logged
+  Time next_answer_time_log_;
+  Time next_lease_log_;
   routing::DocumentSource document_source_;
   bool endpoints_known_ = false;
 };
--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -21,6 +21,13 @@
 // the time after which the leader ignores a contact report.
 constexpr Duration kContactReportInterval = milliseconds(1'000);
 
+// A report without an answer for this long is lost, since a lost packet delays
+// a message by 200 ms.
+constexpr Duration kReportAnswerTimeout = milliseconds(250);
+
+// Shortest time between two log lines on late answers, which bounds the log.
+constexpr Duration kAnswerTimeLogInterval = milliseconds(1'000);
+
 }  // namespace
 
 ControllerClient::ControllerClient(Time now,
@@ -51,6 +58,8 @@
     Report(now, controller, false);
   if (!up && leader_ == controller)
     leader_.clear();
+  if (leader_ == controller || leader_.empty())
+    unanswered_report_at_.reset();
 }
 
 void ControllerClient::OnUpdate(Time now,
@@ -97,6 +106,7 @@
   if (update.leader && leader_ != from) {
     hooks_.log_decision("controller_leads", from, "");
     leader_ = from;
+    unanswered_report_at_.reset();
     contacts_reported_at_ = Time();
     proxy_.holder().OnOwnerChange(now);
   } else if (!update.leader && leader_ == from) {
@@ -105,6 +115,7 @@
   proxy_.OnEntryCount(update.entries);
   if (!update.leader)
     return;
+  OnAnswerTime(now, sent_at, update.leader);
   // Another controller may lag and offer endpoints that have left.
   endpoints_known_ = true;
   // The leader held its lease after the report had been sent, so that no newer
@@ -114,6 +125,32 @@
   proxy_.OnShares(now);
 }
 
+void ControllerClient::OnAnswerTime(Time now, Time sent_at, bool has_lease) {
+  if (unanswered_report_at_ && sent_at >= *unanswered_report_at_)
+    unanswered_report_at_.reset();
+  const Duration round_trip = now - sent_at;
+  hooks_.report_answered(round_trip);
+  if (!has_lease && now >= next_lease_log_) {
+    next_lease_log_ = now + kAnswerTimeLogInterval;
+    hooks_.log_decision("leader_without_lease", leader_, "");
+  }
+  if (answers_late_ == (round_trip >= kReportAnswerTimeout) ||
+      now < next_answer_time_log_)
+    return;
+  next_answer_time_log_ = now + kAnswerTimeLogInterval;
+  answers_late_ = !answers_late_;
+  hooks_.log_decision(
+      answers_late_ ? "leader_answers_late" : "leader_answers_in_time", leader_,
+      std::to_string(
+          std::chrono::duration_cast<milliseconds>(round_trip).count()) +
+          " ms");
+}
+
+bool ControllerClient::AwaitsAnswer(Time now) const {
+  return unanswered_report_at_ &&
+         now - *unanswered_report_at_ < kReportAnswerTimeout;
+}
+
 void ControllerClient::AddControllers(const std::set<std::string>& names) {
   const std::size_t before = known_controllers_.size();
   known_controllers_.insert(names.begin(), names.end());
@@ -122,7 +159,10 @@
 }
 
 void ControllerClient::Tick(Time now) {
-  if (!leader_.empty() && proxy_.holder().ReportDue(now))
+  // While one report is under way, what becomes due waits for the next one. The
+  // leader of a large fleet would otherwise get more reports, the later it
+  // answers them.
+  if (!leader_.empty() && !AwaitsAnswer(now) && proxy_.holder().ReportDue(now))
     Report(now, leader_, false);
   for (const auto& [name, state] : controllers_) {
     if (state.linked && now - state.last_report_at >= kKeepaliveReportInterval)
@@ -162,6 +202,7 @@
   report.quiet_micros =
       proxy_.holder().TimeSinceLastTake(now, started_at_).count();
   if (controller == leader_) {
+    unanswered_report_at_ = now;
     report.shares = proxy_.holder().Report(now);
     std::vector<messages::PrimaryContact> contacts = proxy_.Contacts(now);
     const bool any_failing = std::ranges::any_of(
--- a/statements/tests/controller_client_test.cc
+++ b/statements/tests/controller_client_test.cc
@@ -31,6 +31,7 @@
     hooks.known_controllers = [](const std::set<std::string>&) {};
     hooks.log_decision = [](std::string_view, const std::string&,
                             const std::string&) {};
+    hooks.report_answered = [](Duration) {};
     client = std::make_unique<ControllerClient>(
         now, 1, std::set<std::string>{"a", "b"}, proxy_, hooks);
   }
@@ -70,6 +71,8 @@
     return asked;
   }
 
+  StatementProxy& proxy() { return proxy_; }
+
   Time now = TimeFromMicros(100'000'000);
   std::vector<std::pair<std::string, messages::ProxyReport>> sent;
   std::unique_ptr<ControllerClient> client;
@@ -139,4 +142,44 @@
   }
 }
 
+// Guards against a leader of a large fleet that answers late and gets the more
+// reports the later it answers: entries whose callers wait for tokens report
+// every 25 ms.
+TEST_CASE("An entry sends the leader one report at a time", "[statements]") {
+  Client entry;
+  entry.now += milliseconds(10);
+  entry.client->OnLink(entry.now, "a", true);
+  entry.Answer("a", 0, true, entry.now);
+  entry.proxy().holder().SetLimit("customer", quota::Limit{});
+  entry.proxy().holder().StartWaiting(entry.now, "customer");
+  const auto reports_in = [&entry](Duration duration) {
+    entry.sent.clear();
+    for (const Time end = entry.now + duration; entry.now < end;) {
+      entry.now += milliseconds(10);
+      entry.client->Tick(entry.now);
+    }
+    return entry.sent.size();
+  };
+  CHECK(reports_in(milliseconds(100)) == 1);
+  const Time sent_at = TimeFromMicros(entry.sent.back().second.sent_micros);
+
+  SECTION("The next one follows the answer") {
+    entry.Answer("a", 0, true, sent_at);
+    CHECK(reports_in(milliseconds(100)) == 1);
+  }
+  SECTION("An answer to an earlier report is not waited for") {
+    entry.Answer("a", 0, true, sent_at - milliseconds(1));
+    CHECK(reports_in(milliseconds(100)) == 0);
+  }
+  SECTION("A lost answer is waited for no longer than 250 ms") {
+    CHECK(reports_in(milliseconds(300)) == 1);
+  }
+  SECTION("A new leader gets a report at once") {
+    entry.client->OnLink(entry.now, "b", true);
+    entry.Answer("b", 0, true, entry.now);
+    CHECK(reports_in(milliseconds(30)) == 1);
+    CHECK(entry.sent.back().first == "b");
+  }
+}
+
 }  // namespace goldcrest::statements
