Keep reporting to a leader whose lease has lapsed for a moment

What callers saw: as before.

Cause: a single answer that a leader without a valid lease gave made an entry forget its leader. It then asked for no tokens until the report that goes to all controllers every two seconds, and then told the leader all that it held anew, which adds to the load that had delayed the leader's heartbeats.

Change: an entry reports to its leader until the link is lost or another controller proves that it leads. A full report follows a change of the leader or of its term only.

Evidence: on the code before, "An entry goes on reporting to a leader whose lease has lapsed" gets no report at all.

--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -109,13 +109,15 @@
     unanswered_report_at_.reset();
     contacts_reported_at_ = Time();
     proxy_.holder().OnOwnerChange(now);
-  } else if (!update.leader && leader_ == from) {
-    leader_.clear();
   }
+  // The lease of the leader may lapse for a moment. Reports to it go on until
+  // it is lost or another controller leads: a pause would last until the next
+  // report to all controllers.
+  if (leader_ == from)
+    OnAnswerTime(now, sent_at, update.leader);
   proxy_.OnEntryCount(update.entries);
   if (!update.leader)
     return;
-  OnAnswerTime(now, sent_at, update.leader);
   // Another controller may lag and offer endpoints that have left.
   endpoints_known_ = true;
   // The leader held its lease after the report had been sent, so that no newer
--- a/statements/tests/controller_client_test.cc
+++ b/statements/tests/controller_client_test.cc
@@ -182,4 +182,46 @@
   }
 }
 
+// Guards against an entry that gets no tokens for two seconds whenever the
+// lease of a busy leader lapses for a moment.
+TEST_CASE("An entry goes on reporting to a leader whose lease has lapsed",
+          "[statements]") {
+  Client entry;
+  entry.now += milliseconds(10);
+  entry.client->OnLink(entry.now, "a", true);
+  entry.client->OnLink(entry.now, "b", true);
+  entry.Answer("a", 0, true, entry.now);
+  entry.now += milliseconds(300);
+  entry.client->Tick(entry.now);
+  entry.sent.clear();
+  entry.Answer("a", 0, false, entry.now);
+  entry.now += milliseconds(300);
+  entry.client->Tick(entry.now);
+  REQUIRE(entry.sent.size() == 1);
+  CHECK(entry.sent.back().first == "a");
+  CHECK_FALSE(entry.sent.back().second.shares.empty());
+
+  SECTION("It leads again: what it knows need not be repeated") {
+    entry.Answer("a", 0, true, entry.now);
+    entry.now += milliseconds(300);
+    entry.client->Tick(entry.now);
+    REQUIRE(entry.sent.size() == 2);
+    CHECK(entry.sent.back().second.shares.front().partial);
+  }
+  SECTION("Another controller leads") {
+    entry.Answer("b", 0, true, entry.now);
+    entry.now += milliseconds(300);
+    entry.client->Tick(entry.now);
+    CHECK(entry.sent.back().first == "b");
+    CHECK_FALSE(entry.sent.back().second.shares.front().partial);
+  }
+  SECTION("It is lost") {
+    entry.sent.clear();
+    entry.client->OnLink(entry.now, "a", false);
+    entry.now += milliseconds(300);
+    entry.client->Tick(entry.now);
+    CHECK(entry.sent.empty());
+  }
+}
+
 }  // namespace goldcrest::statements
