Connect entries to the controllers with a disk only

What callers saw: on the large site, after a change of the leader, refusals for the rate until all shares of the former owner had expired (9.9 s).

Change: entries are told of the members of the log and of controllers that say they have a disk. The number of entries comes from the leader only, since the others may have few links.

Evidence: "Entries are told of controllers with a disk only" fails on the code before (five names instead of three).

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -202,6 +202,7 @@
   void MergeEndpoint(Time now, const messages::EndpointRecord& record);
   void OnEndpointChanged(Time now, const messages::EndpointRecord& record);
   messages::ControllerNotice MakeNotice(Time now) const;
+  void OfferControllers();
   void RecordEndpoint(Time now, const messages::EndpointRecord& record);
   void SendNotices(Time now);
   void SendToPeers(const messages::ControllerNotice& notice);
@@ -230,6 +231,8 @@
   std::map<std::string, Entry> entries_;
   std::map<std::string, ControllerPeer> peers_;
   std::set<std::string> known_controllers_;
+  // Controllers that entries connect to: those with a disk.
+  std::set<std::string> offered_controllers_;
   std::vector<PendingPut> pending_puts_;
   std::unique_ptr<Leadership> leadership_;
   Time next_notice_;
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -152,10 +152,10 @@
     update.__set_document(CompressedDocument());
   if (new_link)
     update.endpoints = directory_.All();
-  if (new_link || entry.controllers_sent != known_controllers_.size())
-    update.controllers.assign(known_controllers_.begin(),
-                              known_controllers_.end());
-  entry.controllers_sent = known_controllers_.size();
+  if (new_link || entry.controllers_sent != offered_controllers_.size())
+    update.controllers.assign(offered_controllers_.begin(),
+                              offered_controllers_.end());
+  entry.controllers_sent = offered_controllers_.size();
   update.entries = static_cast<std::int32_t>(
       std::ranges::count_if(entries_, [&](const auto& item) {
         return now - item.second.reported_at < kEntryTimeout;
@@ -244,6 +244,8 @@
                           const messages::ControllerNotice& notice) {
   ControllerPeer& peer = peers_[from];
   peer.heard_at = now;
+  if (notice.has_disk && !peer.has_disk)
+    offered_controllers_.insert(from);
   peer.has_disk = notice.has_disk;
   peer.joining = notice.joining;
   if (notice.draining && !peer.draining)
@@ -281,7 +283,22 @@
   return notice;
 }
 
+// A controller without a disk has no configuration and never leads. A link to
+// it would cost each entry and that controller a part of their processor time.
+void Controller::OfferControllers() {
+  if (options_.has_disk) {
+    offered_controllers_.insert(options_.replica.self);
+    for (const std::string& member : replica_.Members())
+      offered_controllers_.insert(member);
+  }
+  for (const auto& [name, peer] : peers_) {
+    if (peer.has_disk)
+      offered_controllers_.insert(name);
+  }
+}
+
 void Controller::SendNotices(Time now) {
+  OfferControllers();
   messages::ControllerNotice notice = MakeNotice(now);
   notice.controllers.assign(known_controllers_.begin(),
                             known_controllers_.end());
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -198,6 +198,27 @@
   CHECK(cluster.updates["entry"].back().document_version == 6);
 }
 
+// Guards against controllers that are no members of the log, but share a small
+// instance with an entry, and have no processor time left under the links of
+// hundreds of entries.
+TEST_CASE("Entries are told of controllers with a disk only", "[fleet]") {
+  Cluster cluster(3);
+  cluster.StartWithoutDisk("d");
+  cluster.StartWithoutDisk("e");
+  cluster.Run(seconds(3));
+  messages::ProxyReport report;
+  report.process = 1;
+  report.sent_micros = 1;
+  report.first = true;
+  for (const std::string controller : {"a", "d"}) {
+    cluster.Report("entry", controller, report);
+    const auto& told = cluster.updates["entry"].back().controllers;
+    CHECK(std::set<std::string>(told.begin(), told.end()) ==
+          std::set<std::string>{"a", "b", "c"});
+  }
+  CHECK(cluster.last_known["a"].count("d") == 1);
+}
+
 TEST_CASE("Entries learn of a new configuration and get it on request",
           "[fleet]") {
   Cluster cluster(3);
--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -115,9 +115,10 @@
   // report to all controllers.
   if (leader_ == from)
     OnAnswerTime(now, sent_at, update.leader);
-  proxy_.OnEntryCount(update.entries);
   if (!update.leader)
     return;
+  // Not all entries are connected to a controller without a disk.
+  proxy_.OnEntryCount(update.entries);
   // Another controller may lag and offer endpoints that have left.
   endpoints_known_ = true;
   // The leader held its lease after the report had been sent, so that no newer
