Review: a withdrawn key commits 15 s later

Cause: the key is checked when an operation begins, not at each statement. Done: a script that withdraws the key of a caller inside a transaction.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+exec python3 -B "$(dirname "$0")/case.py"
