Hand a connection on only once its rollback is confirmed

Callers saw writes acknowledged that were in no log afterwards, and statements that ran in another caller's transaction, while a primary refused part of its statements as busy.

Cause: the pool took the state of a connection from what was sent. After a read inside a transaction of the primary it sent ROLLBACK, made the connection idle at once and ignored the answer. A refused ROLLBACK left the transaction open, and the next session's write ran in it.

Change: a connection has the transaction state of the endpoint's last answer. It becomes idle when nothing is outstanding and the endpoint has reported no open transaction. Until then a statement of the same customer waits for it instead of opening another one, for 100 ms at most. No ROLLBACK is sent outside a transaction.

--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -19,10 +19,10 @@
 
 //! State of one connection from an entry to an endpoint.
 struct Connection {
-  enum class State { kOpening, kIdle, kBusy };
+  enum class State { kOpening, kIdle, kBusy, kRollingBack };
   //! An outstanding answer on the connection.
   struct ExpectedAnswer {
-    enum class Kind { kSetup, kBegin, kStatement, kCleanup };
+    enum class Kind { kSetup, kBegin, kStatement, kRollback };
     Kind kind = Kind::kStatement;
     Time sent_at;
     Time processing_since;  //!< The later of `sent_at` and the last answer.
@@ -37,13 +37,17 @@
   State state = State::kOpening;
   //! The session that uses a busy connection; 0 when none does any more.
   SessionId session = 0;
-  bool in_transaction = false;
+  //! As the endpoint's last answer told it.
+  TransactionState transaction = TransactionState::kIdle;
   bool requires_primary = false;  //!< Its transaction is refused by a replica.
   bool has_written = false;       //!< Its transaction has run a write.
   std::map<std::string, std::string> values;
   std::set<std::string> prepared;
   std::deque<ExpectedAnswer> expected_answers;
   Time state_since;
+  bool awaited = false;  //!< A session waits until it becomes idle.
+  //! kRollingBack: when to repeat a refused ROLLBACK.
+  Time rollback_due = kNever;
 };
 
 //! Parameters for opening a connection.
@@ -60,7 +64,9 @@
 
 //! The connections of one entry to all endpoints. A connection belongs to one
 //! customer, because the customer is sent to the endpoint when the connection
-//! is opened. Each endpoint enforces its connection limit over all entries. An
+//! is opened. It is idle, and may be assigned to another session, only when the
+//! endpoint has answered everything and has reported no open transaction. Each
+//! endpoint enforces its connection limit over all entries. An
 //! entry opens connections up to its equal share of that limit, exceeds the
 //! share only while all of its connections are in use, and closes idle ones.
 class ConnectionPool {
@@ -83,7 +89,14 @@
   //! True when Open() would start to open a connection.
   bool CanOpen(Time now, const std::string& endpoint, int limit) const;
 
-  bool IsOpening(ConnectionId id) const;
+  //! A connection of the customer that is being rolled back and that no session
+  //! waits for; marks it as awaited. Returns 0 if there is none.
+  ConnectionId AwaitRollback(Time now,
+                             const std::string& endpoint,
+                             const std::string& customer);
+
+  //! True while the connection is being opened, or rolled back in good time.
+  bool IsBecomingIdle(Time now, ConnectionId id) const;
 
   void OnOpened(Time now, ConnectionId id);
   //! `outcome`: kTooManyConnections, kWrongEndpoint, or kFailed for any other
@@ -92,9 +105,17 @@
 
   Connection* Find(ConnectionId id);
 
-  //! Makes a busy connection idle. It may still have outstanding answers.
+  //! Makes a connection idle. It must have no outstanding answer, and no open
+  //! transaction at the endpoint.
   void Release(Time now, Connection& connection);
 
+  //! Detaches the connection from its session until Release() is called. The
+  //! caller sends ROLLBACK.
+  void BeginRollback(Time now, Connection& connection);
+
+  //! Connections whose refused ROLLBACK is due again.
+  std::vector<ConnectionId> RollbacksDue(Time now) const;
+
   //! Closes the connection and removes it from the pool.
   void Close(ConnectionId id);
 
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -140,8 +140,8 @@
     bool token_taken = false;  // its operation has taken a token
     bool sent = false;         // it may have reached an endpoint
     int attempts = 0;
-    std::map<std::string, Time> avoided_until;  // by endpoint
-    ConnectionId opening_connection = 0;
+    std::map<std::string, Time> avoided_until;     // by endpoint
+    ConnectionId awaited_connection = 0;           // until it becomes idle
     std::optional<LogPosition> required_position;  // sent with the statement
     Time retry_at;
     std::string last_cause = "no endpoint";
@@ -285,6 +285,8 @@
              const std::string& endpoint,
              Outcome outcome);
   void CleanUpConnection(Time now, Connection& connection);
+  void SendRollback(Time now, Connection& connection);
+  void OnRollbackAnswer(Time now, Connection& connection, const Answer& answer);
   void DetachConnection(Time now, Session& session);
   void OnConnectionLost(Time now, Session& session, const std::string& cause);
   void ReportUnreachablePrimary(Time now,
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -29,6 +29,10 @@
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(200);
 constexpr Duration kIdleTimeoutWhenBusy = std::chrono::milliseconds(1500);
 
+// How long a statement waits for a connection that is being rolled back before
+// it opens another one. Longer than a round trip between availability zones.
+constexpr Duration kMaxRollbackWait = std::chrono::milliseconds(100);
+
 // How long the refusal of a read by a lagging endpoint applies to other reads
 // that require the same position or a later one.
 constexpr Duration kBehindValidity = std::chrono::milliseconds(200);
@@ -77,6 +81,20 @@
   return best;
 }
 
+ConnectionId ConnectionPool::AwaitRollback(Time now,
+                                           const std::string& endpoint,
+                                           const std::string& customer) {
+  for (auto& [id, connection] : connections_) {
+    if (connection.state != Connection::State::kRollingBack ||
+        connection.awaited || connection.endpoint != endpoint ||
+        connection.customer != customer || !IsBecomingIdle(now, id))
+      continue;
+    connection.awaited = true;
+    return id;
+  }
+  return 0;
+}
+
 bool ConnectionPool::HasIdle(const std::string& endpoint,
                              const std::string& customer) const {
   return std::ranges::any_of(connections_, [&](const auto& item) {
@@ -98,8 +116,7 @@
     return true;
   return std::ranges::any_of(connections_, [&](const auto& item) {
     return item.second.state == Connection::State::kIdle &&
-           item.second.endpoint == endpoint &&
-           item.second.expected_answers.empty();
+           item.second.endpoint == endpoint;
   });
 }
 
@@ -135,10 +152,14 @@
   return id;
 }
 
-bool ConnectionPool::IsOpening(ConnectionId id) const {
+bool ConnectionPool::IsBecomingIdle(Time now, ConnectionId id) const {
   const auto it = connections_.find(id);
-  return it != connections_.end() &&
-         it->second.state == Connection::State::kOpening;
+  if (it == connections_.end())
+    return false;
+  const Connection& connection = it->second;
+  return connection.state == Connection::State::kOpening ||
+         (connection.state == Connection::State::kRollingBack &&
+          now - connection.state_since < kMaxRollbackWait);
 }
 
 void ConnectionPool::OnOpened(Time now, ConnectionId id) {
@@ -178,11 +199,27 @@
   connection.state = Connection::State::kIdle;
   connection.state_since = now;
   connection.session = 0;
-  connection.in_transaction = false;
+  connection.awaited = false;
   connection.requires_primary = false;
   connection.has_written = false;
 }
 
+void ConnectionPool::BeginRollback(Time now, Connection& connection) {
+  connection.state = Connection::State::kRollingBack;
+  connection.state_since = now;
+  connection.session = 0;
+}
+
+std::vector<ConnectionId> ConnectionPool::RollbacksDue(Time now) const {
+  std::vector<ConnectionId> due;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.state == Connection::State::kRollingBack &&
+        now >= connection.rollback_due)
+      due.push_back(id);
+  }
+  return due;
+}
+
 void ConnectionPool::Remove(ConnectionId id) {
   const auto it = connections_.find(id);
   if (it == connections_.end())
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -22,6 +22,10 @@
 // outstanding for this long: the answer was lost.
 constexpr Duration kLostAnswerTimeout = std::chrono::milliseconds(1500);
 
+// A connection whose transaction the endpoint still refuses to roll back after
+// this time is closed, which rolls it back.
+constexpr Duration kMaxRollbackTime = std::chrono::milliseconds(400);
+
 }  // namespace
 
 void StatementProxy::OnOpened(Time now, ConnectionId id) {
@@ -61,6 +65,7 @@
   connection->expected_answers.pop_front();
   if (!connection->expected_answers.empty())
     connection->expected_answers.front().processing_since = now;
+  connection->transaction = answer.state;
   const std::string group = connection->group;
   if (answer.position)
     pool_.OnPosition(connection->endpoint, *answer.position);
@@ -75,7 +80,8 @@
           std::string("session state refused: ") + NameOf(answer.outcome));
       hooks_.close(id);
       return OnConnectionClosed(now, id);
-    case Connection::ExpectedAnswer::Kind::kCleanup:
+    case Connection::ExpectedAnswer::Kind::kRollback:
+      OnRollbackAnswer(now, *connection, answer);
       break;
     case Connection::ExpectedAnswer::Kind::kBegin:
       OnBeginAnswer(now, *connection, answer);
@@ -193,7 +199,6 @@
     if (!session.read_only && answer.position)
       session.last_commit = std::max(session.last_commit, *answer.position);
     session.connection = 0;
-    connection.in_transaction = false;
     CleanUpConnection(now, connection);
     session.state = TransactionState::kIdle;
     EndOperation(now, session, Outcome::kDone);
@@ -243,21 +248,45 @@
   return true;
 }
 
-// Makes the connection idle once it has no outstanding answers, and rolls back
-// a transaction that is open on it.
+// Makes the connection idle once it has no outstanding answers, after a
+// transaction that is open on it has been rolled back.
 void StatementProxy::CleanUpConnection(Time now, Connection& connection) {
   if (!connection.expected_answers.empty()) {
     connection.session = 0;  // Called again at the last answer.
     return;
   }
-  if (connection.in_transaction) {
-    EndpointCommand rollback;
-    rollback.kind = EndpointCommand::Kind::kRollback;
-    connection.expected_answers.push_back(
-        {Connection::ExpectedAnswer::Kind::kCleanup, now, now});
-    Send(connection, {rollback});
+  if (connection.transaction == TransactionState::kIdle)
+    return pool_.Release(now, connection);
+  pool_.BeginRollback(now, connection);
+  SendRollback(now, connection);
+}
+
+void StatementProxy::SendRollback(Time now, Connection& connection) {
+  EndpointCommand rollback;
+  rollback.kind = EndpointCommand::Kind::kRollback;
+  connection.rollback_due = kNever;
+  connection.expected_answers.push_back(
+      {Connection::ExpectedAnswer::Kind::kRollback, now, now});
+  Send(connection, {rollback});
+}
+
+// An endpoint that refuses under load keeps its connections for a while:
+// opening others would cost it further slots.
+void StatementProxy::OnRollbackAnswer(Time now,
+                                      Connection& connection,
+                                      const Answer& answer) {
+  if (answer.state == TransactionState::kIdle)
+    return pool_.Release(now, connection);
+  const Duration age = now - connection.state_since;
+  const std::string cause =
+      std::string("rollback refused: ") + NameOf(answer.outcome);
+  if (answer.outcome == Outcome::kBusy && age < kMaxRollbackTime) {
+    ReportConnectionDecision(connection, "rollback_repeated", cause, age);
+    connection.rollback_due = now + kBusyEndpointDelay;
+    return;
   }
-  pool_.Release(now, connection);
+  ReportConnectionDecision(connection, "connection_closed", cause, age);
+  pool_.Close(connection.id);
 }
 
 void StatementProxy::OnConnectionClosed(Time now, ConnectionId id) {
@@ -373,6 +402,8 @@
                              "an answer was lost");
     pool_.Close(id);
   }
+  for (const ConnectionId id : pool_.RollbacksDue(now))
+    SendRollback(now, *pool_.Find(id));
   pool_.CloseIdle(now, [this](const std::string& endpoint) {
     const auto* entry = directory_.Find(endpoint);
     return entry == nullptr || entry->record.gone ||
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -178,7 +178,7 @@
       continue;
     if (!AcquireConnection(now, session, candidate.endpoint, policy)) {
       if (policy == ConnectionPolicy::kIdleOnly ||
-          pool_.IsOpening(session.pending->opening_connection))
+          pool_.IsBecomingIdle(now, session.pending->awaited_connection))
         return;
       continue;
     }
@@ -201,7 +201,8 @@
 }
 
 // Assigns an idle connection to the session and returns true. If there is none,
-// starts to open one unless one is being opened, and returns false.
+// waits for one that is being opened or rolled back, or starts to open one, and
+// returns false.
 bool StatementProxy::AcquireConnection(Time now,
                                        Session& session,
                                        const std::string& endpoint,
@@ -214,19 +215,22 @@
   }
   if (policy == ConnectionPolicy::kIdleOnly)
     return false;
-  if (pool_.IsOpening(session.pending->opening_connection) &&
-      pool_.Find(session.pending->opening_connection)->endpoint == endpoint)
+  ConnectionId& awaited = session.pending->awaited_connection;
+  if (pool_.IsBecomingIdle(now, awaited) &&
+      pool_.Find(awaited)->endpoint == endpoint)
     return false;
   const int share = EqualConnectionShare(endpoint);
   const ConnectionTarget target{endpoint, session.route->group,
                                 session.customer};
-  ConnectionId id = pool_.Open(now, target, share);
+  ConnectionId id = pool_.AwaitRollback(now, endpoint, session.customer);
+  if (id == 0)
+    id = pool_.Open(now, target, share);
   if (id == 0)
     id = pool_.Open(
         now, target,
         std::min(ConnectionLimit(endpoint), share * kMaxShareMultiple));
   if (id != 0)
-    session.pending->opening_connection = id;
+    awaited = id;
   return false;
 }
 
@@ -251,7 +255,6 @@
                        : EndpointCommand::Kind::kBeginReadOnly;
   if (!primary)
     begin.required_position = required_position;
-  connection.in_transaction = true;
   connection.requires_primary = primary;
   connection.expected_answers.push_back(
       {Connection::ExpectedAnswer::Kind::kBegin, now, now, primary});
--- /dev/null
+++ b/statements/tests/connection_state_test.cc
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "proxy_fixture.h"
+
+namespace goldcrest::statements {
+namespace {
+
+using Kind = EndpointCommand::Kind;
+using std::chrono::milliseconds;
+
+// Runs a read of session 1 inside a transaction of the primary. Its connection
+// has been sent ROLLBACK then.
+ConnectionId RunReadAtPrimary(ProxyFixture& fixture) {
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kRead, "READ a");
+  const ConnectionId id = fixture.AcceptConnection();
+  fixture.Reply(id, {1, 5});  // BEGIN
+  fixture.Reply(id, {1, 5});
+  REQUIRE(fixture.LastAnswer(1).outcome == Outcome::kDone);
+  REQUIRE(fixture.SentCommands(id).back().kind == Kind::kRollback);
+  return id;
+}
+
+bool WasClosed(const ProxyFixture& fixture, ConnectionId id) {
+  return std::ranges::count(fixture.closed, id) > 0;
+}
+
+}  // namespace
+
+// Guards against a write that runs in the transaction of another caller and is
+// acknowledged, but never committed.
+TEST_CASE("A connection is used again only once its rollback is confirmed",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  const ConnectionId id = RunReadAtPrimary(fixture);
+  const std::size_t sent = fixture.SentCommands(id).size();
+  fixture.OpenSession(2, "strict");
+  fixture.SendStatement(2, StatementKind::kWrite, "WRITE a b");
+  CHECK(fixture.SentCommands(id).size() == sent);
+  CHECK(fixture.opening_connections.empty());
+
+  SECTION("The write follows the answer to the rollback") {
+    fixture.Reply(id, {1, 5});
+    REQUIRE(fixture.SentCommands(id).size() == sent + 1);
+    CHECK(fixture.SentCommands(id).back().text == "WRITE a b");
+  }
+  SECTION("A refused rollback is repeated") {
+    fixture.Reply(id, {1, 5}, Outcome::kBusy);
+    CHECK(fixture.SentCommands(id).size() == sent);
+    fixture.Advance(milliseconds(60));
+    REQUIRE(fixture.SentCommands(id).size() == sent + 1);
+    CHECK(fixture.SentCommands(id).back().kind == Kind::kRollback);
+    fixture.Reply(id, {1, 5});
+    CHECK(fixture.SentCommands(id).back().text == "WRITE a b");
+  }
+  SECTION("A connection that is never rolled back is closed") {
+    for (int i = 0; i < 50 && !WasClosed(fixture, id); ++i) {
+      fixture.Reply(id, {1, 5}, Outcome::kBusy);
+      fixture.Advance(milliseconds(60));
+    }
+    CHECK(WasClosed(fixture, id));
+    CHECK(std::ranges::all_of(
+        fixture.SentCommands(id),
+        [](const auto& command) { return command.text != "WRITE a b"; }));
+  }
+  SECTION("A failed rollback closes the connection") {
+    fixture.ReplyInState(id, TransactionState::kFailed, Outcome::kFailed);
+    CHECK(WasClosed(fixture, id));
+  }
+  SECTION("The write opens a connection if the answer takes too long") {
+    fixture.Advance(milliseconds(100));
+    CHECK(fixture.opening_connections.size() == 1);
+  }
+}
+
+// Guards against a connection with an open transaction after a refused COMMIT.
+TEST_CASE("A refused commit leaves no transaction open on its connection",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kBegin, "BEGIN");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+  const ConnectionId id = fixture.AcceptConnection();
+  fixture.Reply(id, {1, 5});
+  fixture.Reply(id, {1, 5});
+  fixture.SendStatement(1, StatementKind::kCommit, "COMMIT");
+  const auto state =
+      GENERATE(TransactionState::kOpen, TransactionState::kFailed);
+  fixture.ReplyInState(id, state, Outcome::kBusy);
+  CHECK(fixture.LastAnswer(1).outcome == Outcome::kBusy);
+  CHECK(fixture.SentCommands(id).back().kind == Kind::kRollback);
+  fixture.ReplyInState(id, state, Outcome::kBusy);
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a c");
+  CHECK(fixture.SentCommands(id).back().kind == Kind::kRollback);
+}
+
+// Guards against ROLLBACK outside a transaction, which endpoints refuse.
+TEST_CASE("A refused BEGIN is rolled back only if it opened a transaction",
+          "[statements]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kRead, "READ a");
+  const ConnectionId id = fixture.AcceptConnection();
+  const auto state = GENERATE(TransactionState::kIdle, TransactionState::kOpen,
+                              TransactionState::kFailed);
+  fixture.ReplyInState(id, state, Outcome::kBusy);
+  const bool rolled_back =
+      fixture.SentCommands(id).back().kind == Kind::kRollback;
+  CHECK(rolled_back == (state != TransactionState::kIdle));
+}
+
+}  // namespace goldcrest::statements
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -7,6 +7,31 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// The transaction state of an endpoint's connection after a command.
+TransactionState StateAfter(TransactionState state,
+                            const EndpointCommand& command,
+                            Outcome outcome) {
+  if (outcome == Outcome::kBusy)
+    return state;
+  if (outcome != Outcome::kDone)
+    return state == TransactionState::kIdle ? state : TransactionState::kFailed;
+  switch (command.kind) {
+    case EndpointCommand::Kind::kBegin:
+    case EndpointCommand::Kind::kBeginReadOnly:
+      return TransactionState::kOpen;
+    case EndpointCommand::Kind::kRollback:
+      return TransactionState::kIdle;
+    case EndpointCommand::Kind::kCallerStatement:
+      return command.text == "COMMIT" ? TransactionState::kIdle : state;
+    default:
+      return state;
+  }
+}
+
+}  // namespace
+
 ProxyFixture::ProxyFixture(Duration max_configuration_age) {
   options_.zone = "z1";
   options_.entry_count = 2;
@@ -120,9 +145,30 @@
 void ProxyFixture::Reply(ConnectionId id,
                          LogPosition position,
                          Outcome outcome) {
+  const EndpointState& endpoint = endpoint_states_[id];
+  const EndpointCommand& command =
+      SentCommands(id).at(endpoint.answered_commands);
+  PassAnswer(id, StateAfter(endpoint.transaction, command, outcome), outcome,
+             position);
+}
+
+void ProxyFixture::ReplyInState(ConnectionId id,
+                                TransactionState state,
+                                Outcome outcome) {
+  PassAnswer(id, state, outcome, LogPosition{1, 5});
+}
+
+void ProxyFixture::PassAnswer(ConnectionId id,
+                              TransactionState state,
+                              Outcome outcome,
+                              std::optional<LogPosition> position) {
+  EndpointState& endpoint = endpoint_states_[id];
+  ++endpoint.answered_commands;
+  endpoint.transaction = state;
   Answer answer;
   answer.outcome = outcome;
   answer.signature = "signature";
+  answer.state = state;
   answer.position = position;
   proxy->OnAnswer(now, id, answer);
 }
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,10 +26,15 @@
   void SendStatement(SessionId id, StatementKind kind, const std::string& text);
   //! Accepts the newest connection that is being opened.
   ConnectionId AcceptConnection();
-  //! Answers the oldest outstanding command of a connection, at `position`.
+  //! Answers the oldest outstanding command of a connection, at `position` and
+  //! in the transaction state that follows from the commands answered so far.
   void Reply(ConnectionId id,
              LogPosition position,
              Outcome outcome = Outcome::kDone);
+  //! The same for an endpoint that reports `state`.
+  void ReplyInState(ConnectionId id,
+                    TransactionState state,
+                    Outcome outcome = Outcome::kDone);
   void Advance(Duration duration);
   //! Runs a write that the primary confirms at `position`.
   void ConfirmPosition(LogPosition position);
@@ -56,6 +62,17 @@
   std::unique_ptr<StatementProxy> proxy;
 
  private:
+  // What the endpoint knows of a connection.
+  struct EndpointState {
+    std::size_t answered_commands = 0;
+    TransactionState transaction = TransactionState::kIdle;
+  };
+  void PassAnswer(ConnectionId id,
+                  TransactionState state,
+                  Outcome outcome,
+                  std::optional<LogPosition> position);
+
+  std::map<ConnectionId, EndpointState> endpoint_states_;
   ProxyOptions options_;
   std::int64_t sequence_ = 0;
   int statements_ = 0;
