Discard a connection whose success contradicts its state

A statement could run outside its transaction, and a caller be told of a success that the endpoint then rolled back.

The state that comes with a success was not looked at: BEGIN answered as done but without a transaction had the statement sent all the same; a write outside a transaction answered as done inside one was passed on as done, though nothing commits it; a transaction that had ended at the endpoint went on.

Change: each expected answer has the transaction state that success implies. An answer with another state proves nothing. Its connection is closed, and its session goes on as after a lost connection: what was not sent and reads are repeated, a transaction is aborted, a write or a commit is in doubt. The endpoint does not count as unreachable.

The test "A success in an unexpected transaction state closes the connection" failed before (13 failed checks).

--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -28,6 +28,8 @@
     Time processing_since;  //!< The later of `sent_at` and the last answer.
     //! Only the primary answers the command with success.
     bool proves_primary = false;
+    //! The transaction state that success implies.
+    TransactionState state_after_success = TransactionState::kIdle;
   };
 
   ConnectionId id = 0;
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -288,6 +288,12 @@
   void SendRollback(Time now, Connection& connection);
   void OnRollbackAnswer(Time now, Connection& connection, const Answer& answer);
   void DetachConnection(Time now, Session& session);
+  void DiscardConnection(Time now,
+                         const Connection& connection,
+                         const std::string& cause);
+  void LeaveLostConnection(Time now,
+                           const Connection& lost,
+                           const std::string& cause);
   void OnConnectionLost(Time now, Session& session, const std::string& cause);
   void ReportUnreachablePrimary(Time now,
                                 const std::string& group,
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -67,6 +67,9 @@
     connection->expected_answers.front().processing_since = now;
   connection->transaction = answer.state;
   const std::string group = connection->group;
+  if (answer.outcome == Outcome::kDone &&
+      answer.state != expected.state_after_success)
+    return DiscardConnection(now, *connection, "unexpected transaction state");
   if (answer.position)
     pool_.OnPosition(connection->endpoint, *answer.position);
   if (expected.proves_primary && answer.outcome == Outcome::kDone)
@@ -299,10 +302,27 @@
     return;  // The endpoint closes idle connections.
   pool_.OnFailure(now, lost.endpoint);
   ReportUnreachablePrimary(now, lost.group, lost.endpoint);
+  LeaveLostConnection(now, lost, "connection closed by " + lost.endpoint);
+}
+
+// Closes a connection whose state at the endpoint is not known. The endpoint
+// itself counts as reachable.
+void StatementProxy::DiscardConnection(Time now,
+                                       const Connection& connection,
+                                       const std::string& cause) {
+  ReportConnectionDecision(connection, "connection_closed", cause);
+  const Connection lost = connection;
+  pool_.Close(lost.id);
+  LeaveLostConnection(now, lost, cause + " at " + lost.endpoint);
+}
+
+void StatementProxy::LeaveLostConnection(Time now,
+                                         const Connection& lost,
+                                         const std::string& cause) {
   const auto it = sessions_.find(lost.session);
-  if (it != sessions_.end() && it->second.connection == id) {
+  if (it != sessions_.end() && it->second.connection == lost.id) {
     it->second.connection = 0;
-    OnConnectionLost(now, it->second, "connection closed by " + lost.endpoint);
+    OnConnectionLost(now, it->second, cause);
     ContinueSession(now, lost.session);
   }
   DispatchGroup(now, lost.group);
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -257,7 +257,8 @@
     begin.required_position = required_position;
   connection.requires_primary = primary;
   connection.expected_answers.push_back(
-      {Connection::ExpectedAnswer::Kind::kBegin, now, now, primary});
+      {Connection::ExpectedAnswer::Kind::kBegin, now, now, primary,
+       TransactionState::kOpen});
   Send(connection, {begin});
 }
 
@@ -271,7 +272,8 @@
   AppendSessionSetup(session, connection, commands);
   for (std::size_t i = 0; i < commands.size(); ++i)
     connection.expected_answers.push_back(
-        {Connection::ExpectedAnswer::Kind::kSetup, now, now});
+        {Connection::ExpectedAnswer::Kind::kSetup, now, now, false,
+         connection.transaction});
   EndpointCommand command;
   command.id = pending.statement.id;
   command.required_position = required_position;
@@ -288,12 +290,12 @@
   const bool writes = Writes(session, pending.statement);
   // An endpoint that has lost the lead still commits a transaction that has
   // written nothing.
-  const bool commits_nothing =
-      pending.statement.kind == StatementKind::kCommit &&
-      !connection.has_written;
+  const bool commits = pending.statement.kind == StatementKind::kCommit;
+  const bool commits_nothing = commits && !connection.has_written;
   connection.expected_answers.push_back(
       {Connection::ExpectedAnswer::Kind::kStatement, now, now,
-       writes || (connection.requires_primary && !commits_nothing)});
+       writes || (connection.requires_primary && !commits_nothing),
+       commits ? TransactionState::kIdle : connection.transaction});
   connection.has_written |= writes;
   pending.sent = true;
   Send(connection, commands);
--- a/statements/tests/connection_state_test.cc
+++ b/statements/tests/connection_state_test.cc
@@ -111,4 +111,53 @@
   CHECK(rolled_back == (state != TransactionState::kIdle));
 }
 
+// Guards against statements that run outside their transaction or inside
+// another one, and against a success that the endpoint's state contradicts.
+TEST_CASE("A success in an unexpected transaction state closes the connection",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+
+  SECTION("BEGIN has opened no transaction") {
+    fixture.SendStatement(1, StatementKind::kRead, "READ a");
+    const ConnectionId id = fixture.AcceptConnection();
+    fixture.ReplyInState(id, TransactionState::kIdle);
+    CHECK(WasClosed(fixture, id));
+    CHECK(fixture.SentCommands(id).size() == 1);
+    CHECK(fixture.AnswerCount(1) == 1);  // to the session's start
+    fixture.Advance(milliseconds(20));
+    CHECK(fixture.opening_connections.size() == 1);
+  }
+  SECTION("A write outside a transaction has opened one") {
+    fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+    const ConnectionId id = fixture.AcceptConnection();
+    fixture.ReplyInState(id, TransactionState::kOpen);
+    CHECK(WasClosed(fixture, id));
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kInDoubt);
+  }
+  SECTION("A transaction ends before its commit") {
+    fixture.SendStatement(1, StatementKind::kBegin, "BEGIN");
+    fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+    const ConnectionId id = fixture.AcceptConnection();
+    fixture.Reply(id, {1, 5});
+    const auto state =
+        GENERATE(TransactionState::kIdle, TransactionState::kFailed);
+    fixture.ReplyInState(id, state);
+    CHECK(WasClosed(fixture, id));
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kAborted);
+    CHECK(fixture.LastAnswer(1).state == TransactionState::kFailed);
+  }
+  SECTION("A transaction is open after its commit") {
+    fixture.SendStatement(1, StatementKind::kBegin, "BEGIN");
+    fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+    const ConnectionId id = fixture.AcceptConnection();
+    fixture.Reply(id, {1, 5});
+    fixture.Reply(id, {1, 5});
+    fixture.SendStatement(1, StatementKind::kCommit, "COMMIT");
+    fixture.ReplyInState(id, TransactionState::kOpen);
+    CHECK(WasClosed(fixture, id));
+    CHECK(fixture.LastAnswer(1).outcome == Outcome::kInDoubt);
+  }
+}
+
 }  // namespace goldcrest::statements
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -12,6 +12,7 @@
 // The transaction state of an endpoint's connection after a command.
 TransactionState StateAfter(TransactionState state,
                             const EndpointCommand& command,
+                            bool commits,
                             Outcome outcome) {
   if (outcome == Outcome::kBusy)
     return state;
@@ -23,10 +24,8 @@
       return TransactionState::kOpen;
     case EndpointCommand::Kind::kRollback:
       return TransactionState::kIdle;
-    case EndpointCommand::Kind::kCallerStatement:
-      return command.text == "COMMIT" ? TransactionState::kIdle : state;
     default:
-      return state;
+      return commits ? TransactionState::kIdle : state;
   }
 }
 
@@ -125,6 +124,8 @@
   statement.id = "id" + std::to_string(++statements_);
   statement.text = text;
   statement.writes = kind == StatementKind::kWrite;
+  if (kind == StatementKind::kCommit)
+    commits_.insert(statement.id);
   if (kind == StatementKind::kSet || kind == StatementKind::kPrepare ||
       kind == StatementKind::kExecute) {
     const std::size_t blank = text.find(' ');
@@ -148,8 +149,9 @@
   const EndpointState& endpoint = endpoint_states_[id];
   const EndpointCommand& command =
       SentCommands(id).at(endpoint.answered_commands);
-  PassAnswer(id, StateAfter(endpoint.transaction, command, outcome), outcome,
-             position);
+  const bool commits = commits_.contains(command.id);
+  PassAnswer(id, StateAfter(endpoint.transaction, command, commits, outcome),
+             outcome, position);
 }
 
 void ProxyFixture::ReplyInState(ConnectionId id,
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -73,6 +73,7 @@
                   std::optional<LogPosition> position);
 
   std::map<ConnectionId, EndpointState> endpoint_states_;
+  std::set<std::string> commits_;  // ids of the statements
   ProxyOptions options_;
   std::int64_t sequence_ = 0;
   int statements_ = 0;
