Send a statement only once its session values are accepted

A statement could run with session values of another caller, or without those acknowledged to its own, when an endpoint refused RESET or SET as busy. A refused value also cost the connection, left a write in doubt that had not run, and counted the endpoint as unreachable.

Change: a connection holds the values and names that the endpoint has accepted. A statement follows the answers to RESET and SET; a refusal refuses the statement, which is repeated or, in a transaction that has run something, reported as not kept. PREPARE still goes out along with its EXECUTE, whose name stands for the shape, so that a refusal runs nothing. A caller whose statement is unknown at the endpoint is told that nothing is kept, since its own PREPARE was acknowledged.

"A connection gets the values of the session that uses it" expected value and statement in one go, which is the fault; it now checks that the statement waits.

--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -30,6 +30,7 @@
     bool proves_primary = false;
     //! The transaction state that success implies.
     TransactionState state_after_success = TransactionState::kIdle;
+    EndpointCommand command;  //!< kSetup: what was sent.
   };
 
   ConnectionId id = 0;
@@ -43,6 +44,7 @@
   TransactionState transaction = TransactionState::kIdle;
   bool requires_primary = false;  //!< Its transaction is refused by a replica.
   bool has_written = false;       //!< Its transaction has run a write.
+  // Session values and prepared names that the endpoint has accepted.
   std::map<std::string, std::string> values;
   std::set<std::string> prepared;
   std::deque<ExpectedAnswer> expected_answers;
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -251,13 +251,16 @@
                       Session& session,
                       Connection& connection,
                       std::optional<LogPosition> required_position);
-  void SendStatement(Time now,
-                     Session& session,
-                     Connection& connection,
-                     std::optional<LogPosition> required_position);
-  void AppendSessionSetup(const Session& session,
-                          Connection& connection,
-                          std::vector<EndpointCommand>& commands) const;
+  void SendStatement(Time now, Session& session, Connection& connection);
+  static std::vector<EndpointCommand> ValueCommands(
+      const Session& session,
+      const Connection& connection);
+  static std::vector<EndpointCommand> PrepareCommands(
+      const Session& session,
+      const Connection& connection);
+  static void ExpectSetupAnswers(Time now,
+                                 Connection& connection,
+                                 const std::vector<EndpointCommand>& commands);
   void Send(const Connection& connection,
             const std::vector<EndpointCommand>& commands);
   int EqualConnectionShare(const std::string& endpoint) const;
@@ -265,9 +268,11 @@
 
   // Answers of endpoints, retries, timeouts and lost connections.
   void OnBeginAnswer(Time now, Connection& connection, const Answer& answer);
-  void OnStatementAnswer(Time now,
-                         Connection& connection,
-                         const Answer& answer);
+  void OnSetupAnswer(Time now,
+                     Connection& connection,
+                     const EndpointCommand& command,
+                     const Answer& answer);
+  void OnStatementAnswer(Time now, Connection& connection, Answer answer);
   void OnAutocommitAnswer(Time now,
                           Session& session,
                           Connection& connection,
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -76,13 +76,8 @@
     RecordPrimaryAnswer(now, *connection, answer, expected.sent_at);
   switch (expected.kind) {
     case Connection::ExpectedAnswer::Kind::kSetup:
-      if (answer.outcome == Outcome::kDone)
-        return;
-      ReportConnectionDecision(
-          *connection, "connection_closed",
-          std::string("session state refused: ") + NameOf(answer.outcome));
-      hooks_.close(id);
-      return OnConnectionClosed(now, id);
+      OnSetupAnswer(now, *connection, expected.command, answer);
+      break;
     case Connection::ExpectedAnswer::Kind::kRollback:
       OnRollbackAnswer(now, *connection, answer);
       break;
@@ -130,7 +125,7 @@
     const auto it = sessions_.find(connection.session);
     if (it == sessions_.end() || !it->second.pending)
       return CleanUpConnection(now, connection);
-    return SendStatement(now, it->second, connection, std::nullopt);
+    return SendStatement(now, it->second, connection);
   }
   if (answer.outcome == Outcome::kReadOnly)
     primaries_.OnRefused(now, connection.group, connection.endpoint);
@@ -147,9 +142,48 @@
   ContinueSession(now, id);
 }
 
+// The connection's values and names are those that the endpoint has accepted.
+// A refused value refuses the statement that waits for it. A refused name has
+// no effect but that the statement sent along with it is refused.
+void StatementProxy::OnSetupAnswer(Time now,
+                                   Connection& connection,
+                                   const EndpointCommand& command,
+                                   const Answer& answer) {
+  const bool accepted = answer.outcome == Outcome::kDone;
+  if (command.kind == EndpointCommand::Kind::kPrepare) {
+    if (accepted)
+      connection.prepared.insert(command.name);
+    return;
+  }
+  if (!accepted && !IsNotRun(answer.outcome)) {
+    return DiscardConnection(
+        now, connection,
+        std::string("session value ") + NameOf(answer.outcome));
+  }
+  if (!accepted)
+    return OnStatementAnswer(now, connection, answer);
+  if (command.kind == EndpointCommand::Kind::kReset) {
+    connection.values.clear();
+    connection.prepared.clear();
+  } else {
+    connection.values[command.name] = command.value;
+  }
+  if (!connection.expected_answers.empty())
+    return;
+  const auto it = sessions_.find(connection.session);
+  if (it == sessions_.end() || !it->second.pending)
+    return CleanUpConnection(now, connection);
+  SendStatement(now, it->second, connection);
+}
+
 void StatementProxy::OnStatementAnswer(Time now,
                                        Connection& connection,
-                                       const Answer& answer) {
+                                       Answer answer) {
+  if (answer.outcome == Outcome::kUnknownPrepared) {
+    // The caller has prepared the statement; the endpoint does not know it.
+    connection.prepared.clear();
+    answer.outcome = Outcome::kAborted;
+  }
   const bool refused_as_replica = answer.outcome == Outcome::kReadOnly;
   const auto it = sessions_.find(connection.session);
   if (it == sessions_.end() || !it->second.pending)
@@ -172,8 +206,6 @@
   const bool writes = Writes(session, session.pending->statement);
   const std::string endpoint = connection.endpoint;
   session.connection = 0;
-  if (answer.outcome == Outcome::kUnknownPrepared)
-    connection.prepared.clear();
   CleanUpConnection(now, connection);
   if (answer.outcome == Outcome::kDone) {
     if (writes && answer.position)
@@ -208,8 +240,6 @@
     return Reply(now, session, answer);
   }
   session.connection = 0;
-  if (answer.outcome == Outcome::kUnknownPrepared)
-    connection.prepared.clear();
   CleanUpConnection(now, connection);
   const bool first = !session.statement_succeeded;
   if (!commit && first && IsNotRun(answer.outcome) &&
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -249,7 +249,7 @@
   const bool transaction = session.state == TransactionState::kOpen;
   const bool writes = Writes(session, session.pending->statement);
   if (!transaction && (writes || !primary))
-    return SendStatement(now, session, connection, required_position);
+    return SendStatement(now, session, connection);
   EndpointCommand begin;
   begin.kind = primary ? EndpointCommand::Kind::kBegin
                        : EndpointCommand::Kind::kBeginReadOnly;
@@ -262,21 +262,26 @@
   Send(connection, {begin});
 }
 
-void StatementProxy::SendStatement(
-    Time now,
-    Session& session,
-    Connection& connection,
-    std::optional<LogPosition> required_position) {
+// Sends the session's values first if the connection has others. The statement
+// follows their answers: an endpoint that refuses a value would run it with
+// another one. A name is prepared along with the statement, which an endpoint
+// refuses if it does not know the name.
+void StatementProxy::SendStatement(Time now,
+                                   Session& session,
+                                   Connection& connection) {
+  const std::vector<EndpointCommand> values =
+      ValueCommands(session, connection);
+  if (!values.empty()) {
+    ExpectSetupAnswers(now, connection, values);
+    return Send(connection, values);
+  }
   PendingStatement& pending = *session.pending;
-  std::vector<EndpointCommand> commands;
-  AppendSessionSetup(session, connection, commands);
-  for (std::size_t i = 0; i < commands.size(); ++i)
-    connection.expected_answers.push_back(
-        {Connection::ExpectedAnswer::Kind::kSetup, now, now, false,
-         connection.transaction});
+  std::vector<EndpointCommand> commands = PrepareCommands(session, connection);
+  ExpectSetupAnswers(now, connection, commands);
   EndpointCommand command;
   command.id = pending.statement.id;
-  command.required_position = required_position;
+  if (connection.transaction == TransactionState::kIdle)
+    command.required_position = pending.required_position;
   if (pending.statement.kind == StatementKind::kExecute) {
     const PreparedStatement& prepared =
         session.prepared.at(pending.statement.name);
@@ -301,47 +306,56 @@
   Send(connection, commands);
 }
 
-// Appends the commands that bring the connection to the session's values, and
-// prepare the statement to be executed. Prepared statements are named after
-// their shapes, so that sessions share them.
-void StatementProxy::AppendSessionSetup(
+// The commands that bring the connection to the session's values.
+std::vector<EndpointCommand> StatementProxy::ValueCommands(
     const Session& session,
-    Connection& connection,
-    std::vector<EndpointCommand>& commands) const {
+    const Connection& connection) {
+  std::vector<EndpointCommand> commands;
   const bool surplus = std::ranges::any_of(
       connection.values,
       [&](const auto& item) { return session.values.count(item.first) == 0; });
-  if (surplus) {
-    EndpointCommand reset;
-    reset.kind = EndpointCommand::Kind::kReset;
-    commands.push_back(reset);
-    connection.values.clear();
-    connection.prepared.clear();
-  }
+  if (surplus)
+    commands.emplace_back().kind = EndpointCommand::Kind::kReset;
   for (const auto& [name, value] : session.values) {
     const auto it = connection.values.find(name);
-    if (it != connection.values.end() && it->second == value)
+    if (!surplus && it != connection.values.end() && it->second == value)
       continue;
-    EndpointCommand set;
+    EndpointCommand& set = commands.emplace_back();
     set.kind = EndpointCommand::Kind::kSet;
     set.name = name;
     set.value = value;
-    commands.push_back(set);
-    connection.values[name] = value;
   }
+  return commands;
+}
+
+// The command that prepares the statement to be executed, if the connection
+// does not have it. Prepared statements are named after their shapes, so that
+// sessions share them.
+std::vector<EndpointCommand> StatementProxy::PrepareCommands(
+    const Session& session,
+    const Connection& connection) {
   if (session.pending->statement.kind != StatementKind::kExecute)
-    return;
+    return {};
   const PreparedStatement& prepared =
       session.prepared.at(session.pending->statement.name);
-  const std::string name = prepared.SharedName();
-  if (!connection.prepared.insert(name).second)
-    return;
   EndpointCommand prepare;
   prepare.kind = EndpointCommand::Kind::kPrepare;
-  prepare.name = name;
+  prepare.name = prepared.SharedName();
   prepare.value = prepared.shape;
   prepare.writes = prepared.writes;
-  commands.push_back(prepare);
+  if (connection.prepared.count(prepare.name) > 0)
+    return {};
+  return {prepare};
+}
+
+void StatementProxy::ExpectSetupAnswers(
+    Time now,
+    Connection& connection,
+    const std::vector<EndpointCommand>& commands) {
+  for (const EndpointCommand& command : commands)
+    connection.expected_answers.push_back(
+        {Connection::ExpectedAnswer::Kind::kSetup, now, now, false,
+         connection.transaction, command});
 }
 
 void StatementProxy::Send(const Connection& connection,
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -335,7 +335,7 @@
   if (session.connection != 0) {
     Connection* connection = pool_.Find(session.connection);
     if (connection != nullptr)
-      return SendStatement(now, session, *connection, std::nullopt);
+      return SendStatement(now, session, *connection);
   }
   waiting_sessions_[session.route->group].push_back(session.id);
   Dispatch(now, session, ConnectionPolicy::kMayOpen);
--- a/statements/tests/connection_state_test.cc
+++ b/statements/tests/connection_state_test.cc
@@ -160,4 +160,116 @@
   }
 }
 
+// Guards against statements that run with the session values of another caller.
+TEST_CASE("A statement is sent once its session values are accepted",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kSet, "color red");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+  const ConnectionId id = fixture.AcceptConnection();
+  REQUIRE(fixture.SentCommands(id).size() == 1);
+  CHECK(fixture.SentCommands(id)[0].kind == Kind::kSet);
+
+  SECTION("An accepted value is not set again") {
+    fixture.Reply(id, {1, 5});
+    REQUIRE(fixture.SentCommands(id).size() == 2);
+    CHECK(fixture.SentCommands(id)[1].text == "WRITE a b");
+    fixture.Reply(id, {1, 5});
+    fixture.SendStatement(1, StatementKind::kWrite, "WRITE a c");
+    REQUIRE(fixture.SentCommands(id).size() == 3);
+    CHECK(fixture.SentCommands(id)[2].text == "WRITE a c");
+  }
+  SECTION("A refused value is set before the next statement") {
+    fixture.Reply(id, {1, 5}, Outcome::kBusy);
+    CHECK(fixture.SentCommands(id).size() == 1);
+    CHECK(fixture.closed.empty());
+    fixture.Advance(milliseconds(100));
+    REQUIRE(fixture.SentCommands(id).size() == 2);
+    CHECK(fixture.SentCommands(id)[1].kind == Kind::kSet);
+    CHECK(fixture.SentCommands(id)[1].value == "red");
+  }
+  SECTION("A refused reset leaves no values of another session") {
+    fixture.Reply(id, {1, 5});
+    fixture.Reply(id, {1, 5});
+    fixture.OpenSession(2, "strict");
+    fixture.SendStatement(2, StatementKind::kWrite, "WRITE c d");
+    REQUIRE(fixture.SentCommands(id).size() == 3);
+    CHECK(fixture.SentCommands(id)[2].kind == Kind::kReset);
+    fixture.Reply(id, {1, 5}, Outcome::kBusy);
+    CHECK(fixture.SentCommands(id).size() == 3);
+    fixture.Advance(milliseconds(100));
+    REQUIRE(fixture.SentCommands(id).size() == 4);
+    CHECK(fixture.SentCommands(id)[3].kind == Kind::kReset);
+  }
+  SECTION("A value that may have been set closes the connection") {
+    fixture.Reply(id, {1, 5}, Outcome::kFailed);
+    CHECK(WasClosed(fixture, id));
+    fixture.Advance(milliseconds(100));
+    CHECK(fixture.opening_connections.size() == 1);
+    CHECK(fixture.AnswerCount(1) == 2);
+  }
+}
+
+TEST_CASE("A transaction whose session values are refused is rolled back",
+          "[statements]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kBegin, "BEGIN");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+  const ConnectionId id = fixture.AcceptConnection();
+  fixture.Reply(id, {1, 5});
+  fixture.Reply(id, {1, 5});
+  fixture.SendStatement(1, StatementKind::kSet, "color red");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a c");
+  fixture.Reply(id, {1, 5}, Outcome::kBusy);
+  CHECK(fixture.LastAnswer(1).outcome == Outcome::kBusy);
+  CHECK(fixture.LastAnswer(1).state == TransactionState::kFailed);
+  CHECK(fixture.SentCommands(id).back().kind == Kind::kRollback);
+}
+
+// Guards against an unknown name or another shape under a name that was
+// accepted for preparing.
+TEST_CASE("A refused PREPARE is repeated before the next EXECUTE",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kPrepare, "s q2c");
+  const bool transaction = GENERATE(false, true);
+  if (transaction)
+    fixture.SendStatement(1, StatementKind::kBegin, "BEGIN");
+  fixture.SendStatement(1, StatementKind::kExecute, "s a");
+  const ConnectionId id = fixture.AcceptConnection();
+  fixture.Reply(id, {1, 5});  // BEGIN, sent for a single read as well
+  REQUIRE(fixture.SentCommands(id).size() == 3);
+  CHECK(fixture.SentCommands(id)[1].kind == Kind::kPrepare);
+  CHECK(fixture.SentCommands(id)[2].kind == Kind::kExecute);
+  const std::size_t answers = fixture.AnswerCount(1);
+  fixture.Reply(id, {1, 5}, Outcome::kBusy);
+  fixture.Reply(id, {1, 5}, Outcome::kUnknownPrepared);
+  CHECK(fixture.AnswerCount(1) == answers);
+  CHECK(fixture.closed.empty());
+  fixture.Reply(id, {1, 5});  // ROLLBACK
+  fixture.Advance(milliseconds(100));
+  fixture.Reply(id, {1, 5});  // BEGIN
+  CHECK(fixture.SentCommands(id).end()[-2].kind == Kind::kPrepare);
+  CHECK(fixture.SentCommands(id).back().kind == Kind::kExecute);
+}
+
+TEST_CASE("A caller is never told that its prepared statement is unknown",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kPrepare, "s q2c");
+  fixture.SendStatement(1, StatementKind::kBegin, "BEGIN");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+  const ConnectionId id = fixture.AcceptConnection();
+  fixture.Reply(id, {1, 5});
+  fixture.Reply(id, {1, 5});
+  fixture.SendStatement(1, StatementKind::kExecute, "s a");
+  fixture.Reply(id, {1, 5}, Outcome::kBusy);
+  fixture.Reply(id, {1, 5}, Outcome::kUnknownPrepared);
+  CHECK(fixture.LastAnswer(1).outcome == Outcome::kAborted);
+}
+
 }  // namespace goldcrest::statements
--- a/statements/tests/proxy_outcomes_test.cc
+++ b/statements/tests/proxy_outcomes_test.cc
@@ -133,16 +133,20 @@
   fixture.SendStatement(1, StatementKind::kSet, "color red");
   fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
   const ConnectionId id = fixture.AcceptConnection();
-  REQUIRE(fixture.SentCommands(id).size() == 2);
+  REQUIRE(fixture.SentCommands(id).size() == 1);
   CHECK(fixture.SentCommands(id)[0].kind == Kind::kSet);
   CHECK(fixture.SentCommands(id)[0].value == "red");
   fixture.Reply(id, {1, 5});
+  REQUIRE(fixture.SentCommands(id).size() == 2);
+  CHECK(fixture.SentCommands(id)[1].text == "WRITE a b");
   fixture.Reply(id, {1, 5});
 
   fixture.OpenSession(2, "strict");
   fixture.SendStatement(2, StatementKind::kWrite, "WRITE c d");
-  REQUIRE(fixture.SentCommands(id).size() == 4);
+  REQUIRE(fixture.SentCommands(id).size() == 3);
   CHECK(fixture.SentCommands(id)[2].kind == Kind::kReset);
+  fixture.Reply(id, {1, 5});
+  REQUIRE(fixture.SentCommands(id).size() == 4);
   CHECK(fixture.SentCommands(id)[3].text == "WRITE c d");
 }
 
