Probe an endpoint only once the last probe is rolled back

A primary that is well could count as undetermined while it refused part of its statements as busy, so that the leader learned nothing of it.

A refused ROLLBACK left the transaction open, and the next BEGIN was answered as malformed on that connection.

Change: a probe waits for the answer to the rollback. A connection whose transaction the endpoint does not roll back is closed, and the waiting probe opens another one; a rollback without an answer counts like a probe without one. The connection's states are one enumeration in place of three flags.

--- a/programs/goldcrestd/endpoint_prober.cc
+++ b/programs/goldcrestd/endpoint_prober.cc
@@ -89,35 +89,47 @@
 void EndpointProber::Probe(const messages::EndpointRecord& record,
                            ProbePurpose purpose,
                            std::int64_t fence_term) {
-  auto& connection = connections_[record.endpoint];
-  if (connection && connection->address != record.address) {
-    connection->socket->Close();
-    connection.reset();
-  }
-  if (connection && connection->started && connection->probe_pending) {
-    if (connection->purpose != purpose) {
-      connection->next_purpose = purpose;
-      connection->next_fence_term = fence_term;
-    }
-    return;
+  const auto it = connections_.find(record.endpoint);
+  if (it == connections_.end())
+    return Connect(record, purpose, fence_term);
+  Connection& connection = *it->second;
+  if (connection.record.address != record.address) {
+    connection.socket->Close();
+    connections_.erase(it);
+    return Connect(record, purpose, fence_term);
   }
-  const bool is_new_connection = !connection;
-  if (is_new_connection) {
-    connection = std::make_unique<Connection>();
-    connection->group = record.group;
-    connection->endpoint = record.endpoint;
-    connection->address = record.address;
-    connection->socket = std::make_shared<adapters::LineSocket>(
-        context_, platform::kMaxLineBytes);
+  switch (connection.state) {
+    case Connection::State::kProbing:
+      if (connection.purpose == purpose)
+        return;
+      [[fallthrough]];
+    case Connection::State::kRollingBack:
+      connection.next_purpose = purpose;
+      connection.next_fence_term = fence_term;
+      return;
+    case Connection::State::kStarting:
+    case Connection::State::kIdle:
+      connection.purpose = purpose;
+      connection.fence_term = fence_term;
+      connection.probe_sent_at = SystemClock::Now();
+      if (connection.state == Connection::State::kIdle)
+        SendProbe(connection);
+      return;
   }
+}
+
+void EndpointProber::Connect(const messages::EndpointRecord& record,
+                             ProbePurpose purpose,
+                             std::int64_t fence_term) {
+  auto& connection = connections_[record.endpoint];
+  connection = std::make_unique<Connection>();
+  connection->record = record;
+  connection->socket =
+      std::make_shared<adapters::LineSocket>(context_, platform::kMaxLineBytes);
   connection->purpose = purpose;
   connection->fence_term = fence_term;
   connection->probe_sent_at = SystemClock::Now();
-  if (!is_new_connection && !connection->started)
-    return;
   AwaitAnswer(*connection);
-  if (!is_new_connection)
-    return SendProbe(*connection);
   const platform::SocketAddress address =
       platform::ParseAddress(record.address);
   connection->socket->Connect(
@@ -132,27 +144,48 @@
        }});
 }
 
+// The endpoint has failed if it has not answered in time.
 void EndpointProber::AwaitAnswer(Connection& connection) {
   const std::uint64_t attempt = ++attempts_;
   connection.attempt = attempt;
   connection.last_used_at = SystemClock::Now();
   scheduler_.After(
-      kAnswerTimeout, [this, endpoint = connection.endpoint, attempt] {
+      kAnswerTimeout, [this, endpoint = connection.record.endpoint, attempt] {
         const auto it = connections_.find(endpoint);
         if (it == connections_.end() || it->second->attempt != attempt ||
-            (it->second->started && !it->second->probe_pending))
+            it->second->state == Connection::State::kIdle)
           return;
         Fail(endpoint);
       });
 }
 
 void EndpointProber::SendProbe(Connection& connection) {
-  connection.probe_pending = true;
+  connection.state = Connection::State::kProbing;
   connection.probe_sent_at = SystemClock::Now();
+  AwaitAnswer(connection);
   connection.socket->Write(platform::EncodeCommand(
       CommandFor(connection.purpose, connection.fence_term)));
 }
 
+void EndpointProber::SendRollback(Connection& connection) {
+  connection.state = Connection::State::kRollingBack;
+  AwaitAnswer(connection);
+  EndpointCommand rollback;
+  rollback.kind = EndpointCommand::Kind::kRollback;
+  connection.socket->Write(platform::EncodeCommand(rollback));
+}
+
+void EndpointProber::SendNextProbe(Connection& connection) {
+  connection.state = Connection::State::kIdle;
+  connection.last_used_at = SystemClock::Now();
+  const auto next = std::exchange(connection.next_purpose, std::nullopt);
+  if (!next)
+    return;
+  connection.purpose = *next;
+  connection.fence_term = connection.next_fence_term;
+  SendProbe(connection);
+}
+
 void EndpointProber::OnLine(const std::string& endpoint,
                             std::string_view line) {
   const auto it = connections_.find(endpoint);
@@ -171,39 +204,41 @@
 
 void EndpointProber::OnAnswer(Connection& connection,
                               const statements::Answer& answer) {
-  if (!connection.started) {
-    connection.started = true;
-    return SendProbe(connection);
-  }
-  if (connection.rollback_pending) {
-    connection.rollback_pending = false;
-    return;
+  switch (connection.state) {
+    case Connection::State::kStarting:
+      return SendProbe(connection);
+    case Connection::State::kIdle:
+      return Fail(std::string(connection.record.endpoint));
+    case Connection::State::kRollingBack:
+      return OnRollbackAnswer(connection, answer);
+    case Connection::State::kProbing:
+      break;
   }
-  if (!connection.probe_pending)
-    return Fail(connection.endpoint);
   ProbeResult result = ResultOf(connection.purpose, answer);
   result.asked_at = connection.probe_sent_at;
-  if (answer.state != statements::TransactionState::kIdle) {
-    EndpointCommand rollback;
-    rollback.kind = EndpointCommand::Kind::kRollback;
-    connection.rollback_pending = true;
-    connection.socket->Write(platform::EncodeCommand(rollback));
-  }
-  Finish(connection, result);
+  const std::string group = connection.record.group;
+  const std::string endpoint = connection.record.endpoint;
+  if (answer.state == statements::TransactionState::kIdle)
+    SendNextProbe(connection);
+  else
+    SendRollback(connection);
+  // The callback may probe the endpoint again.
+  on_result_(group, endpoint, result);
 }
 
-void EndpointProber::Finish(Connection& connection, const ProbeResult& result) {
-  connection.probe_pending = false;
-  connection.last_used_at = SystemClock::Now();
-  if (const auto next = std::exchange(connection.next_purpose, std::nullopt)) {
-    connection.purpose = *next;
-    connection.fence_term = connection.next_fence_term;
-    AwaitAnswer(connection);
-    SendProbe(connection);
-  }
-  // The callback may probe the endpoint again.
-  on_result_(std::string(connection.group), std::string(connection.endpoint),
-             result);
+// An endpoint that refuses to roll back has answered. Closing the connection
+// ends the transaction.
+void EndpointProber::OnRollbackAnswer(Connection& connection,
+                                      const statements::Answer& answer) {
+  if (answer.state == statements::TransactionState::kIdle)
+    return SendNextProbe(connection);
+  const messages::EndpointRecord record = connection.record;
+  const auto next = connection.next_purpose;
+  const std::int64_t next_fence_term = connection.next_fence_term;
+  connection.socket->Close();
+  connections_.erase(record.endpoint);
+  if (next)
+    Connect(record, *next, next_fence_term);
 }
 
 void EndpointProber::Fail(const std::string& endpoint) {
@@ -218,13 +253,14 @@
   result.asked_at = connection->probe_sent_at;
   if (connection->decoder.Partial().outcome == Outcome::kTooManyConnections)
     result.kind = ProbeResult::Kind::kUndetermined;
-  on_result_(connection->group, endpoint, result);
+  on_result_(connection->record.group, endpoint, result);
 }
 
 void EndpointProber::CloseIdleConnections(Time now) {
   std::erase_if(connections_, [now](auto& item) {
     Connection& connection = *item.second;
-    if (connection.probe_pending ||
+    if (connection.state == Connection::State::kProbing ||
+        connection.state == Connection::State::kRollingBack ||
         now - connection.last_used_at < kMaxIdleTime)
       return false;
     connection.socket->Close();
--- a/programs/goldcrestd/endpoint_prober.h
+++ b/programs/goldcrestd/endpoint_prober.h
@@ -29,7 +29,8 @@
   ~EndpointProber();
 
   //! Probes an endpoint. While a probe of this endpoint is pending, one with
-  //! another purpose is sent after its answer; only the latest such one.
+  //! another purpose is sent after its answer; only the latest such one. A
+  //! probe that has opened a transaction is rolled back before the next one.
   void Probe(const messages::EndpointRecord& record,
              fleet::ProbePurpose purpose,
              std::int64_t fence_term = 0);
@@ -39,29 +40,34 @@
 
  private:
   struct Connection {
-    std::string group;
-    std::string endpoint;
-    std::string address;
+    // What the endpoint has to answer: the start line, a probe or a rollback.
+    enum class State { kStarting, kIdle, kProbing, kRollingBack };
+
+    messages::EndpointRecord record;
+    State state = State::kStarting;
     std::shared_ptr<adapters::LineSocket> socket;
     platform::AnswerDecoder decoder;
     fleet::ProbePurpose purpose = fleet::ProbePurpose::kLeadership;
     std::int64_t fence_term = 0;
-    // To be sent after the pending one.
+    // To be sent once the connection is idle.
     std::optional<fleet::ProbePurpose> next_purpose;
     std::int64_t next_fence_term = 0;
-    bool started = false;           // the endpoint has answered the start line
-    bool probe_pending = false;     // an answer to the probe is due
-    bool rollback_pending = false;  // an answer to the rollback is due
     std::uint64_t attempt = 0;
     Time last_used_at;
     Time probe_sent_at;
   };
 
+  void Connect(const messages::EndpointRecord& record,
+               fleet::ProbePurpose purpose,
+               std::int64_t fence_term);
   void SendProbe(Connection& connection);
+  void SendRollback(Connection& connection);
+  void SendNextProbe(Connection& connection);
   void AwaitAnswer(Connection& connection);
   void OnLine(const std::string& endpoint, std::string_view line);
   void OnAnswer(Connection& connection, const statements::Answer& answer);
-  void Finish(Connection& connection, const fleet::ProbeResult& result);
+  void OnRollbackAnswer(Connection& connection,
+                        const statements::Answer& answer);
   void Fail(const std::string& endpoint);
 
   boost::asio::io_context& context_;
