End what a withdrawn key has open

A caller whose key had been withdrawn went on running writes in its open transaction, and committed it, for as long as it sent a statement in time.

Cause: the key was looked up when an operation began. An operation keeps the configuration of its beginning, which is meant for its route, and so kept its key as well. Nothing looked at open operations when a configuration arrived.

Change: a new configuration ends the operations whose key no longer belongs to their customer. A transaction is rolled back, also while its caller is silent or a statement is under way, and its next statement or its commit is told that nothing was kept. What waits for a token, an endpoint or a retry is refused as an unknown key. A commit, or a statement outside a transaction, that has been sent keeps its outcome, but is not repeated. Changes of routes, limits and other keys leave a transaction alone.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -40,6 +40,8 @@
   options.zone = settings.zone;
   options.limit_window = LimitWindowOf(settings);
   options.max_configuration_age = settings.configuration_bound / 2;
+  // New operations end with the lease of the rate shares as well.
+  options.confirmation_lease = quota::kShareLease;
   return options;
 }
 
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -55,6 +55,9 @@
   //! A caller is told that a database or key does not exist only if the
   //! configuration was the newest at most this long ago.
   Duration max_configuration_age = Duration::max();
+  //! A transaction that depends on a key is rolled back when the configuration
+  //! has not been confirmed as the newest one for this long.
+  Duration confirmation_lease = Duration::max();
 };
 
 //! The callers' sessions of one entry: chooses for each statement an endpoint
@@ -158,7 +161,9 @@
     SessionId id = 0;
     std::string database;
     std::string key;
+    // Of the running operation. Without a customer, `customer` is "-".
     std::string customer;
+    bool has_customer = false;
     TransactionState state = TransactionState::kIdle;
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedStatement> prepared;
@@ -220,6 +225,13 @@
   void AbandonStatement(Time now, Session& session, const std::string& cause);
   bool AdmitOperation(Time now, Session& session);
 
+  // Operations whose key has been withdrawn since they began.
+  bool IsKeyWithdrawn(const Session& session) const;
+  void EndWithdrawnOperations(Time now);
+  void EndWithdrawnOperation(Time now, Session& session);
+  void RefuseWithdrawn(Time now, Session& session);
+  void EndUnconfirmedTransactions(Time now);
+
   void SetLimits(const routing::RoutingTable& table);
   void ConfirmConfiguration(Time now);
   //! False if a newer configuration may be in force elsewhere.
--- a/statements/src/proxy_admission.cc
+++ b/statements/src/proxy_admission.cc
@@ -1,4 +1,5 @@
-// Admission of operations: route, customer and rate.
+// Admission of operations: route, customer and rate; and their end when the key
+// is withdrawn.
 
 #include <algorithm>
 #include <utility>
@@ -7,6 +8,11 @@
 #include "goldcrest/statements/statement_proxy.h"
 
 namespace goldcrest::statements {
+namespace {
+
+constexpr const char* kKeyWithdrawn = "the key has been withdrawn";
+
+}  // namespace
 
 // Looks up the route and the customer of a new operation. Refuses the operation
 // and returns false when it may not run.
@@ -27,7 +33,8 @@
     Refuse(now, session, refusal->first, refusal->second);
     return false;
   }
-  session.customer = customer == nullptr ? "-" : customer->name;
+  session.has_customer = customer != nullptr;
+  session.customer = session.has_customer ? customer->name : "-";
   return true;
 }
 
@@ -83,4 +90,69 @@
   token_waiters_.insert(token_waiters_.begin(), left.begin(), left.end());
 }
 
+// Changes of the route and of limits apply from the next operation on.
+bool StatementProxy::IsKeyWithdrawn(const Session& session) const {
+  if (!session.has_customer)
+    return false;
+  const routing::Customer* customer = table_->FindCustomer(session.key);
+  return customer == nullptr || customer->name != session.customer;
+}
+
+void StatementProxy::EndWithdrawnOperations(Time now) {
+  std::vector<SessionId> withdrawn;
+  for (const auto& [id, session] : sessions_) {
+    if (session.route != nullptr && IsKeyWithdrawn(session))
+      withdrawn.push_back(id);
+  }
+  for (const SessionId id : withdrawn) {
+    EndWithdrawnOperation(now, sessions_.at(id));
+    ContinueSession(now, id);
+  }
+}
+
+// A commit, or a statement outside a transaction, that has been sent keeps its
+// outcome.
+void StatementProxy::EndWithdrawnOperation(Time now, Session& session) {
+  const bool transaction = session.state == TransactionState::kOpen;
+  if (!session.pending) {
+    if (transaction)
+      AbortTransaction(now, session, kKeyWithdrawn);
+    return;
+  }
+  const bool commit = session.pending->statement.kind == StatementKind::kCommit;
+  if (session.pending->sent && (commit || !transaction))
+    return;
+  if (std::erase(token_waiters_, session.id) > 0)
+    holder_.StopWaiting(session.customer);
+  DetachConnection(now, session);
+  if (!transaction)
+    return RefuseWithdrawn(now, session);
+  ReportDecision(now, session, "transaction_ended", "", kKeyWithdrawn);
+  session.state = commit ? TransactionState::kIdle : TransactionState::kFailed;
+  if (commit)
+    EndOperation(now, session, Outcome::kAborted);
+  ReplyError(now, session, Outcome::kAborted, kKeyWithdrawn);
+}
+
+// A public route serves the caller also without the key, in a new attempt.
+void StatementProxy::RefuseWithdrawn(Time now, Session& session) {
+  if (session.route->is_public)
+    return Refuse(now, session, Outcome::kAborted, kKeyWithdrawn);
+  const auto refusal = RefuseUnknown(now, Outcome::kUnknownKey, kKeyWithdrawn);
+  Refuse(now, session, refusal.first, refusal.second);
+}
+
+// The entry may have missed that a key was withdrawn.
+void StatementProxy::EndUnconfirmedTransactions(Time now) {
+  if (options_.confirmation_lease == Duration::max() ||
+      !configuration_confirmed_at_ ||
+      now - *configuration_confirmed_at_ < options_.confirmation_lease)
+    return;
+  for (auto& [id, session] : sessions_) {
+    if (session.state == TransactionState::kOpen && session.has_customer &&
+        !session.pending)
+      AbortTransaction(now, session, "configuration not confirmed");
+  }
+}
+
 }  // namespace goldcrest::statements
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -259,7 +259,8 @@
                            const std::string& endpoint,
                            Outcome outcome) {
   PendingStatement& pending = *session.pending;
-  if (pending.attempts >= kMaxAttempts || now >= pending.give_up_at)
+  if (pending.attempts >= kMaxAttempts || now >= pending.give_up_at ||
+      IsKeyWithdrawn(session))
     return false;
   pending.last_cause = endpoint + ": " + NameOf(outcome);
   const bool primary = NeedsPrimary(session);
@@ -416,6 +417,7 @@
 void StatementProxy::Tick(Time now) {
   RefuseSessionStarts(now);
   AdmitWaitingOperations(now);
+  EndUnconfirmedTransactions(now);
   if (stop_phase_ != StopPhase::kNone)
     CloseSessionsBetweenOperations(now);
   std::vector<SessionId> due;
--- a/statements/src/proxy_updates.cc
+++ b/statements/src/proxy_updates.cc
@@ -53,6 +53,7 @@
                        table->version});
   table_ = std::move(table);
   ConfirmConfiguration(now);
+  EndWithdrawnOperations(now);
 }
 
 void StatementProxy::OnVersionAnnounced(std::int64_t version) {
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -31,10 +31,12 @@
 
 }  // namespace
 
-ProxyFixture::ProxyFixture(Duration max_configuration_age) {
+ProxyFixture::ProxyFixture(Duration max_configuration_age,
+                           Duration confirmation_lease) {
   options_.zone = "z1";
   options_.entry_count = 2;
   options_.max_configuration_age = max_configuration_age;
+  options_.confirmation_lease = confirmation_lease;
   StartEntry();
 
   const auto add = [this](const std::string& database,
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -16,7 +16,8 @@
 //! test provides the answers of the endpoints.
 class ProxyFixture {
  public:
-  explicit ProxyFixture(Duration max_configuration_age = Duration::max());
+  explicit ProxyFixture(Duration max_configuration_age = Duration::max(),
+                        Duration confirmation_lease = Duration::max());
 
   //! Replaces the proxy by a new one, which knows nothing yet.
   void StartEntry();
