Confirm no position that a primary has not told

Reads with a staleness bound ran on replicas that lacked commits of up to 6 s before, where endpoints tell no position with BEGIN.

Cause: the leader probes primaries with BEGIN. An answer without a position became position 0.0 on the way from the prober to the entries, since the probe's result could not say "none". Every log has reached 0.0, so that every replica satisfied the bound.

Change: a probe's result has an optional position, as an endpoint's answer has, and only results with one confirm anything. The survey before a promotion uses the same type. So that bounded reads need not all go to the primary then, a primary that tells no position with BEGIN is asked for its status in the same transaction. What it tells covers the time before BEGIN was sent: it led then. LogPosition moves to types, which both sides use.

Ruled out: the entry's own history, which a lack of confirmations leaves empty (the primary serves the read then).

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -158,6 +158,7 @@
     // By instance: the process whose registration is proposed.
     std::map<std::string, std::int64_t> pending_registrations;
     // By group: the newest result that is kLeads.
+    // Results with a position.
     std::map<std::string, ProbeResult> confirmed_primaries;
     Time won_at;
     Time last_reserve_grant;               // the takeover if there was none
--- a/fleet/include/goldcrest/fleet/failover_planner.h
+++ b/fleet/include/goldcrest/fleet/failover_planner.h
@@ -12,6 +12,7 @@
 
 #include "goldcrest/messages/messages.h"
 #include "goldcrest/routing/endpoint_directory.h"
+#include "goldcrest/types/log_position.h"
 #include "goldcrest/types/time.h"
 
 namespace goldcrest::fleet {
@@ -33,9 +34,9 @@
     kUnreachable,
   };
   Kind kind = Kind::kUnreachable;
-  std::int64_t term = 0;    //!< Term of the log position.
-  std::int64_t number = 0;  //!< Newest log position that the endpoint received.
-  Time asked_at;            //!< Taken before the probe was sent.
+  //! The newest that the endpoint received; absent if it has told none.
+  std::optional<LogPosition> position;
+  Time asked_at;  //!< Taken before the probe was sent.
   ProbePurpose purpose = ProbePurpose::kLeadership;
   std::int64_t newest_term = 0;  //!< kFollows: the newest term it knows.
 };
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -337,7 +337,7 @@
   if (!HoldsLeadership(now))
     return;
   if (result.kind == ProbeResult::Kind::kLeads &&
-      result.purpose == ProbePurpose::kLeadership)
+      result.purpose == ProbePurpose::kLeadership && result.position)
     leadership_->confirmed_primaries[group] = result;
   leadership_->failover->OnProbe(now, group, endpoint, result);
 }
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -195,8 +195,8 @@
         continue;
       messages::ConfirmedPosition position;
       position.group = group;
-      position.term = confirmed.term;
-      position.number = confirmed.number;
+      position.term = confirmed.position->term;
+      position.number = confirmed.position->number;
       position.report_sent_micros = it->second;
       update.positions.push_back(position);
       last_sent = confirmed.asked_at;
--- a/fleet/src/failover_survey.cc
+++ b/fleet/src/failover_survey.cc
@@ -27,10 +27,6 @@
 // those that stay, which have not caught up.
 constexpr int kMaxCatchUpRounds = 8;
 
-auto PositionOf(const ProbeResult& result) {
-  return std::tie(result.term, result.number);
-}
-
 }  // namespace
 
 void FailoverPlanner::BeginSurvey(Time now,
@@ -97,7 +93,7 @@
     const auto departure = group.departures.find(endpoint);
     return departure != group.departures.end() &&
            std::ranges::any_of(group.positions, [&](const auto& item) {
-             return PositionOf(departure->second) <= PositionOf(item.second);
+             return departure->second.position <= item.second.position;
            });
   };
   std::erase_if(group.holders, [&](const std::string& endpoint) {
@@ -111,8 +107,7 @@
 void FailoverPlanner::NoteDepartures(const std::string& name,
                                      Group& group,
                                      const ProbeResult& result) const {
-  const bool has_position = result.term > 0;
-  if (group.sync_replicas == 0 || !has_position)
+  if (group.sync_replicas == 0 || !result.position)
     return;
   for (const auto* entry : directory_->DeparturesOf(name)) {
     if (result.asked_at >= entry->changed_at + kDepartureTime)
@@ -156,15 +151,14 @@
   const bool prefers_staying =
       primary_serves && group.rounds <= kMaxCatchUpRounds;
   std::string best;
-  std::tuple<bool, std::int64_t, std::int64_t, bool> best_rank;
+  std::tuple<bool, std::optional<LogPosition>, bool> best_rank;
   for (const auto* member : directory_->MembersOf(name)) {
     const std::string& endpoint = member->record.endpoint;
     const auto it = group.positions.find(endpoint);
     if (it == group.positions.end() || group.refused.count(endpoint) > 0)
       continue;
     const bool stays = !member->record.draining;
-    const std::tuple rank(prefers_staying && stays, it->second.term,
-                          it->second.number, stays);
+    const std::tuple rank(prefers_staying && stays, it->second.position, stays);
     if (!best.empty() && rank <= best_rank)
       continue;
     best = endpoint;
@@ -175,7 +169,7 @@
   const ProbeResult* highest = nullptr;
   for (const auto& [endpoint, result] : group.undetermined) {
     if (group.refused.count(endpoint) > 0 ||
-        (highest != nullptr && PositionOf(result) <= PositionOf(*highest)))
+        (highest != nullptr && result.position <= highest->position))
       continue;
     best = endpoint;
     highest = &result;
@@ -237,8 +231,9 @@
   bool behind = false;
   bool behind_fenced = false;
   for (const auto& [endpoint, result] : group.positions) {
-    newest_term = std::max({newest_term, result.term, result.newest_term});
-    if (PositionOf(result) <= PositionOf(candidate))
+    newest_term =
+        std::max({newest_term, result.position->term, result.newest_term});
+    if (result.position <= candidate.position)
       continue;
     behind = true;
     behind_fenced |= group.fenced.count(endpoint) > 0;
@@ -270,7 +265,8 @@
   // A position from before the round may lack a commit acknowledged since.
   if (result.asked_at < group.phase_since)
     return;
-  const bool answered = result.kind == ProbeResult::Kind::kFollows;
+  const bool answered =
+      result.kind == ProbeResult::Kind::kFollows && result.position;
   if (result.purpose == ProbePurpose::kLeadership) {
     const auto* entry = directory_->Find(endpoint);
     if (result.kind != ProbeResult::Kind::kLeads || entry == nullptr ||
@@ -324,8 +320,7 @@
   std::string position = "unknown";
   if (const auto it = group.positions.find(group.candidate);
       it != group.positions.end())
-    position = std::to_string(it->second.term) + "." +
-               std::to_string(it->second.number);
+    position = it->second.position->ToText();
   hooks_.log_decision("promotion_ordered", name, group.candidate,
                       group.cause + ", position " + position);
   messages::PrimaryAssignment order;
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -392,12 +392,22 @@
   const Time asked_at = cluster.now;
   cluster.Run(milliseconds(20));
   cluster.nodes.at(leader)->OnProbe(
-      cluster.now, "g", "p", {ProbeResult::Kind::kLeads, 3, 77, asked_at});
+      cluster.now, "g", "p",
+      {ProbeResult::Kind::kLeads, LogPosition{3, 77}, asked_at});
   const auto positions = report_sent_at(200);
   REQUIRE(positions.size() == 1);
   CHECK(positions[0].report_sent_micros == 100);
   CHECK(positions[0].number == 77);
   CHECK(report_sent_at(300).empty());
+
+  // Guards against reads on replicas that lag without a bound, because a
+  // primary that tells no position passes for one with an empty log.
+  ProbeResult without_position;
+  without_position.kind = ProbeResult::Kind::kLeads;
+  without_position.asked_at = cluster.now;
+  cluster.Run(milliseconds(20));
+  cluster.nodes.at(leader)->OnProbe(cluster.now, "g", "p", without_position);
+  CHECK(report_sent_at(400).empty());
 }
 
 }  // namespace goldcrest::fleet
--- a/fleet/tests/failover_group.h
+++ b/fleet/tests/failover_group.h
@@ -66,7 +66,7 @@
   void Answer(const std::string& endpoint,
               ProbeResult::Kind kind,
               std::int64_t number = 0) {
-    ProbeResult result{kind, 1, number, now};
+    ProbeResult result{kind, LogPosition{1, number}, now};
     for (const auto& [probed, purpose] : probes) {
       if (probed == endpoint)
         result.purpose = purpose;
--- a/fleet/tests/failover_simulation_test.cc
+++ b/fleet/tests/failover_simulation_test.cc
@@ -210,8 +210,7 @@
   }
 
   Kind Handle(Database& database, ProbeResult& answer) {
-    answer.number = database.received;
-    answer.term = 1;
+    answer.position = LogPosition{1, database.received};
     if (answer.purpose == ProbePurpose::kLeadership)
       return IsPrimary(database) ? Kind::kLeads : Kind::kFollows;
     if (now_ < database.busy_until)
--- a/fleet/tests/failover_survey_test.cc
+++ b/fleet/tests/failover_survey_test.cc
@@ -82,7 +82,7 @@
   }
   SECTION("A position asked for before the survey does not count") {
     group.FailFor(milliseconds(500));
-    ProbeResult late{Kind::kFollows, 1, 9, group.now - seconds(1),
+    ProbeResult late{Kind::kFollows, LogPosition{1, 9}, group.now - seconds(1),
                      ProbePurpose::kPosition};
     group.Answer("r1", Kind::kFollows, 7);
     group.planner->OnProbe(group.now, "g", "r2", late);
--- a/fleet/tests/fleet_simulation.cc
+++ b/fleet/tests/fleet_simulation.cc
@@ -148,7 +148,7 @@
       if (node.core != nullptr && !network_.IsBlocked(node.name))
         node.core->OnProbe(
             network_.Now(), kSimulatedGroup, endpoint,
-            {ProbeResult::Kind::kLeads, 1, ++sequence_, asked_at});
+            {ProbeResult::Kind::kLeads, LogPosition{1, ++sequence_}, asked_at});
     });
   };
   hooks.promote = [](const messages::PrimaryAssignment&) {};
@@ -227,7 +227,7 @@
           return;
         statements::Answer answer;
         answer.signature = "signature";
-        answer.position = statements::LogPosition{1, ++sequence_};
+        answer.position = LogPosition{1, ++sequence_};
         node.proxy->OnAnswer(network_.Now(), id, answer);
       });
     }
--- a/fleet/tests/odd_heartbeats_test.cc
+++ b/fleet/tests/odd_heartbeats_test.cc
@@ -35,7 +35,7 @@
         return ProbeResult{};
       return ProbeResult{it->second.primary ? ProbeResult::Kind::kLeads
                                             : ProbeResult::Kind::kFollows,
-                         1, 1, cluster.now};
+                         LogPosition{1, 1}, cluster.now};
     };
     for (int i = 0; i < 3; ++i) {
       messages::EndpointRecord record;
--- a/programs/goldcrestd/endpoint_prober.cc
+++ b/programs/goldcrestd/endpoint_prober.cc
@@ -50,10 +50,7 @@
   ProbeResult result;
   result.purpose = purpose;
   result.kind = ProbeResult::Kind::kUndetermined;
-  if (answer.position) {
-    result.term = answer.position->term;
-    result.number = answer.position->number;
-  }
+  result.position = answer.position;
   if (purpose == ProbePurpose::kLeadership) {
     if (answer.outcome == Outcome::kDone)
       result.kind = ProbeResult::Kind::kLeads;
@@ -65,8 +62,7 @@
     result.kind = ProbeResult::Kind::kUnsupported;
   if (const auto status = platform::DecodeStatus(answer)) {
     result.kind = ProbeResult::Kind::kFollows;
-    result.term = status->received.term;
-    result.number = status->received.number;
+    result.position = status->received;
     result.newest_term = status->term;
   }
   return result;
@@ -100,6 +96,7 @@
   }
   switch (connection.state) {
     case Connection::State::kProbing:
+    case Connection::State::kAskingPosition:
       if (connection.purpose == purpose)
         return;
       [[fallthrough]];
@@ -167,6 +164,15 @@
       CommandFor(connection.purpose, connection.fence_term)));
 }
 
+// Asks in the transaction that BEGIN has opened, which the endpoint refuses to
+// continue once it no longer leads.
+void EndpointProber::AskPosition(Connection& connection) {
+  connection.state = Connection::State::kAskingPosition;
+  AwaitAnswer(connection);
+  connection.socket->Write(
+      platform::EncodeCommand(CommandFor(ProbePurpose::kPosition, 0)));
+}
+
 void EndpointProber::SendRollback(Connection& connection) {
   connection.state = Connection::State::kRollingBack;
   AwaitAnswer(connection);
@@ -212,18 +218,35 @@
     case Connection::State::kRollingBack:
       return OnRollbackAnswer(connection, answer);
     case Connection::State::kProbing:
-      break;
+    case Connection::State::kAskingPosition:
+      return OnProbeAnswer(connection, answer);
   }
-  ProbeResult result = ResultOf(connection.purpose, answer);
+}
+
+void EndpointProber::OnProbeAnswer(Connection& connection,
+                                   const statements::Answer& answer) {
+  const bool asked_position =
+      connection.state == Connection::State::kAskingPosition;
+  ProbeResult result = ResultOf(
+      asked_position ? ProbePurpose::kPosition : connection.purpose, answer);
   result.asked_at = connection.probe_sent_at;
+  if (asked_position) {
+    // It has led after `asked_at`, as its answer to BEGIN has shown.
+    result.kind = ProbeResult::Kind::kLeads;
+    result.purpose = ProbePurpose::kLeadership;
+  }
   const std::string group = connection.record.group;
   const std::string endpoint = connection.record.endpoint;
   if (answer.state == statements::TransactionState::kIdle)
     SendNextProbe(connection);
+  else if (result.kind == ProbeResult::Kind::kLeads && !result.position &&
+           !asked_position)
+    AskPosition(connection);
   else
     SendRollback(connection);
   // The callback may probe the endpoint again.
-  on_result_(group, endpoint, result);
+  if (!asked_position || result.position)
+    on_result_(group, endpoint, result);
 }
 
 // An endpoint that refuses to roll back has answered. Closing the connection
@@ -259,8 +282,7 @@
 void EndpointProber::CloseIdleConnections(Time now) {
   std::erase_if(connections_, [now](auto& item) {
     Connection& connection = *item.second;
-    if (connection.state == Connection::State::kProbing ||
-        connection.state == Connection::State::kRollingBack ||
+    if (connection.state != Connection::State::kIdle ||
         now - connection.last_used_at < kMaxIdleTime)
       return false;
     connection.socket->Close();
--- a/programs/goldcrestd/endpoint_prober.h
+++ b/programs/goldcrestd/endpoint_prober.h
@@ -16,7 +16,9 @@
 namespace goldcrest {
 
 //! Probes endpoints for whether they lead their group and for the position of
-//! their log, and fences them. Reuses one connection per endpoint.
+//! their log, and fences them. Reuses one connection per endpoint. An endpoint
+//! that leads and tells no position with that is asked for its status; a
+//! position gives a second result.
 class EndpointProber {
  public:
   using ResultCallback = std::function<void(const std::string& group,
@@ -40,8 +42,15 @@
 
  private:
   struct Connection {
-    // What the endpoint has to answer: the start line, a probe or a rollback.
-    enum class State { kStarting, kIdle, kProbing, kRollingBack };
+    // What the endpoint has to answer: the start line, a probe, the question
+    // for its position after BEGIN, or a rollback.
+    enum class State {
+      kStarting,
+      kIdle,
+      kProbing,
+      kAskingPosition,
+      kRollingBack,
+    };
 
     messages::EndpointRecord record;
     State state = State::kStarting;
@@ -61,11 +70,13 @@
                fleet::ProbePurpose purpose,
                std::int64_t fence_term);
   void SendProbe(Connection& connection);
+  void AskPosition(Connection& connection);
   void SendRollback(Connection& connection);
   void SendNextProbe(Connection& connection);
   void AwaitAnswer(Connection& connection);
   void OnLine(const std::string& endpoint, std::string_view line);
   void OnAnswer(Connection& connection, const statements::Answer& answer);
+  void OnProbeAnswer(Connection& connection, const statements::Answer& answer);
   void OnRollbackAnswer(Connection& connection,
                         const statements::Answer& answer);
   void Fail(const std::string& endpoint);
--- a/programs/goldcrestd/tests/endpoint_prober_test.cc
+++ b/programs/goldcrestd/tests/endpoint_prober_test.cc
@@ -93,6 +93,7 @@
 };
 
 constexpr const char* kBegin = "QUERY - BEGIN";
+constexpr const char* kStatus = "QUERY - STATUS";
 constexpr const char* kRollback = "QUERY - ROLLBACK";
 
 }  // namespace
@@ -127,7 +128,7 @@
   SECTION("A probe that waits for a refused rollback is sent") {
     endpoint.answers[kRollback] = "ERROR BUSY p\r\nREADY T 1.5\r\n";
     endpoint.Probe(ProbePurpose::kLeadership);
-    endpoint.answers["QUERY - STATUS"] =
+    endpoint.answers[kStatus] =
         "DATAROW primary 1 1.5 0 0 0 1\r\nCOMPLETE -\r\nREADY I 1.5\r\n";
     endpoint.prober.Probe(endpoint.record, ProbePurpose::kPosition);
     endpoint.RunUntil([&] { return endpoint.results.size() == 2; });
@@ -141,4 +142,39 @@
   }
 }
 
+// Guards against bounded reads that all fall on the primary, because it tells
+// its position only with statements that read or change its log.
+TEST_CASE("A primary that tells no position with BEGIN is asked for its status",
+          "[programs]") {
+  ProbedEndpoint endpoint;
+  endpoint.answers[kBegin] = "COMPLETE -\r\nREADY T -\r\n";
+  endpoint.answers[kRollback] = "COMPLETE -\r\nREADY I -\r\n";
+
+  SECTION("Its status has the position") {
+    endpoint.answers[kStatus] =
+        "DATAROW primary 3 3.1209 0 0 0 1\r\nCOMPLETE -\r\nREADY T -\r\n";
+    endpoint.prober.Probe(endpoint.record, ProbePurpose::kLeadership);
+    endpoint.RunUntil([&] { return endpoint.CountOf(kRollback) == 1; });
+    REQUIRE(endpoint.results.size() == 2);
+    CHECK(endpoint.results[0].kind == ProbeResult::Kind::kLeads);
+    CHECK_FALSE(endpoint.results[0].position);
+    CHECK(endpoint.results[1].kind == ProbeResult::Kind::kLeads);
+    CHECK(endpoint.results[1].position == LogPosition{3, 1209});
+    CHECK(endpoint.results[1].asked_at == endpoint.results[0].asked_at);
+  }
+  SECTION("A refused status is no failure") {
+    endpoint.answers[kStatus] = "ERROR BUSY p\r\nREADY T -\r\n";
+    endpoint.prober.Probe(endpoint.record, ProbePurpose::kLeadership);
+    endpoint.RunUntil([&] { return endpoint.CountOf(kRollback) == 1; });
+    CHECK(endpoint.results.size() == 1);
+    CHECK(endpoint.results[0].kind == ProbeResult::Kind::kLeads);
+  }
+  SECTION("A position with BEGIN spares the question") {
+    endpoint.answers[kBegin] = "COMPLETE -\r\nREADY T 3.1209\r\n";
+    endpoint.Probe(ProbePurpose::kLeadership);
+    endpoint.RunUntil([&] { return endpoint.CountOf(kRollback) == 1; });
+    CHECK(endpoint.CountOf(kStatus) == 0);
+  }
+}
+
 }  // namespace goldcrest
--- a/statements/include/goldcrest/statements/position_history.h
+++ b/statements/include/goldcrest/statements/position_history.h
@@ -4,7 +4,7 @@
 #include <deque>
 #include <optional>
 
-#include "goldcrest/statements/log_position.h"
+#include "goldcrest/types/log_position.h"
 #include "goldcrest/types/time.h"
 
 namespace goldcrest::statements {
--- a/statements/include/goldcrest/statements/statement.h
+++ b/statements/include/goldcrest/statements/statement.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "goldcrest/statements/log_position.h"
+#include "goldcrest/types/log_position.h"
 
 namespace goldcrest::statements {
 
