Read a session's own commit also without its position

A session could read from a replica that lacked its own commit, where an endpoint tells no position with the answer to a write or a commit.

Cause: the session keeps the position of its last commit for its reads. An absent one left it as it was.

Change: a commit without a position is remembered by its time. Until the session commits with a position, its reads need one that the primary has confirmed after that time; without one the primary serves them. Only transactions that have written count as commits of the session.

--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -168,6 +168,8 @@
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedStatement> prepared;
     LogPosition last_commit;
+    // When a commit after `last_commit` was acknowledged without a position.
+    std::optional<Time> unplaced_commit_at;
     // The running operation, which keeps its route until it ends.
     routing::RoutingTablePtr table;
     const routing::Route* route = nullptr;
@@ -259,6 +261,7 @@
                          const std::string& endpoint,
                          ConnectionPolicy policy);
   std::optional<LogPosition> RequiredReadPosition(const Session& session);
+  static void RecordCommit(Time now, Session& session, const Answer& answer);
   void StartStatement(Time now,
                       Session& session,
                       Connection& connection,
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -208,8 +208,8 @@
   session.connection = 0;
   CleanUpConnection(now, connection);
   if (answer.outcome == Outcome::kDone) {
-    if (writes && answer.position)
-      session.last_commit = std::max(session.last_commit, *answer.position);
+    if (writes)
+      RecordCommit(now, session, answer);
     EndOperation(now, session, Outcome::kDone);
     return Reply(now, session, answer);
   }
@@ -231,8 +231,8 @@
     session.statement_succeeded = true;
     if (!commit)
       return Reply(now, session, answer);
-    if (!session.read_only && answer.position)
-      session.last_commit = std::max(session.last_commit, *answer.position);
+    if (connection.has_written)
+      RecordCommit(now, session, answer);
     session.connection = 0;
     CleanUpConnection(now, connection);
     session.state = TransactionState::kIdle;
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -126,10 +126,13 @@
 std::optional<LogPosition> StatementProxy::RequiredReadPosition(
     const Session& session) {
   PositionHistory& history = positions_[session.route->group];
-  const auto covering = history.PositionCovering(session.pending->arrival -
-                                                 session.route->max_staleness);
-  if (!covering ||
-      session.route->consistency != routing::Consistency::kReadYourWrites)
+  const bool reads_own =
+      session.route->consistency == routing::Consistency::kReadYourWrites;
+  Time bound = session.pending->arrival - session.route->max_staleness;
+  if (reads_own && session.unplaced_commit_at)
+    bound = std::max(bound, *session.unplaced_commit_at);
+  const auto covering = history.PositionCovering(bound);
+  if (!covering || !reads_own)
     return covering;
   // `covering` belongs to the newest term, which contains every commit of an
   // earlier term that was not rolled back.
@@ -138,6 +141,19 @@
   return std::max(*covering, session.last_commit);
 }
 
+// Without a position, the session's reads need one that was confirmed later.
+void StatementProxy::RecordCommit(Time now,
+                                  Session& session,
+                                  const Answer& answer) {
+  if (!answer.position) {
+    // A request of the same microsecond may have been sent before.
+    session.unplaced_commit_at = now + std::chrono::microseconds(1);
+    return;
+  }
+  session.last_commit = std::max(session.last_commit, *answer.position);
+  session.unplaced_commit_at.reset();
+}
+
 void StatementProxy::DispatchToAnyMember(Time now,
                                          Session& session,
                                          LogPosition required_position,
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -148,12 +148,21 @@
 void ProxyFixture::Reply(ConnectionId id,
                          LogPosition position,
                          Outcome outcome) {
+  PassAnswer(id, NextState(id, outcome), outcome, position);
+}
+
+void ProxyFixture::Reply(ConnectionId id,
+                         std::nullopt_t position,
+                         Outcome outcome) {
+  PassAnswer(id, NextState(id, outcome), outcome, position);
+}
+
+TransactionState ProxyFixture::NextState(ConnectionId id, Outcome outcome) {
   const EndpointState& endpoint = endpoint_states_[id];
   const EndpointCommand& command =
       SentCommands(id).at(endpoint.answered_commands);
-  const bool commits = commits_.contains(command.id);
-  PassAnswer(id, StateAfter(endpoint.transaction, command, commits, outcome),
-             outcome, position);
+  return StateAfter(endpoint.transaction, command,
+                    commits_.contains(command.id), outcome);
 }
 
 void ProxyFixture::ReplyInState(ConnectionId id,
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -32,6 +32,10 @@
   void Reply(ConnectionId id,
              LogPosition position,
              Outcome outcome = Outcome::kDone);
+  //! The same without a position.
+  void Reply(ConnectionId id,
+             std::nullopt_t position,
+             Outcome outcome = Outcome::kDone);
   //! The same for an endpoint that reports `state`.
   void ReplyInState(ConnectionId id,
                     TransactionState state,
@@ -68,6 +72,7 @@
     std::size_t answered_commands = 0;
     TransactionState transaction = TransactionState::kIdle;
   };
+  TransactionState NextState(ConnectionId id, Outcome outcome);
   void PassAnswer(ConnectionId id,
                   TransactionState state,
                   Outcome outcome,
--- a/statements/tests/proxy_reads_test.cc
+++ b/statements/tests/proxy_reads_test.cc
@@ -173,6 +173,51 @@
   CHECK(fixture.SentCommands(id)[0].required_position == LogPosition{1, 12});
 }
 
+// Guards against a read on a replica that lacks the session's own commit,
+// because the endpoint told no position with it.
+TEST_CASE("A session reads its own commit also without its position",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.ConfirmPosition({1, 10});
+  fixture.OpenSession(kReader, "own");
+  const bool transaction = GENERATE(false, true);
+  if (transaction)
+    fixture.SendStatement(kReader, StatementKind::kBegin, "BEGIN");
+  fixture.SendStatement(kReader, StatementKind::kWrite, "WRITE a b");
+  const ConnectionId id = fixture.AcceptConnection();
+  if (transaction) {
+    fixture.Reply(id, std::nullopt);  // BEGIN
+    fixture.Reply(id, std::nullopt);
+    fixture.SendStatement(kReader, StatementKind::kCommit, "COMMIT");
+  }
+  const Time sent_at = fixture.now;
+  fixture.now += milliseconds(10);
+  fixture.Reply(id, std::nullopt);
+  REQUIRE(fixture.LastAnswer(kReader).outcome == Outcome::kDone);
+  fixture.proxy->OnConfirmedPosition("g", sent_at, {1, 11});
+  fixture.Advance(milliseconds(200));  // The idle connection is closed.
+  fixture.SetRole("p", true, true);    // Leaves reads to the replicas.
+
+  SECTION("Without a later position the primary serves the read") {
+    fixture.SendStatement(kReader, StatementKind::kRead, "READ a");
+    REQUIRE_FALSE(fixture.opening_connections.empty());
+    CHECK(fixture.opening_connections.back().second.endpoint == "p");
+  }
+  SECTION("A replica with a later position serves the read") {
+    fixture.proxy->OnConfirmedPosition("g", fixture.now, {1, 12});
+    fixture.SendStatement(kReader, StatementKind::kRead, "READ a");
+    const ConnectionId replica = fixture.AcceptConnection();
+    CHECK(fixture.endpoint_of.at(replica) != "p");
+    CHECK(fixture.SentCommands(replica)[0].required_position ==
+          LogPosition{1, 12});
+  }
+  SECTION("Reads of other sessions are not bound by it") {
+    fixture.OpenSession(2, "own");
+    fixture.SendStatement(2, StatementKind::kRead, "READ a");
+    CHECK(fixture.opening_connections.back().second.endpoint != "p");
+  }
+}
+
 // Guards against a read that waits for an unresponsive endpoint until the
 // caller gives up.
 TEST_CASE("A read is repeated at another endpoint when its connection breaks",
