Give up a connection attempt whose answer is lost

An entry served nobody at an endpoint for good after two of its attempts to open a connection had got no answer.

Cause: the time limit of an attempt ended with the TCP connection. An attempt whose READY was lost kept one of the two places for concurrent attempts.

Change: an attempt without an answer for 1.5 s is closed and counts as failed, like other lost answers.

--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -103,8 +103,8 @@
   bool IsBecomingIdle(Time now, ConnectionId id) const;
 
   void OnOpened(Time now, ConnectionId id);
-  //! `outcome`: kTooManyConnections, kWrongEndpoint, or kFailed for any other
-  //! cause.
+  //! `outcome`: kTooManyConnections, kWrongEndpoint, kTimedOut, or kFailed for
+  //! any other cause.
   void OnOpenFailed(Time now, ConnectionId id, Outcome outcome);
 
   Connection* Find(ConnectionId id);
@@ -165,6 +165,9 @@
   //! been due since before `oldest`.
   std::vector<ConnectionId> UnansweredSince(Time oldest) const;
 
+  //! Connections that have been opening since before `oldest`.
+  std::vector<ConnectionId> OpeningSince(Time oldest) const;
+
   std::size_t Size() const { return connections_.size(); }
 
  private:
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -367,4 +367,14 @@
   return stuck;
 }
 
+std::vector<ConnectionId> ConnectionPool::OpeningSince(Time oldest) const {
+  std::vector<ConnectionId> stuck;
+  for (const auto& [id, connection] : connections_) {
+    if (connection.state == Connection::State::kOpening &&
+        connection.state_since <= oldest)
+      stuck.push_back(id);
+  }
+  return stuck;
+}
+
 }  // namespace goldcrest::statements
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -18,8 +18,8 @@
 // Delay before a statement that only the primary may run is retried there.
 constexpr Duration kPrimaryRetryDelay = std::chrono::milliseconds(15);
 
-// A connection that no session uses is closed when its oldest answer has been
-// outstanding for this long: the answer was lost.
+// A connection that no session uses, or that is being opened, is closed when
+// its oldest answer has been outstanding for this long: the answer was lost.
 constexpr Duration kLostAnswerTimeout = std::chrono::milliseconds(1500);
 
 // A connection whose transaction the endpoint still refuses to roll back after
@@ -454,6 +454,10 @@
                              "an answer was lost");
     pool_.Close(id);
   }
+  for (const ConnectionId id : pool_.OpeningSince(now - kLostAnswerTimeout)) {
+    hooks_.close(id);
+    OnOpenFailed(now, id, Outcome::kTimedOut);
+  }
   for (const ConnectionId id : pool_.RollbacksDue(now))
     SendRollback(now, *pool_.Find(id));
   pool_.CloseIdle(now, [this](const std::string& endpoint) {
--- a/statements/tests/connection_state_test.cc
+++ b/statements/tests/connection_state_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <utility>
 
 #include "proxy_fixture.h"
 
@@ -272,4 +273,30 @@
   CHECK(fixture.LastAnswer(1).outcome == Outcome::kAborted);
 }
 
+// Guards against an entry that never opens a connection to an endpoint again,
+// because the answers to its first attempts were lost.
+TEST_CASE("A connection attempt without an answer is given up",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  const auto write = [&](SessionId id) {
+    fixture.OpenSession(id, "strict");
+    fixture.SendStatement(id, StatementKind::kWrite, "WRITE a b");
+  };
+  write(1);
+  write(2);
+  write(3);
+  REQUIRE(fixture.opening_connections.size() == 2);
+  const auto unanswered = std::exchange(fixture.opening_connections, {});
+  fixture.Advance(milliseconds(1'480));
+  CHECK(fixture.closed.empty());
+  write(4);
+  CHECK(fixture.opening_connections.empty());
+  fixture.Advance(milliseconds(20));
+  for (const auto& [id, target] : unanswered)
+    CHECK(WasClosed(fixture, id));
+  fixture.Advance(milliseconds(100));
+  fixture.Reply(fixture.AcceptConnection(), {1, 5});
+  CHECK(fixture.LastAnswer(4).outcome == Outcome::kDone);
+}
+
 }  // namespace goldcrest::statements
