Close a connection once its peer has received all

A planned stop cut an answer that its caller was still receiving over a slow link.

Cause: the time that a peer has to close its side began with the request to close, while bytes were still queued; at its end they were dropped.

Change: it begins when the peer has received what is queued here and in the kernel.

--- a/adapters/include/goldcrest/adapters/line_socket.h
+++ b/adapters/include/goldcrest/adapters/line_socket.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,10 +47,10 @@
   //! part of a line, or bytes that have not been read.
   bool HasUnreadInput();
 
-  //! Closes after the queued bytes are written, and after the peer has closed
-  //! or `peer_close_timeout` has passed, so that the peer receives them. Reads
-  //! nothing any more: if bytes of the peer cross with the close, it resets the
-  //! connection, which tells the peer that they were not taken.
+  //! Closes after the peer has received the queued bytes, and has closed or
+  //! `peer_close_timeout` has passed since; or when it has taken nothing for 4
+  //! s. Reads nothing any more: if bytes of the peer cross with the close, it
+  //! resets the connection, which tells the peer that they were not taken.
   void CloseAfterWrites(std::chrono::milliseconds peer_close_timeout);
 
   //! Closes at once; no hook is called any more.
@@ -65,6 +66,9 @@
   void DeliverLines(std::string_view bytes);
   void OnReadableWhileClosing();
   void Flush();
+  void AwaitPeerClose();
+  //! Bytes that are queued here or in the kernel.
+  std::size_t UndeliveredOutput();
   void Fail(const std::string& cause);
   void PostFailure(std::string cause);
   void CloseAndClearHooks();
@@ -79,7 +83,11 @@
   bool open_ = false;
   bool connected_ = false;
   bool write_pending_ = false;
+  // After CloseAfterWrites().
   bool closing_ = false;
+  std::chrono::milliseconds peer_close_timeout_{};
+  std::size_t undelivered_output_ = 0;  // at the last progress
+  std::chrono::steady_clock::time_point progress_at_;
 };
 
 }  // namespace goldcrest::adapters
--- a/adapters/src/line_socket.cc
+++ b/adapters/src/line_socket.cc
@@ -1,8 +1,11 @@
 #include "goldcrest/adapters/line_socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <cerrno>
@@ -204,13 +207,41 @@
   if (!open_ || closing_)
     return;
   closing_ = true;
-  timer_.expires_after(peer_close_timeout);
-  timer_.async_wait([self = shared_from_this()](error_code canceled) {
-    if (!canceled)
-      self->Close();
-  });
+  peer_close_timeout_ = peer_close_timeout;
   if (!write_pending_)
     Flush();
+  if (!open_)
+    return;
+  undelivered_output_ = UndeliveredOutput();
+  progress_at_ = std::chrono::steady_clock::now();
+  AwaitPeerClose();
+}
+
+void LineSocket::AwaitPeerClose() {
+  timer_.expires_after(peer_close_timeout_);
+  timer_.async_wait([self = shared_from_this()](error_code canceled) {
+    if (canceled || !self->open_)
+      return;
+    const std::size_t undelivered = self->UndeliveredOutput();
+    const auto now = std::chrono::steady_clock::now();
+    const bool progress = undelivered < self->undelivered_output_;
+    if (progress)
+      self->progress_at_ = now;
+    self->undelivered_output_ = undelivered;
+    const bool waits_for_peer =
+        undelivered > 0 && now - self->progress_at_ < kUnacknowledgedTimeout;
+    if (!progress && !waits_for_peer)
+      return self->Close();
+    self->AwaitPeerClose();
+  });
+}
+
+std::size_t LineSocket::UndeliveredOutput() {
+  int bytes = 0;
+  // Where the kernel does not tell, only the queue counts.
+  if (::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0)
+    bytes = 0;
+  return send_buffer_.size() + static_cast<std::size_t>(std::max(bytes, 0));
 }
 
 void LineSocket::Fail(const std::string& cause) {
--- a/adapters/tests/line_socket_test.cc
+++ b/adapters/tests/line_socket_test.cc
@@ -16,6 +16,8 @@
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
+constexpr int kSmallBufferBytes = 16 << 10;
+
 // Two connected line sockets on loopback.
 struct ConnectedPair {
   explicit ConnectedPair(std::size_t max_line = 64) {
@@ -140,6 +142,51 @@
   }
 }
 
+// Guards against an answer that is cut while its caller still receives it over
+// a slow link.
+TEST_CASE("A close waits for a peer that still takes bytes",
+          "[adapters][guarantee]") {
+  asio::io_context context(1);
+  auto server = std::make_shared<LineSocket>(context, 64);
+  const RawSocket client = [&] {
+    tcp::acceptor acceptor(context,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    RawSocket socket = RawSocket::Connect(acceptor.local_endpoint().port());
+    socket.LimitReceiveBuffer(kSmallBufferBytes);
+    tcp::socket accepted = acceptor.accept();
+    accepted.set_option(asio::socket_base::send_buffer_size(kSmallBufferBytes));
+    server->Accept(std::move(accepted),
+                   {[](std::string_view) {}, [](const std::string&) {}});
+    return socket;
+  }();
+  const std::weak_ptr<LineSocket> watched = server;
+  const std::size_t size = std::size_t{1} << 20U;
+  server->Write(std::string(size, 'x'));
+  server->CloseAfterWrites(milliseconds(50));
+  server.reset();
+
+  SECTION("It takes all of them, slowly") {
+    std::size_t received = 0;
+    for (int i = 0; i < 2'000 && received < size; ++i) {
+      context.run_for(milliseconds(5));
+      const std::string bytes = client.ReadSome(kSmallBufferBytes);
+      if (bytes.empty())
+        break;
+      received += bytes.size();
+    }
+    CHECK(received == size);
+    CHECK(client.ReadAll().empty());
+    context.run_for(milliseconds(500));
+    CHECK(watched.expired());
+  }
+  SECTION("It takes nothing any more") {
+    context.run_for(std::chrono::seconds(1));
+    CHECK_FALSE(watched.expired());
+    context.run_for(std::chrono::seconds(5));
+    CHECK(watched.expired());
+  }
+}
+
 // Guards against a line that is read after the close and dropped: its sender
 // can't tell that it was not taken.
 TEST_CASE("A line that crosses with a close resets the connection",
--- a/adapters/tests/raw_socket.cc
+++ b/adapters/tests/raw_socket.cc
@@ -39,6 +39,10 @@
   return RawSocket(descriptor);
 }
 
+void RawSocket::LimitReceiveBuffer(int bytes) const {
+  setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 void RawSocket::Send(std::string_view bytes) const {
   if (send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) !=
       static_cast<ssize_t>(bytes.size()))
@@ -59,6 +63,15 @@
   return text;
 }
 
+std::string RawSocket::ReadSome(std::size_t size) const {
+  if (!IsReadable(descriptor_))
+    return "timeout";
+  std::string bytes(size, '\0');
+  const ssize_t count = recv(descriptor_, bytes.data(), size, 0);
+  bytes.resize(count < 0 ? 0 : static_cast<std::size_t>(count));
+  return bytes;
+}
+
 bool RawSocket::IsReset() const {
   // After the peer's orderly close, a reset is reported as EPIPE.
   int error = 0;
--- a/adapters/tests/raw_socket.h
+++ b/adapters/tests/raw_socket.h
@@ -25,11 +25,14 @@
 
   static RawSocket Connect(std::uint16_t port);
 
+  void LimitReceiveBuffer(int bytes) const;
   void Send(std::string_view bytes) const;
   //! Reads until `end` has arrived or the connection ends.
   std::string ReadUntil(std::string_view end) const;
   //! Reads until the connection ends; "timeout" when it doesn't.
   std::string ReadAll() const { return ReadUntil({}); }
+  //! Reads what has arrived, at most `size` bytes; waits for the first one.
+  std::string ReadSome(std::size_t size) const;
   //! True if the peer has reset the connection.
   bool IsReset() const;
   void StopSending() const;
