Soak: withdrawals inside transactions, refusals, lost starts, no positions

It now withdraws the keys of callers that pause inside transactions, and checks each statement that a database runs against the withdrawal of its key. Primaries lose answers to new connections, or refuse any statement as not run; groups lag and tell no position with statements that do not use the log.

Not shown by a run: that the other three patterns find their faults.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -93,10 +93,14 @@
                 "smuggled", f"{statement} was answered {response}")
         await self.read_line()
 
-    async def run_operation(self):
+    def begin_operation(self):
         self.current_operation = Operation(
             self.name, self.customer, self.key, self.route,
-            self.session_values)
+            self.session_values,
+            [self.entry.name] + self.testbed.controller_names)
+
+    async def run_operation(self):
+        self.begin_operation()
         draw = self.random.random()
         if draw < 0.01:
             return await self.send_odd_bytes()
@@ -175,7 +179,7 @@
                 self.record.add_violation(
                     "mixed", f"{statement}: unknown response {response_type}")
         self.record.check_key(self.current_operation, error or "done",
-                              [self.entry.name] + self.testbed.controller_names)
+                              self.current_operation.instances)
         if error:
             self.record.on_error(statement, error, self.group)
             raise StatementRefused(error)
--- a/soak/databases.py
+++ b/soak/databases.py
@@ -49,6 +49,8 @@
         self.is_up = True
         self.is_silent = False
         self.answer_loss_probability = 0.0
+        self.startup_loss_probability = 0.0
+        self.refusal_probability = 0.0  # of any statement, as not run
         self.replication_lag = REPLICATION_LAG_SECONDS
         self.started_ms = int(time.time() * 1000)
         self.heartbeat_sequence = itertools.count(1)
@@ -86,6 +88,9 @@
         self.rolled_back = set()  # ids of commits that a promotion discarded
         self.highest_fencing_token = 0
         self.execution_seconds = EXECUTION_SECONDS  # mean of a statement
+        # Whether answers to statements that neither read nor change the log
+        # have a position.
+        self.tells_all_positions = True
         self.connection_numbers = itertools.count(1)
         self.transaction_numbers = itertools.count(1)
 
@@ -232,16 +237,21 @@
         async with self.database.slots:
             await asyncio.sleep(0.003)
         self.customer = fields[2]
-        self.send_lines(f"READY I {self.encoded_position()}")
+        if self.group.random.random() >= (
+                self.database.startup_loss_probability):
+            self.send_lines(f"READY I {self.encoded_position()}")
         return True
 
     def encoded_position(self):
         return wire.encode_position(*self.database.log_position())
 
-    def send_success(self, signature="-", rows=()):
+    def send_success(self, signature="-", rows=(), uses_log=True):
+        position = "-"
+        if uses_log or self.group.tells_all_positions:
+            position = self.encoded_position()
         self.send_lines(*(f"DATAROW {row}" for row in rows),
                         f"COMPLETE {signature}",
-                        f"READY {self.state} {self.encoded_position()}")
+                        f"READY {self.state} {position}")
 
     def send_error(self, code):
         if self.state == "T":
@@ -254,6 +264,10 @@
         self.write_term = self.transaction = 0
 
     async def handle_query(self, statement, text):
+        if self.group.random.random() < self.database.refusal_probability:
+            return self.send_lines(
+                f"ERROR BUSY {self.database.name}",
+                f"READY {self.state} {self.encoded_position()}")
         required_position, text = wire.split_after_prefix(text)
         verb, _, rest = text.partition(" ")
         if (required_position
@@ -261,7 +275,7 @@
             return self.send_error("LAGGING")
         if verb == "ROLLBACK":
             self.end_transaction()
-            return self.send_success()
+            return self.send_success(uses_log=False)
         if self.state == "E":
             return self.send_error("MALFORMED")
         if verb == "BEGIN":
@@ -271,18 +285,18 @@
                 self.write_term = self.group.term
             self.state = "T"
             self.transaction = next(self.group.transaction_numbers)
-            return self.send_success()
+            return self.send_success(uses_log=False)
         if verb == "SET":
             name, _, value = rest.partition(" ")
             self.values[name] = value
-            return self.send_success()
+            return self.send_success(uses_log=False)
         if verb == "RESET":
             self.values, self.prepared = {}, {}
-            return self.send_success()
+            return self.send_success(uses_log=False)
         if verb == "PREPARE":
             name, access, shape = rest.split(" ", 2)
             self.prepared[name] = (access, shape)
-            return self.send_success()
+            return self.send_success(uses_log=False)
         if verb == "STATUS":
             term, number = self.database.log_position()
             role = "primary" if self.database.is_primary() else "replica"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,7 @@
             self.kill_controller, self.stop_controller, self.freeze_controller,
             self.kill_all, self.wipe_controller, self.crash_primary,
             self.silence_database, self.lag, self.lose_answers,
+            self.lose_startups, self.refuse_statements, self.hide_positions,
             self.reset_connections, self.delay_connections, self.cut_one_way,
             self.refuse_connections, self.change_keys, self.race, self.reload,
             self.flood]
@@ -159,6 +160,28 @@
         await asyncio.sleep(self.random_seconds(1, 4))
         database.answer_loss_probability = 0
 
+    async def lose_startups(self):
+        database = self.random_group().primary
+        database.startup_loss_probability = 0.3
+        await asyncio.sleep(self.random_seconds(1, 4))
+        database.startup_loss_probability = 0
+
+    async def refuse_statements(self):
+        database = self.random_group().primary
+        database.refusal_probability = 0.4
+        await asyncio.sleep(self.random_seconds(1, 4))
+        database.refusal_probability = 0
+
+    async def hide_positions(self):
+        group = self.random_group()
+        group.tells_all_positions = False
+        for database in group.databases:
+            database.replication_lag = 2
+        await asyncio.sleep(self.random_seconds(2, 5))
+        for database in group.databases:
+            database.replication_lag = 0.01
+        group.tells_all_positions = True
+
     def random_proxy(self):
         return self.random.choice(self.testbed.proxies)
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -22,6 +22,7 @@
         self.operation = operation
         self.text = text
         self.expected_execution = expected_execution  # (verb, shape, rest)
+        self.sent_at = time.monotonic()
         self.result = None  # error code, "done", or None without an answer
         self.commit_count = 0  # times that a database committed its effect
 
@@ -29,7 +30,8 @@
 class Operation:
     """One operation of a caller: a statement or a transaction."""
 
-    def __init__(self, caller, customer, key, route, values):
+    def __init__(self, caller, customer, key, route, values, instances=()):
+        self.instances = instances  # those that its answers depend on
         self.started = time.monotonic()
         self.caller = caller
         self.customer = customer
@@ -97,6 +99,11 @@
                           f" {execution.values} instead of {operation.values}")
         if execution.transaction:
             self._check_transaction(execution, operation)
+        late = sent.sent_at - APPLY_SECONDS
+        if (self.withdrawn_at.get(operation.key, late) < late
+                and self.is_undisturbed(operation.instances)):
+            self.add_violation(
+                "withdrawn", f"{execution.statement_id} of {operation.key} ran")
         if not operation.counted_for_rate:
             operation.counted_for_rate = True
             self._check_rate(operation.customer, execution.started)
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -30,6 +30,7 @@
 from operator_calls import CUSTOMER_RATE, Operator  # noqa: E402
 from planned_stops import run_planned_stops  # noqa: E402
 from record import Record  # noqa: E402
+from withdrawals import run_withdrawals  # noqa: E402
 
 INSTANCE_COUNT = 5
 CONTROLLER_COUNT = 3
@@ -176,6 +177,7 @@
         if not await testbed.wait_until_ready():
             record.add_violation("start", "not all entries became ready")
             return record
+        await run_withdrawals(testbed)
         await run_planned_stops(testbed, random.Random(f"{seed}-stops"))
         callers = [asyncio.create_task(
             Caller(f"c{n}", testbed, f"{seed}-{n}").run())
--- a/soak/tests/record_test.py
+++ b/soak/tests/record_test.py
@@ -10,7 +10,8 @@
                              "platform", "tests")]
 import wire  # noqa: E402
 from databases import Execution  # noqa: E402
-from record import Operation, Record, SentStatement  # noqa: E402
+from record import (  # noqa: E402
+    APPLY_SECONDS, Operation, Record, SentStatement)
 
 
 class Group:
@@ -80,6 +81,16 @@
         self.execute("b", transaction=7)
         self.assertEqual(self.violated_rules(), ["mixed"])
 
+    def test_a_statement_of_a_withdrawn_key(self):
+        self.record.withdrawn_at["key"] = time.monotonic()
+        self.send("in time")
+        self.execute("in time")
+        self.assertEqual(self.violated_rules(), [])
+        self.record.withdrawn_at["key"] -= APPLY_SECONDS + 0.1
+        self.send("late")
+        self.execute("late")
+        self.assertEqual(self.violated_rules(), ["withdrawn"])
+
     def test_a_write_that_takes_effect_twice(self):
         self.send("a")
         self.record.on_committed(self.group, "a", ["a"])
