--- a/types/include/goldcrest/types/log_position.h
+++ b/types/include/goldcrest/types/log_position.h
@@ -1,9 +1,9 @@
 #ifndef GOLDCREST_TYPES_LOG_POSITION_H_
 #define GOLDCREST_TYPES_LOG_POSITION_H_
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace goldcrest {
 
@@ -17,7 +17,11 @@
     return std::to_string(term) + "." + std::to_string(number);
   }
 
-  auto operator<=>(const LogPosition&) const = default;
+  bool operator==(const LogPosition&) const = default;
+  bool operator<(const LogPosition& other) const {
+    return std::tie(term, number) < std::tie(other.term, other.number);
+  }
+  bool operator<=(const LogPosition& other) const { return !(other < *this); }
 };
 
 }  // namespace goldcrest
