--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -8259,6 +8259,14 @@
 void EndpointRecord::__set_epoch(const int64_t val) {
   this->epoch = val;
 }
+
+void EndpointRecord::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void EndpointRecord::__set_cold_ms(const int64_t val) {
+  this->cold_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj)
 {
   obj.printTo(out);
@@ -8367,6 +8375,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cold_ms);
+          this->__isset.cold_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8424,6 +8448,14 @@
   xfer += oprot->writeI64(this->epoch);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cold_ms", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->cold_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8441,6 +8473,8 @@
   swap(a.sequence, b.sequence);
   swap(a.gone, b.gone);
   swap(a.epoch, b.epoch);
+  swap(a.slots, b.slots);
+  swap(a.cold_ms, b.cold_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -8455,6 +8489,8 @@
   sequence = other273.sequence;
   gone = other273.gone;
   epoch = other273.epoch;
+  slots = other273.slots;
+  cold_ms = other273.cold_ms;
   __isset = other273.__isset;
 }
 EndpointRecord::EndpointRecord(EndpointRecord&& other274) noexcept {
@@ -8468,6 +8504,8 @@
   sequence = other274.sequence;
   gone = other274.gone;
   epoch = other274.epoch;
+  slots = other274.slots;
+  cold_ms = other274.cold_ms;
   __isset = other274.__isset;
 }
 EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other275) {
@@ -8481,6 +8519,8 @@
   sequence = other275.sequence;
   gone = other275.gone;
   epoch = other275.epoch;
+  slots = other275.slots;
+  cold_ms = other275.cold_ms;
   __isset = other275.__isset;
   return *this;
 }
@@ -8495,6 +8535,8 @@
   sequence = other276.sequence;
   gone = other276.gone;
   epoch = other276.epoch;
+  slots = other276.slots;
+  cold_ms = other276.cold_ms;
   __isset = other276.__isset;
   return *this;
 }
@@ -8511,33 +8553,31 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "gone=" << to_string(gone);
   out << ", " << "epoch=" << to_string(epoch);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "cold_ms=" << to_string(cold_ms);
   out << ")";
 }
 
 
-PrimaryAssignment::~PrimaryAssignment() noexcept {
+ZoneEvacuation::~ZoneEvacuation() noexcept {
 }
 
 
-void PrimaryAssignment::__set_group(const std::string& val) {
-  this->group = val;
-}
-
-void PrimaryAssignment::__set_endpoint(const std::string& val) {
-  this->endpoint = val;
+void ZoneEvacuation::__set_zone(const std::string& val) {
+  this->zone = val;
 }
 
-void PrimaryAssignment::__set_order(const int64_t val) {
-  this->order = val;
+void ZoneEvacuation::__set_active(const bool val) {
+  this->active = val;
 }
-std::ostream& operator<<(std::ostream& out, const PrimaryAssignment& obj)
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuation& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PrimaryAssignment::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ZoneEvacuation::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8560,24 +8600,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->group);
-          this->__isset.group = true;
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->endpoint);
-          this->__isset.endpoint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->order);
-          this->__isset.order = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->active);
+          this->__isset.active = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8594,21 +8626,17 @@
   return xfer;
 }
 
-uint32_t PrimaryAssignment::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ZoneEvacuation::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PrimaryAssignment");
+  xfer += oprot->writeStructBegin("ZoneEvacuation");
 
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->group);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldBegin("active", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->active);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8616,77 +8644,63 @@
   return xfer;
 }
 
-void swap(PrimaryAssignment &a, PrimaryAssignment &b) {
+void swap(ZoneEvacuation &a, ZoneEvacuation &b) {
   using ::std::swap;
-  swap(a.group, b.group);
-  swap(a.endpoint, b.endpoint);
-  swap(a.order, b.order);
+  swap(a.zone, b.zone);
+  swap(a.active, b.active);
   swap(a.__isset, b.__isset);
 }
 
-PrimaryAssignment::PrimaryAssignment(const PrimaryAssignment& other277) {
-  group = other277.group;
-  endpoint = other277.endpoint;
-  order = other277.order;
+ZoneEvacuation::ZoneEvacuation(const ZoneEvacuation& other277) {
+  zone = other277.zone;
+  active = other277.active;
   __isset = other277.__isset;
 }
-PrimaryAssignment::PrimaryAssignment(PrimaryAssignment&& other278) noexcept {
-  group = std::move(other278.group);
-  endpoint = std::move(other278.endpoint);
-  order = other278.order;
+ZoneEvacuation::ZoneEvacuation(ZoneEvacuation&& other278) noexcept {
+  zone = std::move(other278.zone);
+  active = other278.active;
   __isset = other278.__isset;
 }
-PrimaryAssignment& PrimaryAssignment::operator=(const PrimaryAssignment& other279) {
-  group = other279.group;
-  endpoint = other279.endpoint;
-  order = other279.order;
+ZoneEvacuation& ZoneEvacuation::operator=(const ZoneEvacuation& other279) {
+  zone = other279.zone;
+  active = other279.active;
   __isset = other279.__isset;
   return *this;
 }
-PrimaryAssignment& PrimaryAssignment::operator=(PrimaryAssignment&& other280) noexcept {
-  group = std::move(other280.group);
-  endpoint = std::move(other280.endpoint);
-  order = other280.order;
+ZoneEvacuation& ZoneEvacuation::operator=(ZoneEvacuation&& other280) noexcept {
+  zone = std::move(other280.zone);
+  active = other280.active;
   __isset = other280.__isset;
   return *this;
 }
-void PrimaryAssignment::printTo(std::ostream& out) const {
+void ZoneEvacuation::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PrimaryAssignment(";
-  out << "group=" << to_string(group);
-  out << ", " << "endpoint=" << to_string(endpoint);
-  out << ", " << "order=" << to_string(order);
+  out << "ZoneEvacuation(";
+  out << "zone=" << to_string(zone);
+  out << ", " << "active=" << to_string(active);
   out << ")";
 }
 
 
-PrimaryContact::~PrimaryContact() noexcept {
-}
-
-
-void PrimaryContact::__set_group(const std::string& val) {
-  this->group = val;
+EvacuatedZones::~EvacuatedZones() noexcept {
 }
 
-void PrimaryContact::__set_endpoint(const std::string& val) {
-  this->endpoint = val;
-}
 
-void PrimaryContact::__set_success_age_ms(const int64_t val) {
-  this->success_age_ms = val;
+void EvacuatedZones::__set_index(const int64_t val) {
+  this->index = val;
 }
 
-void PrimaryContact::__set_failing_ms(const int64_t val) {
-  this->failing_ms = val;
+void EvacuatedZones::__set_zones(const std::vector<std::string> & val) {
+  this->zones = val;
 }
-std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj)
+std::ostream& operator<<(std::ostream& out, const EvacuatedZones& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PrimaryContact::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t EvacuatedZones::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8708,33 +8722,29 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->group);
-          this->__isset.group = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->endpoint);
-          this->__isset.endpoint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->success_age_ms);
-          this->__isset.success_age_ms = true;
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->failing_ms);
-          this->__isset.failing_ms = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->zones.clear();
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->zones.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
+            {
+              xfer += iprot->readString(this->zones[_i285]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.zones = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8751,25 +8761,25 @@
   return xfer;
 }
 
-uint32_t PrimaryContact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t EvacuatedZones::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PrimaryContact");
-
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->group);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("EvacuatedZones");
 
-  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->endpoint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("success_age_ms", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->success_age_ms);
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failing_ms", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->failing_ms);
+  xfer += oprot->writeFieldBegin("zones", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->zones.size()));
+    std::vector<std::string> ::const_iterator _iter286;
+    for (_iter286 = this->zones.begin(); _iter286 != this->zones.end(); ++_iter286)
+    {
+      xfer += oprot->writeString((*_iter286));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8777,103 +8787,67 @@
   return xfer;
 }
 
-void swap(PrimaryContact &a, PrimaryContact &b) {
+void swap(EvacuatedZones &a, EvacuatedZones &b) {
   using ::std::swap;
-  swap(a.group, b.group);
-  swap(a.endpoint, b.endpoint);
-  swap(a.success_age_ms, b.success_age_ms);
-  swap(a.failing_ms, b.failing_ms);
+  swap(a.index, b.index);
+  swap(a.zones, b.zones);
   swap(a.__isset, b.__isset);
 }
 
-PrimaryContact::PrimaryContact(const PrimaryContact& other281) {
-  group = other281.group;
-  endpoint = other281.endpoint;
-  success_age_ms = other281.success_age_ms;
-  failing_ms = other281.failing_ms;
-  __isset = other281.__isset;
-}
-PrimaryContact::PrimaryContact(PrimaryContact&& other282) noexcept {
-  group = std::move(other282.group);
-  endpoint = std::move(other282.endpoint);
-  success_age_ms = other282.success_age_ms;
-  failing_ms = other282.failing_ms;
-  __isset = other282.__isset;
-}
-PrimaryContact& PrimaryContact::operator=(const PrimaryContact& other283) {
-  group = other283.group;
-  endpoint = other283.endpoint;
-  success_age_ms = other283.success_age_ms;
-  failing_ms = other283.failing_ms;
-  __isset = other283.__isset;
+EvacuatedZones::EvacuatedZones(const EvacuatedZones& other287) {
+  index = other287.index;
+  zones = other287.zones;
+  __isset = other287.__isset;
+}
+EvacuatedZones::EvacuatedZones(EvacuatedZones&& other288) noexcept {
+  index = other288.index;
+  zones = std::move(other288.zones);
+  __isset = other288.__isset;
+}
+EvacuatedZones& EvacuatedZones::operator=(const EvacuatedZones& other289) {
+  index = other289.index;
+  zones = other289.zones;
+  __isset = other289.__isset;
   return *this;
 }
-PrimaryContact& PrimaryContact::operator=(PrimaryContact&& other284) noexcept {
-  group = std::move(other284.group);
-  endpoint = std::move(other284.endpoint);
-  success_age_ms = other284.success_age_ms;
-  failing_ms = other284.failing_ms;
-  __isset = other284.__isset;
+EvacuatedZones& EvacuatedZones::operator=(EvacuatedZones&& other290) noexcept {
+  index = other290.index;
+  zones = std::move(other290.zones);
+  __isset = other290.__isset;
   return *this;
 }
-void PrimaryContact::printTo(std::ostream& out) const {
+void EvacuatedZones::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PrimaryContact(";
-  out << "group=" << to_string(group);
-  out << ", " << "endpoint=" << to_string(endpoint);
-  out << ", " << "success_age_ms=" << to_string(success_age_ms);
-  out << ", " << "failing_ms=" << to_string(failing_ms);
+  out << "EvacuatedZones(";
+  out << "index=" << to_string(index);
+  out << ", " << "zones=" << to_string(zones);
   out << ")";
 }
 
 
-ProxyReport::~ProxyReport() noexcept {
-}
-
-
-void ProxyReport::__set_process(const int64_t val) {
-  this->process = val;
-}
-
-void ProxyReport::__set_sent_micros(const int64_t val) {
-  this->sent_micros = val;
-}
-
-void ProxyReport::__set_document_version(const int64_t val) {
-  this->document_version = val;
-}
-
-void ProxyReport::__set_wants_document(const bool val) {
-  this->wants_document = val;
-}
-
-void ProxyReport::__set_shares(const std::vector<ShareReport> & val) {
-  this->shares = val;
+RelayInstance::~RelayInstance() noexcept {
 }
 
-void ProxyReport::__set_contacts(const std::vector<PrimaryContact> & val) {
-  this->contacts = val;
-}
 
-void ProxyReport::__set_stopped(const bool val) {
-  this->stopped = val;
+void RelayInstance::__set_instance(const std::string& val) {
+  this->instance = val;
 }
 
-void ProxyReport::__set_quiet_micros(const int64_t val) {
-  this->quiet_micros = val;
+void RelayInstance::__set_zone(const std::string& val) {
+  this->zone = val;
 }
 
-void ProxyReport::__set_first(const bool val) {
-  this->first = val;
+void RelayInstance::__set_available(const bool val) {
+  this->available = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProxyReport& obj)
+std::ostream& operator<<(std::ostream& out, const RelayInstance& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProxyReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RelayInstance::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -8895,97 +8869,1965 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->process);
-          this->__isset.process = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sent_micros);
-          this->__isset.sent_micros = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->document_version);
-          this->__isset.document_version = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->wants_document);
-          this->__isset.wants_document = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->shares.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->shares.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
-            {
-              xfer += this->shares[_i289].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.shares = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->contacts.clear();
-            uint32_t _size290;
-            ::apache::thrift::protocol::TType _etype293;
-            xfer += iprot->readListBegin(_etype293, _size290);
-            this->contacts.resize(_size290);
-            uint32_t _i294;
-            for (_i294 = 0; _i294 < _size290; ++_i294)
-            {
-              xfer += this->contacts[_i294].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.contacts = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->stopped);
-          this->__isset.stopped = true;
+          xfer += iprot->readBool(this->available);
+          this->__isset.available = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->quiet_micros);
-          this->__isset.quiet_micros = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayInstance::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayInstance");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("available", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->available);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayInstance &a, RelayInstance &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.zone, b.zone);
+  swap(a.available, b.available);
+  swap(a.__isset, b.__isset);
+}
+
+RelayInstance::RelayInstance(const RelayInstance& other291) {
+  instance = other291.instance;
+  zone = other291.zone;
+  available = other291.available;
+  __isset = other291.__isset;
+}
+RelayInstance::RelayInstance(RelayInstance&& other292) noexcept {
+  instance = std::move(other292.instance);
+  zone = std::move(other292.zone);
+  available = other292.available;
+  __isset = other292.__isset;
+}
+RelayInstance& RelayInstance::operator=(const RelayInstance& other293) {
+  instance = other293.instance;
+  zone = other293.zone;
+  available = other293.available;
+  __isset = other293.__isset;
+  return *this;
+}
+RelayInstance& RelayInstance::operator=(RelayInstance&& other294) noexcept {
+  instance = std::move(other294.instance);
+  zone = std::move(other294.zone);
+  available = other294.available;
+  __isset = other294.__isset;
+  return *this;
+}
+void RelayInstance::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayInstance(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "available=" << to_string(available);
+  out << ")";
+}
+
+
+PrimaryAssignment::~PrimaryAssignment() noexcept {
+}
+
+
+void PrimaryAssignment::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void PrimaryAssignment::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void PrimaryAssignment::__set_order(const int64_t val) {
+  this->order = val;
+}
+std::ostream& operator<<(std::ostream& out, const PrimaryAssignment& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PrimaryAssignment::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PrimaryAssignment::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PrimaryAssignment");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PrimaryAssignment &a, PrimaryAssignment &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.endpoint, b.endpoint);
+  swap(a.order, b.order);
+  swap(a.__isset, b.__isset);
+}
+
+PrimaryAssignment::PrimaryAssignment(const PrimaryAssignment& other295) {
+  group = other295.group;
+  endpoint = other295.endpoint;
+  order = other295.order;
+  __isset = other295.__isset;
+}
+PrimaryAssignment::PrimaryAssignment(PrimaryAssignment&& other296) noexcept {
+  group = std::move(other296.group);
+  endpoint = std::move(other296.endpoint);
+  order = other296.order;
+  __isset = other296.__isset;
+}
+PrimaryAssignment& PrimaryAssignment::operator=(const PrimaryAssignment& other297) {
+  group = other297.group;
+  endpoint = other297.endpoint;
+  order = other297.order;
+  __isset = other297.__isset;
+  return *this;
+}
+PrimaryAssignment& PrimaryAssignment::operator=(PrimaryAssignment&& other298) noexcept {
+  group = std::move(other298.group);
+  endpoint = std::move(other298.endpoint);
+  order = other298.order;
+  __isset = other298.__isset;
+  return *this;
+}
+void PrimaryAssignment::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PrimaryAssignment(";
+  out << "group=" << to_string(group);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "order=" << to_string(order);
+  out << ")";
+}
+
+
+PrimaryContact::~PrimaryContact() noexcept {
+}
+
+
+void PrimaryContact::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void PrimaryContact::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void PrimaryContact::__set_success_age_ms(const int64_t val) {
+  this->success_age_ms = val;
+}
+
+void PrimaryContact::__set_failing_ms(const int64_t val) {
+  this->failing_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PrimaryContact::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->success_age_ms);
+          this->__isset.success_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->failing_ms);
+          this->__isset.failing_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PrimaryContact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PrimaryContact");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("success_age_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->success_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failing_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->failing_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PrimaryContact &a, PrimaryContact &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.endpoint, b.endpoint);
+  swap(a.success_age_ms, b.success_age_ms);
+  swap(a.failing_ms, b.failing_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PrimaryContact::PrimaryContact(const PrimaryContact& other299) {
+  group = other299.group;
+  endpoint = other299.endpoint;
+  success_age_ms = other299.success_age_ms;
+  failing_ms = other299.failing_ms;
+  __isset = other299.__isset;
+}
+PrimaryContact::PrimaryContact(PrimaryContact&& other300) noexcept {
+  group = std::move(other300.group);
+  endpoint = std::move(other300.endpoint);
+  success_age_ms = other300.success_age_ms;
+  failing_ms = other300.failing_ms;
+  __isset = other300.__isset;
+}
+PrimaryContact& PrimaryContact::operator=(const PrimaryContact& other301) {
+  group = other301.group;
+  endpoint = other301.endpoint;
+  success_age_ms = other301.success_age_ms;
+  failing_ms = other301.failing_ms;
+  __isset = other301.__isset;
+  return *this;
+}
+PrimaryContact& PrimaryContact::operator=(PrimaryContact&& other302) noexcept {
+  group = std::move(other302.group);
+  endpoint = std::move(other302.endpoint);
+  success_age_ms = other302.success_age_ms;
+  failing_ms = other302.failing_ms;
+  __isset = other302.__isset;
+  return *this;
+}
+void PrimaryContact::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PrimaryContact(";
+  out << "group=" << to_string(group);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "success_age_ms=" << to_string(success_age_ms);
+  out << ", " << "failing_ms=" << to_string(failing_ms);
+  out << ")";
+}
+
+
+ProxyReport::~ProxyReport() noexcept {
+}
+
+
+void ProxyReport::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void ProxyReport::__set_sent_micros(const int64_t val) {
+  this->sent_micros = val;
+}
+
+void ProxyReport::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void ProxyReport::__set_wants_document(const bool val) {
+  this->wants_document = val;
+}
+
+void ProxyReport::__set_shares(const std::vector<ShareReport> & val) {
+  this->shares = val;
+}
+
+void ProxyReport::__set_contacts(const std::vector<PrimaryContact> & val) {
+  this->contacts = val;
+}
+
+void ProxyReport::__set_stopped(const bool val) {
+  this->stopped = val;
+}
+
+void ProxyReport::__set_quiet_micros(const int64_t val) {
+  this->quiet_micros = val;
+}
+
+void ProxyReport::__set_first(const bool val) {
+  this->first = val;
+}
+
+void ProxyReport::__set_relay_zone(const std::string& val) {
+  this->relay_zone = val;
+__isset.relay_zone = true;
+}
+
+void ProxyReport::__set_evacuations_index(const int64_t val) {
+  this->evacuations_index = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProxyReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProxyReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_micros);
+          this->__isset.sent_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wants_document);
+          this->__isset.wants_document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size303;
+            ::apache::thrift::protocol::TType _etype306;
+            xfer += iprot->readListBegin(_etype306, _size303);
+            this->shares.resize(_size303);
+            uint32_t _i307;
+            for (_i307 = 0; _i307 < _size303; ++_i307)
+            {
+              xfer += this->shares[_i307].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->contacts.clear();
+            uint32_t _size308;
+            ::apache::thrift::protocol::TType _etype311;
+            xfer += iprot->readListBegin(_etype311, _size308);
+            this->contacts.resize(_size308);
+            uint32_t _i312;
+            for (_i312 = 0; _i312 < _size308; ++_i312)
+            {
+              xfer += this->contacts[_i312].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.contacts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stopped);
+          this->__isset.stopped = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->quiet_micros);
+          this->__isset.quiet_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->first);
+          this->__isset.first = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->relay_zone);
+          this->__isset.relay_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuations_index);
+          this->__isset.evacuations_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProxyReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProxyReport");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_micros", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->sent_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wants_document", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->wants_document);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<ShareReport> ::const_iterator _iter313;
+    for (_iter313 = this->shares.begin(); _iter313 != this->shares.end(); ++_iter313)
+    {
+      xfer += (*_iter313).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
+    std::vector<PrimaryContact> ::const_iterator _iter314;
+    for (_iter314 = this->contacts.begin(); _iter314 != this->contacts.end(); ++_iter314)
+    {
+      xfer += (*_iter314).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stopped", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->stopped);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quiet_micros", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->quiet_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->first);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.relay_zone) {
+    xfer += oprot->writeFieldBegin("relay_zone", ::apache::thrift::protocol::T_STRING, 10);
+    xfer += oprot->writeString(this->relay_zone);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("evacuations_index", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->evacuations_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProxyReport &a, ProxyReport &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.sent_micros, b.sent_micros);
+  swap(a.document_version, b.document_version);
+  swap(a.wants_document, b.wants_document);
+  swap(a.shares, b.shares);
+  swap(a.contacts, b.contacts);
+  swap(a.stopped, b.stopped);
+  swap(a.quiet_micros, b.quiet_micros);
+  swap(a.first, b.first);
+  swap(a.relay_zone, b.relay_zone);
+  swap(a.evacuations_index, b.evacuations_index);
+  swap(a.__isset, b.__isset);
+}
+
+ProxyReport::ProxyReport(const ProxyReport& other315) {
+  process = other315.process;
+  sent_micros = other315.sent_micros;
+  document_version = other315.document_version;
+  wants_document = other315.wants_document;
+  shares = other315.shares;
+  contacts = other315.contacts;
+  stopped = other315.stopped;
+  quiet_micros = other315.quiet_micros;
+  first = other315.first;
+  relay_zone = other315.relay_zone;
+  evacuations_index = other315.evacuations_index;
+  __isset = other315.__isset;
+}
+ProxyReport::ProxyReport(ProxyReport&& other316) noexcept {
+  process = other316.process;
+  sent_micros = other316.sent_micros;
+  document_version = other316.document_version;
+  wants_document = other316.wants_document;
+  shares = std::move(other316.shares);
+  contacts = std::move(other316.contacts);
+  stopped = other316.stopped;
+  quiet_micros = other316.quiet_micros;
+  first = other316.first;
+  relay_zone = std::move(other316.relay_zone);
+  evacuations_index = other316.evacuations_index;
+  __isset = other316.__isset;
+}
+ProxyReport& ProxyReport::operator=(const ProxyReport& other317) {
+  process = other317.process;
+  sent_micros = other317.sent_micros;
+  document_version = other317.document_version;
+  wants_document = other317.wants_document;
+  shares = other317.shares;
+  contacts = other317.contacts;
+  stopped = other317.stopped;
+  quiet_micros = other317.quiet_micros;
+  first = other317.first;
+  relay_zone = other317.relay_zone;
+  evacuations_index = other317.evacuations_index;
+  __isset = other317.__isset;
+  return *this;
+}
+ProxyReport& ProxyReport::operator=(ProxyReport&& other318) noexcept {
+  process = other318.process;
+  sent_micros = other318.sent_micros;
+  document_version = other318.document_version;
+  wants_document = other318.wants_document;
+  shares = std::move(other318.shares);
+  contacts = std::move(other318.contacts);
+  stopped = other318.stopped;
+  quiet_micros = other318.quiet_micros;
+  first = other318.first;
+  relay_zone = std::move(other318.relay_zone);
+  evacuations_index = other318.evacuations_index;
+  __isset = other318.__isset;
+  return *this;
+}
+void ProxyReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProxyReport(";
+  out << "process=" << to_string(process);
+  out << ", " << "sent_micros=" << to_string(sent_micros);
+  out << ", " << "document_version=" << to_string(document_version);
+  out << ", " << "wants_document=" << to_string(wants_document);
+  out << ", " << "shares=" << to_string(shares);
+  out << ", " << "contacts=" << to_string(contacts);
+  out << ", " << "stopped=" << to_string(stopped);
+  out << ", " << "quiet_micros=" << to_string(quiet_micros);
+  out << ", " << "first=" << to_string(first);
+  out << ", " << "relay_zone="; (__isset.relay_zone ? (out << to_string(relay_zone)) : (out << "<null>"));
+  out << ", " << "evacuations_index=" << to_string(evacuations_index);
+  out << ")";
+}
+
+
+ConfirmedPosition::~ConfirmedPosition() noexcept {
+}
+
+
+void ConfirmedPosition::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void ConfirmedPosition::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void ConfirmedPosition::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void ConfirmedPosition::__set_report_sent_micros(const int64_t val) {
+  this->report_sent_micros = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfirmedPosition& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfirmedPosition::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->report_sent_micros);
+          this->__isset.report_sent_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfirmedPosition::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfirmedPosition");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("report_sent_micros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->report_sent_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfirmedPosition &a, ConfirmedPosition &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.term, b.term);
+  swap(a.number, b.number);
+  swap(a.report_sent_micros, b.report_sent_micros);
+  swap(a.__isset, b.__isset);
+}
+
+ConfirmedPosition::ConfirmedPosition(const ConfirmedPosition& other319) {
+  group = other319.group;
+  term = other319.term;
+  number = other319.number;
+  report_sent_micros = other319.report_sent_micros;
+  __isset = other319.__isset;
+}
+ConfirmedPosition::ConfirmedPosition(ConfirmedPosition&& other320) noexcept {
+  group = std::move(other320.group);
+  term = other320.term;
+  number = other320.number;
+  report_sent_micros = other320.report_sent_micros;
+  __isset = other320.__isset;
+}
+ConfirmedPosition& ConfirmedPosition::operator=(const ConfirmedPosition& other321) {
+  group = other321.group;
+  term = other321.term;
+  number = other321.number;
+  report_sent_micros = other321.report_sent_micros;
+  __isset = other321.__isset;
+  return *this;
+}
+ConfirmedPosition& ConfirmedPosition::operator=(ConfirmedPosition&& other322) noexcept {
+  group = std::move(other322.group);
+  term = other322.term;
+  number = other322.number;
+  report_sent_micros = other322.report_sent_micros;
+  __isset = other322.__isset;
+  return *this;
+}
+void ConfirmedPosition::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfirmedPosition(";
+  out << "group=" << to_string(group);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "report_sent_micros=" << to_string(report_sent_micros);
+  out << ")";
+}
+
+
+ProxyUpdate::~ProxyUpdate() noexcept {
+}
+
+
+void ProxyUpdate::__set_report_sent_micros(const int64_t val) {
+  this->report_sent_micros = val;
+}
+
+void ProxyUpdate::__set_leader(const bool val) {
+  this->leader = val;
+}
+
+void ProxyUpdate::__set_shares(const std::vector<ShareUpdate> & val) {
+  this->shares = val;
+}
+
+void ProxyUpdate::__set_document_version(const int64_t val) {
+  this->document_version = val;
+}
+
+void ProxyUpdate::__set_document(const std::string& val) {
+  this->document = val;
+__isset.document = true;
+}
+
+void ProxyUpdate::__set_endpoints(const std::vector<EndpointRecord> & val) {
+  this->endpoints = val;
+}
+
+void ProxyUpdate::__set_primaries(const std::vector<PrimaryAssignment> & val) {
+  this->primaries = val;
+}
+
+void ProxyUpdate::__set_controllers(const std::vector<std::string> & val) {
+  this->controllers = val;
+}
+
+void ProxyUpdate::__set_entries(const int32_t val) {
+  this->entries = val;
+}
+
+void ProxyUpdate::__set_report_now(const bool val) {
+  this->report_now = val;
+}
+
+void ProxyUpdate::__set_positions(const std::vector<ConfirmedPosition> & val) {
+  this->positions = val;
+}
+
+void ProxyUpdate::__set_evacuated(const EvacuatedZones& val) {
+  this->evacuated = val;
+__isset.evacuated = true;
+}
+
+void ProxyUpdate::__set_relays(const std::vector<RelayInstance> & val) {
+  this->relays = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProxyUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->report_sent_micros);
+          this->__isset.report_sent_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leader);
+          this->__isset.leader = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->shares.clear();
+            uint32_t _size323;
+            ::apache::thrift::protocol::TType _etype326;
+            xfer += iprot->readListBegin(_etype326, _size323);
+            this->shares.resize(_size323);
+            uint32_t _i327;
+            for (_i327 = 0; _i327 < _size323; ++_i327)
+            {
+              xfer += this->shares[_i327].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.shares = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->document_version);
+          this->__isset.document_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->document);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->endpoints.clear();
+            uint32_t _size328;
+            ::apache::thrift::protocol::TType _etype331;
+            xfer += iprot->readListBegin(_etype331, _size328);
+            this->endpoints.resize(_size328);
+            uint32_t _i332;
+            for (_i332 = 0; _i332 < _size328; ++_i332)
+            {
+              xfer += this->endpoints[_i332].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.endpoints = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->primaries.clear();
+            uint32_t _size333;
+            ::apache::thrift::protocol::TType _etype336;
+            xfer += iprot->readListBegin(_etype336, _size333);
+            this->primaries.resize(_size333);
+            uint32_t _i337;
+            for (_i337 = 0; _i337 < _size333; ++_i337)
+            {
+              xfer += this->primaries[_i337].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.primaries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->controllers.clear();
+            uint32_t _size338;
+            ::apache::thrift::protocol::TType _etype341;
+            xfer += iprot->readListBegin(_etype341, _size338);
+            this->controllers.resize(_size338);
+            uint32_t _i342;
+            for (_i342 = 0; _i342 < _size338; ++_i342)
+            {
+              xfer += iprot->readString(this->controllers[_i342]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.controllers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
         break;
       case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entries);
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->report_now);
+          this->__isset.report_now = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->positions.clear();
+            uint32_t _size343;
+            ::apache::thrift::protocol::TType _etype346;
+            xfer += iprot->readListBegin(_etype346, _size343);
+            this->positions.resize(_size343);
+            uint32_t _i347;
+            for (_i347 = 0; _i347 < _size343; ++_i347)
+            {
+              xfer += this->positions[_i347].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.positions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuated.read(iprot);
+          this->__isset.evacuated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relays.clear();
+            uint32_t _size348;
+            ::apache::thrift::protocol::TType _etype351;
+            xfer += iprot->readListBegin(_etype351, _size348);
+            this->relays.resize(_size348);
+            uint32_t _i352;
+            for (_i352 = 0; _i352 < _size348; ++_i352)
+            {
+              xfer += this->relays[_i352].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relays = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProxyUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProxyUpdate");
+
+  xfer += oprot->writeFieldBegin("report_sent_micros", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->report_sent_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->leader);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<ShareUpdate> ::const_iterator _iter353;
+    for (_iter353 = this->shares.begin(); _iter353 != this->shares.end(); ++_iter353)
+    {
+      xfer += (*_iter353).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeBinary(this->document);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+    std::vector<EndpointRecord> ::const_iterator _iter354;
+    for (_iter354 = this->endpoints.begin(); _iter354 != this->endpoints.end(); ++_iter354)
+    {
+      xfer += (*_iter354).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("primaries", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->primaries.size()));
+    std::vector<PrimaryAssignment> ::const_iterator _iter355;
+    for (_iter355 = this->primaries.begin(); _iter355 != this->primaries.end(); ++_iter355)
+    {
+      xfer += (*_iter355).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
+    std::vector<std::string> ::const_iterator _iter356;
+    for (_iter356 = this->controllers.begin(); _iter356 != this->controllers.end(); ++_iter356)
+    {
+      xfer += oprot->writeString((*_iter356));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->entries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("report_now", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->report_now);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->positions.size()));
+    std::vector<ConfirmedPosition> ::const_iterator _iter357;
+    for (_iter357 = this->positions.begin(); _iter357 != this->positions.end(); ++_iter357)
+    {
+      xfer += (*_iter357).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.evacuated) {
+    xfer += oprot->writeFieldBegin("evacuated", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->evacuated.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("relays", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->relays.size()));
+    std::vector<RelayInstance> ::const_iterator _iter358;
+    for (_iter358 = this->relays.begin(); _iter358 != this->relays.end(); ++_iter358)
+    {
+      xfer += (*_iter358).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProxyUpdate &a, ProxyUpdate &b) {
+  using ::std::swap;
+  swap(a.report_sent_micros, b.report_sent_micros);
+  swap(a.leader, b.leader);
+  swap(a.shares, b.shares);
+  swap(a.document_version, b.document_version);
+  swap(a.document, b.document);
+  swap(a.endpoints, b.endpoints);
+  swap(a.primaries, b.primaries);
+  swap(a.controllers, b.controllers);
+  swap(a.entries, b.entries);
+  swap(a.report_now, b.report_now);
+  swap(a.positions, b.positions);
+  swap(a.evacuated, b.evacuated);
+  swap(a.relays, b.relays);
+  swap(a.__isset, b.__isset);
+}
+
+ProxyUpdate::ProxyUpdate(const ProxyUpdate& other359) {
+  report_sent_micros = other359.report_sent_micros;
+  leader = other359.leader;
+  shares = other359.shares;
+  document_version = other359.document_version;
+  document = other359.document;
+  endpoints = other359.endpoints;
+  primaries = other359.primaries;
+  controllers = other359.controllers;
+  entries = other359.entries;
+  report_now = other359.report_now;
+  positions = other359.positions;
+  evacuated = other359.evacuated;
+  relays = other359.relays;
+  __isset = other359.__isset;
+}
+ProxyUpdate::ProxyUpdate(ProxyUpdate&& other360) noexcept {
+  report_sent_micros = other360.report_sent_micros;
+  leader = other360.leader;
+  shares = std::move(other360.shares);
+  document_version = other360.document_version;
+  document = std::move(other360.document);
+  endpoints = std::move(other360.endpoints);
+  primaries = std::move(other360.primaries);
+  controllers = std::move(other360.controllers);
+  entries = other360.entries;
+  report_now = other360.report_now;
+  positions = std::move(other360.positions);
+  evacuated = std::move(other360.evacuated);
+  relays = std::move(other360.relays);
+  __isset = other360.__isset;
+}
+ProxyUpdate& ProxyUpdate::operator=(const ProxyUpdate& other361) {
+  report_sent_micros = other361.report_sent_micros;
+  leader = other361.leader;
+  shares = other361.shares;
+  document_version = other361.document_version;
+  document = other361.document;
+  endpoints = other361.endpoints;
+  primaries = other361.primaries;
+  controllers = other361.controllers;
+  entries = other361.entries;
+  report_now = other361.report_now;
+  positions = other361.positions;
+  evacuated = other361.evacuated;
+  relays = other361.relays;
+  __isset = other361.__isset;
+  return *this;
+}
+ProxyUpdate& ProxyUpdate::operator=(ProxyUpdate&& other362) noexcept {
+  report_sent_micros = other362.report_sent_micros;
+  leader = other362.leader;
+  shares = std::move(other362.shares);
+  document_version = other362.document_version;
+  document = std::move(other362.document);
+  endpoints = std::move(other362.endpoints);
+  primaries = std::move(other362.primaries);
+  controllers = std::move(other362.controllers);
+  entries = other362.entries;
+  report_now = other362.report_now;
+  positions = std::move(other362.positions);
+  evacuated = std::move(other362.evacuated);
+  relays = std::move(other362.relays);
+  __isset = other362.__isset;
+  return *this;
+}
+void ProxyUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProxyUpdate(";
+  out << "report_sent_micros=" << to_string(report_sent_micros);
+  out << ", " << "leader=" << to_string(leader);
+  out << ", " << "shares=" << to_string(shares);
+  out << ", " << "document_version=" << to_string(document_version);
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "endpoints=" << to_string(endpoints);
+  out << ", " << "primaries=" << to_string(primaries);
+  out << ", " << "controllers=" << to_string(controllers);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "report_now=" << to_string(report_now);
+  out << ", " << "positions=" << to_string(positions);
+  out << ", " << "evacuated="; (__isset.evacuated ? (out << to_string(evacuated)) : (out << "<null>"));
+  out << ", " << "relays=" << to_string(relays);
+  out << ")";
+}
+
+
+RelayedPreparedStatement::~RelayedPreparedStatement() noexcept {
+}
+
+
+void RelayedPreparedStatement::__set_writes(const bool val) {
+  this->writes = val;
+}
+
+void RelayedPreparedStatement::__set_shape(const std::string& val) {
+  this->shape = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedPreparedStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedPreparedStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->writes);
+          this->__isset.writes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->shape);
+          this->__isset.shape = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedPreparedStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedPreparedStatement");
+
+  xfer += oprot->writeFieldBegin("writes", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->writes);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shape", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->shape);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedPreparedStatement &a, RelayedPreparedStatement &b) {
+  using ::std::swap;
+  swap(a.writes, b.writes);
+  swap(a.shape, b.shape);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedPreparedStatement::RelayedPreparedStatement(const RelayedPreparedStatement& other363) {
+  writes = other363.writes;
+  shape = other363.shape;
+  __isset = other363.__isset;
+}
+RelayedPreparedStatement::RelayedPreparedStatement(RelayedPreparedStatement&& other364) noexcept {
+  writes = other364.writes;
+  shape = std::move(other364.shape);
+  __isset = other364.__isset;
+}
+RelayedPreparedStatement& RelayedPreparedStatement::operator=(const RelayedPreparedStatement& other365) {
+  writes = other365.writes;
+  shape = other365.shape;
+  __isset = other365.__isset;
+  return *this;
+}
+RelayedPreparedStatement& RelayedPreparedStatement::operator=(RelayedPreparedStatement&& other366) noexcept {
+  writes = other366.writes;
+  shape = std::move(other366.shape);
+  __isset = other366.__isset;
+  return *this;
+}
+void RelayedPreparedStatement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedPreparedStatement(";
+  out << "writes=" << to_string(writes);
+  out << ", " << "shape=" << to_string(shape);
+  out << ")";
+}
+
+
+RelayedSession::~RelayedSession() noexcept {
+}
+
+
+void RelayedSession::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void RelayedSession::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void RelayedSession::__set_values(const std::map<std::string, std::string> & val) {
+  this->values = val;
+}
+
+void RelayedSession::__set_prepared(const std::map<std::string, RelayedPreparedStatement> & val) {
+  this->prepared = val;
+}
+
+void RelayedSession::__set_last_commit_term(const int64_t val) {
+  this->last_commit_term = val;
+}
+
+void RelayedSession::__set_last_commit_number(const int64_t val) {
+  this->last_commit_number = val;
+}
+
+void RelayedSession::__set_unplaced_commit_age_micros(const int64_t val) {
+  this->unplaced_commit_age_micros = val;
+__isset.unplaced_commit_age_micros = true;
+}
+
+void RelayedSession::__set_configuration_version(const int64_t val) {
+  this->configuration_version = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedSession& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedSession::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          this->__isset.database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->values.clear();
+            uint32_t _size367;
+            ::apache::thrift::protocol::TType _ktype368;
+            ::apache::thrift::protocol::TType _vtype369;
+            xfer += iprot->readMapBegin(_ktype368, _vtype369, _size367);
+            uint32_t _i371;
+            for (_i371 = 0; _i371 < _size367; ++_i371)
+            {
+              std::string _key372;
+              xfer += iprot->readString(_key372);
+              std::string& _val373 = this->values[_key372];
+              xfer += iprot->readString(_val373);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.values = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->prepared.clear();
+            uint32_t _size374;
+            ::apache::thrift::protocol::TType _ktype375;
+            ::apache::thrift::protocol::TType _vtype376;
+            xfer += iprot->readMapBegin(_ktype375, _vtype376, _size374);
+            uint32_t _i378;
+            for (_i378 = 0; _i378 < _size374; ++_i378)
+            {
+              std::string _key379;
+              xfer += iprot->readString(_key379);
+              RelayedPreparedStatement& _val380 = this->prepared[_key379];
+              xfer += _val380.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.prepared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_commit_term);
+          this->__isset.last_commit_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_commit_number);
+          this->__isset.last_commit_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unplaced_commit_age_micros);
+          this->__isset.unplaced_commit_age_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration_version);
+          this->__isset.configuration_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedSession::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedSession");
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("values", ::apache::thrift::protocol::T_MAP, 3);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->values.size()));
+    std::map<std::string, std::string> ::const_iterator _iter381;
+    for (_iter381 = this->values.begin(); _iter381 != this->values.end(); ++_iter381)
+    {
+      xfer += oprot->writeString(_iter381->first);
+      xfer += oprot->writeString(_iter381->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prepared", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->prepared.size()));
+    std::map<std::string, RelayedPreparedStatement> ::const_iterator _iter382;
+    for (_iter382 = this->prepared.begin(); _iter382 != this->prepared.end(); ++_iter382)
+    {
+      xfer += oprot->writeString(_iter382->first);
+      xfer += _iter382->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_commit_term", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->last_commit_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_commit_number", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->last_commit_number);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.unplaced_commit_age_micros) {
+    xfer += oprot->writeFieldBegin("unplaced_commit_age_micros", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->unplaced_commit_age_micros);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("configuration_version", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->configuration_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedSession &a, RelayedSession &b) {
+  using ::std::swap;
+  swap(a.database, b.database);
+  swap(a.key, b.key);
+  swap(a.values, b.values);
+  swap(a.prepared, b.prepared);
+  swap(a.last_commit_term, b.last_commit_term);
+  swap(a.last_commit_number, b.last_commit_number);
+  swap(a.unplaced_commit_age_micros, b.unplaced_commit_age_micros);
+  swap(a.configuration_version, b.configuration_version);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedSession::RelayedSession(const RelayedSession& other383) {
+  database = other383.database;
+  key = other383.key;
+  values = other383.values;
+  prepared = other383.prepared;
+  last_commit_term = other383.last_commit_term;
+  last_commit_number = other383.last_commit_number;
+  unplaced_commit_age_micros = other383.unplaced_commit_age_micros;
+  configuration_version = other383.configuration_version;
+  __isset = other383.__isset;
+}
+RelayedSession::RelayedSession(RelayedSession&& other384) noexcept {
+  database = std::move(other384.database);
+  key = std::move(other384.key);
+  values = std::move(other384.values);
+  prepared = std::move(other384.prepared);
+  last_commit_term = other384.last_commit_term;
+  last_commit_number = other384.last_commit_number;
+  unplaced_commit_age_micros = other384.unplaced_commit_age_micros;
+  configuration_version = other384.configuration_version;
+  __isset = other384.__isset;
+}
+RelayedSession& RelayedSession::operator=(const RelayedSession& other385) {
+  database = other385.database;
+  key = other385.key;
+  values = other385.values;
+  prepared = other385.prepared;
+  last_commit_term = other385.last_commit_term;
+  last_commit_number = other385.last_commit_number;
+  unplaced_commit_age_micros = other385.unplaced_commit_age_micros;
+  configuration_version = other385.configuration_version;
+  __isset = other385.__isset;
+  return *this;
+}
+RelayedSession& RelayedSession::operator=(RelayedSession&& other386) noexcept {
+  database = std::move(other386.database);
+  key = std::move(other386.key);
+  values = std::move(other386.values);
+  prepared = std::move(other386.prepared);
+  last_commit_term = other386.last_commit_term;
+  last_commit_number = other386.last_commit_number;
+  unplaced_commit_age_micros = other386.unplaced_commit_age_micros;
+  configuration_version = other386.configuration_version;
+  __isset = other386.__isset;
+  return *this;
+}
+void RelayedSession::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedSession(";
+  out << "database=" << to_string(database);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "values=" << to_string(values);
+  out << ", " << "prepared=" << to_string(prepared);
+  out << ", " << "last_commit_term=" << to_string(last_commit_term);
+  out << ", " << "last_commit_number=" << to_string(last_commit_number);
+  out << ", " << "unplaced_commit_age_micros="; (__isset.unplaced_commit_age_micros ? (out << to_string(unplaced_commit_age_micros)) : (out << "<null>"));
+  out << ", " << "configuration_version=" << to_string(configuration_version);
+  out << ")";
+}
+
+
+RelayedStatement::~RelayedStatement() noexcept {
+}
+
+
+void RelayedStatement::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void RelayedStatement::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void RelayedStatement::__set_text(const std::string& val) {
+  this->text = val;
+}
+
+void RelayedStatement::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void RelayedStatement::__set_value(const std::string& val) {
+  this->value = val;
+}
+
+void RelayedStatement::__set_writes(const bool val) {
+  this->writes = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedStatement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedStatement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->first);
-          this->__isset.first = true;
+          xfer += iprot->readBool(this->writes);
+          this->__isset.writes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9002,61 +10844,33 @@
   return xfer;
 }
 
-uint32_t ProxyReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RelayedStatement::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProxyReport");
-
-  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->process);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("sent_micros", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->sent_micros);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->document_version);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RelayedStatement");
 
-  xfer += oprot->writeFieldBegin("wants_document", ::apache::thrift::protocol::T_BOOL, 4);
-  xfer += oprot->writeBool(this->wants_document);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 5);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareReport> ::const_iterator _iter295;
-    for (_iter295 = this->shares.begin(); _iter295 != this->shares.end(); ++_iter295)
-    {
-      xfer += (*_iter295).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("contacts", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->contacts.size()));
-    std::vector<PrimaryContact> ::const_iterator _iter296;
-    for (_iter296 = this->contacts.begin(); _iter296 != this->contacts.end(); ++_iter296)
-    {
-      xfer += (*_iter296).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->text);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("stopped", ::apache::thrift::protocol::T_BOOL, 7);
-  xfer += oprot->writeBool(this->stopped);
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("quiet_micros", ::apache::thrift::protocol::T_I64, 8);
-  xfer += oprot->writeI64(this->quiet_micros);
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->value);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("first", ::apache::thrift::protocol::T_BOOL, 9);
-  xfer += oprot->writeBool(this->first);
+  xfer += oprot->writeFieldBegin("writes", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->writes);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9064,113 +10878,97 @@
   return xfer;
 }
 
-void swap(ProxyReport &a, ProxyReport &b) {
+void swap(RelayedStatement &a, RelayedStatement &b) {
   using ::std::swap;
-  swap(a.process, b.process);
-  swap(a.sent_micros, b.sent_micros);
-  swap(a.document_version, b.document_version);
-  swap(a.wants_document, b.wants_document);
-  swap(a.shares, b.shares);
-  swap(a.contacts, b.contacts);
-  swap(a.stopped, b.stopped);
-  swap(a.quiet_micros, b.quiet_micros);
-  swap(a.first, b.first);
+  swap(a.kind, b.kind);
+  swap(a.id, b.id);
+  swap(a.text, b.text);
+  swap(a.name, b.name);
+  swap(a.value, b.value);
+  swap(a.writes, b.writes);
   swap(a.__isset, b.__isset);
 }
 
-ProxyReport::ProxyReport(const ProxyReport& other297) {
-  process = other297.process;
-  sent_micros = other297.sent_micros;
-  document_version = other297.document_version;
-  wants_document = other297.wants_document;
-  shares = other297.shares;
-  contacts = other297.contacts;
-  stopped = other297.stopped;
-  quiet_micros = other297.quiet_micros;
-  first = other297.first;
-  __isset = other297.__isset;
-}
-ProxyReport::ProxyReport(ProxyReport&& other298) noexcept {
-  process = other298.process;
-  sent_micros = other298.sent_micros;
-  document_version = other298.document_version;
-  wants_document = other298.wants_document;
-  shares = std::move(other298.shares);
-  contacts = std::move(other298.contacts);
-  stopped = other298.stopped;
-  quiet_micros = other298.quiet_micros;
-  first = other298.first;
-  __isset = other298.__isset;
-}
-ProxyReport& ProxyReport::operator=(const ProxyReport& other299) {
-  process = other299.process;
-  sent_micros = other299.sent_micros;
-  document_version = other299.document_version;
-  wants_document = other299.wants_document;
-  shares = other299.shares;
-  contacts = other299.contacts;
-  stopped = other299.stopped;
-  quiet_micros = other299.quiet_micros;
-  first = other299.first;
-  __isset = other299.__isset;
+RelayedStatement::RelayedStatement(const RelayedStatement& other387) {
+  kind = other387.kind;
+  id = other387.id;
+  text = other387.text;
+  name = other387.name;
+  value = other387.value;
+  writes = other387.writes;
+  __isset = other387.__isset;
+}
+RelayedStatement::RelayedStatement(RelayedStatement&& other388) noexcept {
+  kind = other388.kind;
+  id = std::move(other388.id);
+  text = std::move(other388.text);
+  name = std::move(other388.name);
+  value = std::move(other388.value);
+  writes = other388.writes;
+  __isset = other388.__isset;
+}
+RelayedStatement& RelayedStatement::operator=(const RelayedStatement& other389) {
+  kind = other389.kind;
+  id = other389.id;
+  text = other389.text;
+  name = other389.name;
+  value = other389.value;
+  writes = other389.writes;
+  __isset = other389.__isset;
   return *this;
 }
-ProxyReport& ProxyReport::operator=(ProxyReport&& other300) noexcept {
-  process = other300.process;
-  sent_micros = other300.sent_micros;
-  document_version = other300.document_version;
-  wants_document = other300.wants_document;
-  shares = std::move(other300.shares);
-  contacts = std::move(other300.contacts);
-  stopped = other300.stopped;
-  quiet_micros = other300.quiet_micros;
-  first = other300.first;
-  __isset = other300.__isset;
+RelayedStatement& RelayedStatement::operator=(RelayedStatement&& other390) noexcept {
+  kind = other390.kind;
+  id = std::move(other390.id);
+  text = std::move(other390.text);
+  name = std::move(other390.name);
+  value = std::move(other390.value);
+  writes = other390.writes;
+  __isset = other390.__isset;
   return *this;
 }
-void ProxyReport::printTo(std::ostream& out) const {
+void RelayedStatement::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProxyReport(";
-  out << "process=" << to_string(process);
-  out << ", " << "sent_micros=" << to_string(sent_micros);
-  out << ", " << "document_version=" << to_string(document_version);
-  out << ", " << "wants_document=" << to_string(wants_document);
-  out << ", " << "shares=" << to_string(shares);
-  out << ", " << "contacts=" << to_string(contacts);
-  out << ", " << "stopped=" << to_string(stopped);
-  out << ", " << "quiet_micros=" << to_string(quiet_micros);
-  out << ", " << "first=" << to_string(first);
+  out << "RelayedStatement(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "text=" << to_string(text);
+  out << ", " << "name=" << to_string(name);
+  out << ", " << "value=" << to_string(value);
+  out << ", " << "writes=" << to_string(writes);
   out << ")";
 }
 
 
-ConfirmedPosition::~ConfirmedPosition() noexcept {
+RelayRequest::~RelayRequest() noexcept {
 }
 
 
-void ConfirmedPosition::__set_group(const std::string& val) {
-  this->group = val;
+void RelayRequest::__set_operation(const int64_t val) {
+  this->operation = val;
 }
 
-void ConfirmedPosition::__set_term(const int64_t val) {
-  this->term = val;
+void RelayRequest::__set_session(const RelayedSession& val) {
+  this->session = val;
+__isset.session = true;
 }
 
-void ConfirmedPosition::__set_number(const int64_t val) {
-  this->number = val;
+void RelayRequest::__set_statement(const RelayedStatement& val) {
+  this->statement = val;
+__isset.statement = true;
 }
 
-void ConfirmedPosition::__set_report_sent_micros(const int64_t val) {
-  this->report_sent_micros = val;
+void RelayRequest::__set_abandoned(const bool val) {
+  this->abandoned = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfirmedPosition& obj)
+std::ostream& operator<<(std::ostream& out, const RelayRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfirmedPosition::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RelayRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9192,33 +10990,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->group);
-          this->__isset.group = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->session.read(iprot);
+          this->__isset.session = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->number);
-          this->__isset.number = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->statement.read(iprot);
+          this->__isset.statement = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->report_sent_micros);
-          this->__isset.report_sent_micros = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->abandoned);
+          this->__isset.abandoned = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9235,25 +11033,27 @@
   return xfer;
 }
 
-uint32_t ConfirmedPosition::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RelayRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfirmedPosition");
-
-  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->group);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RelayRequest");
 
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("report_sent_micros", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->report_sent_micros);
+  if (this->__isset.session) {
+    xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->session.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.statement) {
+    xfer += oprot->writeFieldBegin("statement", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->statement.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("abandoned", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->abandoned);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9261,112 +11061,128 @@
   return xfer;
 }
 
-void swap(ConfirmedPosition &a, ConfirmedPosition &b) {
+void swap(RelayRequest &a, RelayRequest &b) {
   using ::std::swap;
-  swap(a.group, b.group);
-  swap(a.term, b.term);
-  swap(a.number, b.number);
-  swap(a.report_sent_micros, b.report_sent_micros);
+  swap(a.operation, b.operation);
+  swap(a.session, b.session);
+  swap(a.statement, b.statement);
+  swap(a.abandoned, b.abandoned);
   swap(a.__isset, b.__isset);
 }
 
-ConfirmedPosition::ConfirmedPosition(const ConfirmedPosition& other301) {
-  group = other301.group;
-  term = other301.term;
-  number = other301.number;
-  report_sent_micros = other301.report_sent_micros;
-  __isset = other301.__isset;
-}
-ConfirmedPosition::ConfirmedPosition(ConfirmedPosition&& other302) noexcept {
-  group = std::move(other302.group);
-  term = other302.term;
-  number = other302.number;
-  report_sent_micros = other302.report_sent_micros;
-  __isset = other302.__isset;
-}
-ConfirmedPosition& ConfirmedPosition::operator=(const ConfirmedPosition& other303) {
-  group = other303.group;
-  term = other303.term;
-  number = other303.number;
-  report_sent_micros = other303.report_sent_micros;
-  __isset = other303.__isset;
+RelayRequest::RelayRequest(const RelayRequest& other391) {
+  operation = other391.operation;
+  session = other391.session;
+  statement = other391.statement;
+  abandoned = other391.abandoned;
+  __isset = other391.__isset;
+}
+RelayRequest::RelayRequest(RelayRequest&& other392) noexcept {
+  operation = other392.operation;
+  session = std::move(other392.session);
+  statement = std::move(other392.statement);
+  abandoned = other392.abandoned;
+  __isset = other392.__isset;
+}
+RelayRequest& RelayRequest::operator=(const RelayRequest& other393) {
+  operation = other393.operation;
+  session = other393.session;
+  statement = other393.statement;
+  abandoned = other393.abandoned;
+  __isset = other393.__isset;
   return *this;
 }
-ConfirmedPosition& ConfirmedPosition::operator=(ConfirmedPosition&& other304) noexcept {
-  group = std::move(other304.group);
-  term = other304.term;
-  number = other304.number;
-  report_sent_micros = other304.report_sent_micros;
-  __isset = other304.__isset;
+RelayRequest& RelayRequest::operator=(RelayRequest&& other394) noexcept {
+  operation = other394.operation;
+  session = std::move(other394.session);
+  statement = std::move(other394.statement);
+  abandoned = other394.abandoned;
+  __isset = other394.__isset;
   return *this;
 }
-void ConfirmedPosition::printTo(std::ostream& out) const {
+void RelayRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfirmedPosition(";
-  out << "group=" << to_string(group);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "number=" << to_string(number);
-  out << ", " << "report_sent_micros=" << to_string(report_sent_micros);
+  out << "RelayRequest(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "session="; (__isset.session ? (out << to_string(session)) : (out << "<null>"));
+  out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
+  out << ", " << "abandoned=" << to_string(abandoned);
   out << ")";
 }
 
 
-ProxyUpdate::~ProxyUpdate() noexcept {
+RelayAnswer::~RelayAnswer() noexcept {
 }
 
 
-void ProxyUpdate::__set_report_sent_micros(const int64_t val) {
-  this->report_sent_micros = val;
+void RelayAnswer::__set_operation(const int64_t val) {
+  this->operation = val;
 }
 
-void ProxyUpdate::__set_leader(const bool val) {
-  this->leader = val;
+void RelayAnswer::__set_outcome(const int32_t val) {
+  this->outcome = val;
 }
 
-void ProxyUpdate::__set_shares(const std::vector<ShareUpdate> & val) {
-  this->shares = val;
+void RelayAnswer::__set_rows(const std::vector<std::string> & val) {
+  this->rows = val;
 }
 
-void ProxyUpdate::__set_document_version(const int64_t val) {
-  this->document_version = val;
+void RelayAnswer::__set_signature(const std::string& val) {
+  this->signature = val;
 }
 
-void ProxyUpdate::__set_document(const std::string& val) {
-  this->document = val;
-__isset.document = true;
+void RelayAnswer::__set_code(const std::string& val) {
+  this->code = val;
 }
 
-void ProxyUpdate::__set_endpoints(const std::vector<EndpointRecord> & val) {
-  this->endpoints = val;
+void RelayAnswer::__set_message(const std::string& val) {
+  this->message = val;
 }
 
-void ProxyUpdate::__set_primaries(const std::vector<PrimaryAssignment> & val) {
-  this->primaries = val;
+void RelayAnswer::__set_state(const int32_t val) {
+  this->state = val;
 }
 
-void ProxyUpdate::__set_controllers(const std::vector<std::string> & val) {
-  this->controllers = val;
+void RelayAnswer::__set_position_term(const int64_t val) {
+  this->position_term = val;
+__isset.position_term = true;
 }
 
-void ProxyUpdate::__set_entries(const int32_t val) {
-  this->entries = val;
+void RelayAnswer::__set_position_number(const int64_t val) {
+  this->position_number = val;
 }
 
-void ProxyUpdate::__set_report_now(const bool val) {
-  this->report_now = val;
+void RelayAnswer::__set_ended(const bool val) {
+  this->ended = val;
 }
 
-void ProxyUpdate::__set_positions(const std::vector<ConfirmedPosition> & val) {
-  this->positions = val;
+void RelayAnswer::__set_last_commit_term(const int64_t val) {
+  this->last_commit_term = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj)
+
+void RelayAnswer::__set_last_commit_number(const int64_t val) {
+  this->last_commit_number = val;
+}
+
+void RelayAnswer::__set_unplaced_commit(const bool val) {
+  this->unplaced_commit = val;
+}
+
+void RelayAnswer::__set_configuration_version(const int64_t val) {
+  this->configuration_version = val;
+}
+
+void RelayAnswer::__set_declined(const bool val) {
+  this->declined = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProxyUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RelayAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -9389,16 +11205,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->report_sent_micros);
-          this->__isset.report_sent_micros = true;
+          xfer += iprot->readI64(this->operation);
+          this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->leader);
-          this->__isset.leader = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9406,131 +11222,115 @@
       case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->shares.clear();
-            uint32_t _size305;
-            ::apache::thrift::protocol::TType _etype308;
-            xfer += iprot->readListBegin(_etype308, _size305);
-            this->shares.resize(_size305);
-            uint32_t _i309;
-            for (_i309 = 0; _i309 < _size305; ++_i309)
+            this->rows.clear();
+            uint32_t _size395;
+            ::apache::thrift::protocol::TType _etype398;
+            xfer += iprot->readListBegin(_etype398, _size395);
+            this->rows.resize(_size395);
+            uint32_t _i399;
+            for (_i399 = 0; _i399 < _size395; ++_i399)
             {
-              xfer += this->shares[_i309].read(iprot);
+              xfer += iprot->readString(this->rows[_i399]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.shares = true;
+          this->__isset.rows = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->document_version);
-          this->__isset.document_version = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->signature);
+          this->__isset.signature = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->document);
-          this->__isset.document = true;
+          xfer += iprot->readString(this->code);
+          this->__isset.code = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->endpoints.clear();
-            uint32_t _size310;
-            ::apache::thrift::protocol::TType _etype313;
-            xfer += iprot->readListBegin(_etype313, _size310);
-            this->endpoints.resize(_size310);
-            uint32_t _i314;
-            for (_i314 = 0; _i314 < _size310; ++_i314)
-            {
-              xfer += this->endpoints[_i314].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.endpoints = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->primaries.clear();
-            uint32_t _size315;
-            ::apache::thrift::protocol::TType _etype318;
-            xfer += iprot->readListBegin(_etype318, _size315);
-            this->primaries.resize(_size315);
-            uint32_t _i319;
-            for (_i319 = 0; _i319 < _size315; ++_i319)
-            {
-              xfer += this->primaries[_i319].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.primaries = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->state);
+          this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->controllers.clear();
-            uint32_t _size320;
-            ::apache::thrift::protocol::TType _etype323;
-            xfer += iprot->readListBegin(_etype323, _size320);
-            this->controllers.resize(_size320);
-            uint32_t _i324;
-            for (_i324 = 0; _i324 < _size320; ++_i324)
-            {
-              xfer += iprot->readString(this->controllers[_i324]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.controllers = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position_term);
+          this->__isset.position_term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->entries);
-          this->__isset.entries = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->position_number);
+          this->__isset.position_number = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->report_now);
-          this->__isset.report_now = true;
+          xfer += iprot->readBool(this->ended);
+          this->__isset.ended = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 11:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->positions.clear();
-            uint32_t _size325;
-            ::apache::thrift::protocol::TType _etype328;
-            xfer += iprot->readListBegin(_etype328, _size325);
-            this->positions.resize(_size325);
-            uint32_t _i329;
-            for (_i329 = 0; _i329 < _size325; ++_i329)
-            {
-              xfer += this->positions[_i329].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.positions = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_commit_term);
+          this->__isset.last_commit_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_commit_number);
+          this->__isset.last_commit_number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->unplaced_commit);
+          this->__isset.unplaced_commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->configuration_version);
+          this->__isset.configuration_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->declined);
+          this->__isset.declined = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9547,94 +11347,78 @@
   return xfer;
 }
 
-uint32_t ProxyUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RelayAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProxyUpdate");
+  xfer += oprot->writeStructBegin("RelayAnswer");
 
-  xfer += oprot->writeFieldBegin("report_sent_micros", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->report_sent_micros);
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->operation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leader", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->leader);
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->outcome);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareUpdate> ::const_iterator _iter330;
-    for (_iter330 = this->shares.begin(); _iter330 != this->shares.end(); ++_iter330)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rows.size()));
+    std::vector<std::string> ::const_iterator _iter400;
+    for (_iter400 = this->rows.begin(); _iter400 != this->rows.end(); ++_iter400)
     {
-      xfer += (*_iter330).write(oprot);
+      xfer += oprot->writeString((*_iter400));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("document_version", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->document_version);
+  xfer += oprot->writeFieldBegin("signature", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->signature);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.document) {
-    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 5);
-    xfer += oprot->writeBinary(this->document);
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.position_term) {
+    xfer += oprot->writeFieldBegin("position_term", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->position_term);
     xfer += oprot->writeFieldEnd();
   }
-  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter331;
-    for (_iter331 = this->endpoints.begin(); _iter331 != this->endpoints.end(); ++_iter331)
-    {
-      xfer += (*_iter331).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("position_number", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->position_number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("primaries", ::apache::thrift::protocol::T_LIST, 7);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->primaries.size()));
-    std::vector<PrimaryAssignment> ::const_iterator _iter332;
-    for (_iter332 = this->primaries.begin(); _iter332 != this->primaries.end(); ++_iter332)
-    {
-      xfer += (*_iter332).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->ended);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 8);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
-    std::vector<std::string> ::const_iterator _iter333;
-    for (_iter333 = this->controllers.begin(); _iter333 != this->controllers.end(); ++_iter333)
-    {
-      xfer += oprot->writeString((*_iter333));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("last_commit_term", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->last_commit_term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 9);
-  xfer += oprot->writeI32(this->entries);
+  xfer += oprot->writeFieldBegin("last_commit_number", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->last_commit_number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("report_now", ::apache::thrift::protocol::T_BOOL, 10);
-  xfer += oprot->writeBool(this->report_now);
+  xfer += oprot->writeFieldBegin("unplaced_commit", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->unplaced_commit);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 11);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->positions.size()));
-    std::vector<ConfirmedPosition> ::const_iterator _iter334;
-    for (_iter334 = this->positions.begin(); _iter334 != this->positions.end(); ++_iter334)
-    {
-      xfer += (*_iter334).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("configuration_version", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->configuration_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("declined", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->declined);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -9642,94 +11426,118 @@
   return xfer;
 }
 
-void swap(ProxyUpdate &a, ProxyUpdate &b) {
+void swap(RelayAnswer &a, RelayAnswer &b) {
   using ::std::swap;
-  swap(a.report_sent_micros, b.report_sent_micros);
-  swap(a.leader, b.leader);
-  swap(a.shares, b.shares);
-  swap(a.document_version, b.document_version);
-  swap(a.document, b.document);
-  swap(a.endpoints, b.endpoints);
-  swap(a.primaries, b.primaries);
-  swap(a.controllers, b.controllers);
-  swap(a.entries, b.entries);
-  swap(a.report_now, b.report_now);
-  swap(a.positions, b.positions);
+  swap(a.operation, b.operation);
+  swap(a.outcome, b.outcome);
+  swap(a.rows, b.rows);
+  swap(a.signature, b.signature);
+  swap(a.code, b.code);
+  swap(a.message, b.message);
+  swap(a.state, b.state);
+  swap(a.position_term, b.position_term);
+  swap(a.position_number, b.position_number);
+  swap(a.ended, b.ended);
+  swap(a.last_commit_term, b.last_commit_term);
+  swap(a.last_commit_number, b.last_commit_number);
+  swap(a.unplaced_commit, b.unplaced_commit);
+  swap(a.configuration_version, b.configuration_version);
+  swap(a.declined, b.declined);
   swap(a.__isset, b.__isset);
 }
 
-ProxyUpdate::ProxyUpdate(const ProxyUpdate& other335) {
-  report_sent_micros = other335.report_sent_micros;
-  leader = other335.leader;
-  shares = other335.shares;
-  document_version = other335.document_version;
-  document = other335.document;
-  endpoints = other335.endpoints;
-  primaries = other335.primaries;
-  controllers = other335.controllers;
-  entries = other335.entries;
-  report_now = other335.report_now;
-  positions = other335.positions;
-  __isset = other335.__isset;
-}
-ProxyUpdate::ProxyUpdate(ProxyUpdate&& other336) noexcept {
-  report_sent_micros = other336.report_sent_micros;
-  leader = other336.leader;
-  shares = std::move(other336.shares);
-  document_version = other336.document_version;
-  document = std::move(other336.document);
-  endpoints = std::move(other336.endpoints);
-  primaries = std::move(other336.primaries);
-  controllers = std::move(other336.controllers);
-  entries = other336.entries;
-  report_now = other336.report_now;
-  positions = std::move(other336.positions);
-  __isset = other336.__isset;
-}
-ProxyUpdate& ProxyUpdate::operator=(const ProxyUpdate& other337) {
-  report_sent_micros = other337.report_sent_micros;
-  leader = other337.leader;
-  shares = other337.shares;
-  document_version = other337.document_version;
-  document = other337.document;
-  endpoints = other337.endpoints;
-  primaries = other337.primaries;
-  controllers = other337.controllers;
-  entries = other337.entries;
-  report_now = other337.report_now;
-  positions = other337.positions;
-  __isset = other337.__isset;
+RelayAnswer::RelayAnswer(const RelayAnswer& other401) {
+  operation = other401.operation;
+  outcome = other401.outcome;
+  rows = other401.rows;
+  signature = other401.signature;
+  code = other401.code;
+  message = other401.message;
+  state = other401.state;
+  position_term = other401.position_term;
+  position_number = other401.position_number;
+  ended = other401.ended;
+  last_commit_term = other401.last_commit_term;
+  last_commit_number = other401.last_commit_number;
+  unplaced_commit = other401.unplaced_commit;
+  configuration_version = other401.configuration_version;
+  declined = other401.declined;
+  __isset = other401.__isset;
+}
+RelayAnswer::RelayAnswer(RelayAnswer&& other402) noexcept {
+  operation = other402.operation;
+  outcome = other402.outcome;
+  rows = std::move(other402.rows);
+  signature = std::move(other402.signature);
+  code = std::move(other402.code);
+  message = std::move(other402.message);
+  state = other402.state;
+  position_term = other402.position_term;
+  position_number = other402.position_number;
+  ended = other402.ended;
+  last_commit_term = other402.last_commit_term;
+  last_commit_number = other402.last_commit_number;
+  unplaced_commit = other402.unplaced_commit;
+  configuration_version = other402.configuration_version;
+  declined = other402.declined;
+  __isset = other402.__isset;
+}
+RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other403) {
+  operation = other403.operation;
+  outcome = other403.outcome;
+  rows = other403.rows;
+  signature = other403.signature;
+  code = other403.code;
+  message = other403.message;
+  state = other403.state;
+  position_term = other403.position_term;
+  position_number = other403.position_number;
+  ended = other403.ended;
+  last_commit_term = other403.last_commit_term;
+  last_commit_number = other403.last_commit_number;
+  unplaced_commit = other403.unplaced_commit;
+  configuration_version = other403.configuration_version;
+  declined = other403.declined;
+  __isset = other403.__isset;
   return *this;
 }
-ProxyUpdate& ProxyUpdate::operator=(ProxyUpdate&& other338) noexcept {
-  report_sent_micros = other338.report_sent_micros;
-  leader = other338.leader;
-  shares = std::move(other338.shares);
-  document_version = other338.document_version;
-  document = std::move(other338.document);
-  endpoints = std::move(other338.endpoints);
-  primaries = std::move(other338.primaries);
-  controllers = std::move(other338.controllers);
-  entries = other338.entries;
-  report_now = other338.report_now;
-  positions = std::move(other338.positions);
-  __isset = other338.__isset;
+RelayAnswer& RelayAnswer::operator=(RelayAnswer&& other404) noexcept {
+  operation = other404.operation;
+  outcome = other404.outcome;
+  rows = std::move(other404.rows);
+  signature = std::move(other404.signature);
+  code = std::move(other404.code);
+  message = std::move(other404.message);
+  state = other404.state;
+  position_term = other404.position_term;
+  position_number = other404.position_number;
+  ended = other404.ended;
+  last_commit_term = other404.last_commit_term;
+  last_commit_number = other404.last_commit_number;
+  unplaced_commit = other404.unplaced_commit;
+  configuration_version = other404.configuration_version;
+  declined = other404.declined;
+  __isset = other404.__isset;
   return *this;
 }
-void ProxyUpdate::printTo(std::ostream& out) const {
+void RelayAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProxyUpdate(";
-  out << "report_sent_micros=" << to_string(report_sent_micros);
-  out << ", " << "leader=" << to_string(leader);
-  out << ", " << "shares=" << to_string(shares);
-  out << ", " << "document_version=" << to_string(document_version);
-  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
-  out << ", " << "endpoints=" << to_string(endpoints);
-  out << ", " << "primaries=" << to_string(primaries);
-  out << ", " << "controllers=" << to_string(controllers);
-  out << ", " << "entries=" << to_string(entries);
-  out << ", " << "report_now=" << to_string(report_now);
-  out << ", " << "positions=" << to_string(positions);
+  out << "RelayAnswer(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "rows=" << to_string(rows);
+  out << ", " << "signature=" << to_string(signature);
+  out << ", " << "code=" << to_string(code);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "position_term="; (__isset.position_term ? (out << to_string(position_term)) : (out << "<null>"));
+  out << ", " << "position_number=" << to_string(position_number);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "last_commit_term=" << to_string(last_commit_term);
+  out << ", " << "last_commit_number=" << to_string(last_commit_number);
+  out << ", " << "unplaced_commit=" << to_string(unplaced_commit);
+  out << ", " << "configuration_version=" << to_string(configuration_version);
+  out << ", " << "declined=" << to_string(declined);
   out << ")";
 }
 
@@ -9813,14 +11621,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controllers.clear();
-            uint32_t _size339;
-            ::apache::thrift::protocol::TType _etype342;
-            xfer += iprot->readListBegin(_etype342, _size339);
-            this->controllers.resize(_size339);
-            uint32_t _i343;
-            for (_i343 = 0; _i343 < _size339; ++_i343)
+            uint32_t _size405;
+            ::apache::thrift::protocol::TType _etype408;
+            xfer += iprot->readListBegin(_etype408, _size405);
+            this->controllers.resize(_size405);
+            uint32_t _i409;
+            for (_i409 = 0; _i409 < _size405; ++_i409)
             {
-              xfer += iprot->readString(this->controllers[_i343]);
+              xfer += iprot->readString(this->controllers[_i409]);
             }
             xfer += iprot->readListEnd();
           }
@@ -9833,14 +11641,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size344;
-            ::apache::thrift::protocol::TType _etype347;
-            xfer += iprot->readListBegin(_etype347, _size344);
-            this->endpoints.resize(_size344);
-            uint32_t _i348;
-            for (_i348 = 0; _i348 < _size344; ++_i348)
+            uint32_t _size410;
+            ::apache::thrift::protocol::TType _etype413;
+            xfer += iprot->readListBegin(_etype413, _size410);
+            this->endpoints.resize(_size410);
+            uint32_t _i414;
+            for (_i414 = 0; _i414 < _size410; ++_i414)
             {
-              xfer += this->endpoints[_i348].read(iprot);
+              xfer += this->endpoints[_i414].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9861,14 +11669,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held_back.clear();
-            uint32_t _size349;
-            ::apache::thrift::protocol::TType _etype352;
-            xfer += iprot->readListBegin(_etype352, _size349);
-            this->held_back.resize(_size349);
-            uint32_t _i353;
-            for (_i353 = 0; _i353 < _size349; ++_i353)
+            uint32_t _size415;
+            ::apache::thrift::protocol::TType _etype418;
+            xfer += iprot->readListBegin(_etype418, _size415);
+            this->held_back.resize(_size415);
+            uint32_t _i419;
+            for (_i419 = 0; _i419 < _size415; ++_i419)
             {
-              xfer += this->held_back[_i353].read(iprot);
+              xfer += this->held_back[_i419].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -9913,10 +11721,10 @@
   xfer += oprot->writeFieldBegin("controllers", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->controllers.size()));
-    std::vector<std::string> ::const_iterator _iter354;
-    for (_iter354 = this->controllers.begin(); _iter354 != this->controllers.end(); ++_iter354)
+    std::vector<std::string> ::const_iterator _iter420;
+    for (_iter420 = this->controllers.begin(); _iter420 != this->controllers.end(); ++_iter420)
     {
-      xfer += oprot->writeString((*_iter354));
+      xfer += oprot->writeString((*_iter420));
     }
     xfer += oprot->writeListEnd();
   }
@@ -9925,10 +11733,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter355;
-    for (_iter355 = this->endpoints.begin(); _iter355 != this->endpoints.end(); ++_iter355)
+    std::vector<EndpointRecord> ::const_iterator _iter421;
+    for (_iter421 = this->endpoints.begin(); _iter421 != this->endpoints.end(); ++_iter421)
     {
-      xfer += (*_iter355).write(oprot);
+      xfer += (*_iter421).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9941,10 +11749,10 @@
   xfer += oprot->writeFieldBegin("held_back", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held_back.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter356;
-    for (_iter356 = this->held_back.begin(); _iter356 != this->held_back.end(); ++_iter356)
+    std::vector<EndpointRecord> ::const_iterator _iter422;
+    for (_iter422 = this->held_back.begin(); _iter422 != this->held_back.end(); ++_iter422)
     {
-      xfer += (*_iter356).write(oprot);
+      xfer += (*_iter422).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -9971,46 +11779,46 @@
   swap(a.__isset, b.__isset);
 }
 
-ControllerNotice::ControllerNotice(const ControllerNotice& other357) {
-  has_disk = other357.has_disk;
-  joining = other357.joining;
-  controllers = other357.controllers;
-  endpoints = other357.endpoints;
-  draining = other357.draining;
-  held_back = other357.held_back;
-  leads = other357.leads;
-  __isset = other357.__isset;
-}
-ControllerNotice::ControllerNotice(ControllerNotice&& other358) noexcept {
-  has_disk = other358.has_disk;
-  joining = other358.joining;
-  controllers = std::move(other358.controllers);
-  endpoints = std::move(other358.endpoints);
-  draining = other358.draining;
-  held_back = std::move(other358.held_back);
-  leads = other358.leads;
-  __isset = other358.__isset;
-}
-ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other359) {
-  has_disk = other359.has_disk;
-  joining = other359.joining;
-  controllers = other359.controllers;
-  endpoints = other359.endpoints;
-  draining = other359.draining;
-  held_back = other359.held_back;
-  leads = other359.leads;
-  __isset = other359.__isset;
+ControllerNotice::ControllerNotice(const ControllerNotice& other423) {
+  has_disk = other423.has_disk;
+  joining = other423.joining;
+  controllers = other423.controllers;
+  endpoints = other423.endpoints;
+  draining = other423.draining;
+  held_back = other423.held_back;
+  leads = other423.leads;
+  __isset = other423.__isset;
+}
+ControllerNotice::ControllerNotice(ControllerNotice&& other424) noexcept {
+  has_disk = other424.has_disk;
+  joining = other424.joining;
+  controllers = std::move(other424.controllers);
+  endpoints = std::move(other424.endpoints);
+  draining = other424.draining;
+  held_back = std::move(other424.held_back);
+  leads = other424.leads;
+  __isset = other424.__isset;
+}
+ControllerNotice& ControllerNotice::operator=(const ControllerNotice& other425) {
+  has_disk = other425.has_disk;
+  joining = other425.joining;
+  controllers = other425.controllers;
+  endpoints = other425.endpoints;
+  draining = other425.draining;
+  held_back = other425.held_back;
+  leads = other425.leads;
+  __isset = other425.__isset;
   return *this;
 }
-ControllerNotice& ControllerNotice::operator=(ControllerNotice&& other360) noexcept {
-  has_disk = other360.has_disk;
-  joining = other360.joining;
-  controllers = std::move(other360.controllers);
-  endpoints = std::move(other360.endpoints);
-  draining = other360.draining;
-  held_back = std::move(other360.held_back);
-  leads = other360.leads;
-  __isset = other360.__isset;
+ControllerNotice& ControllerNotice::operator=(ControllerNotice&& other426) noexcept {
+  has_disk = other426.has_disk;
+  joining = other426.joining;
+  controllers = std::move(other426.controllers);
+  endpoints = std::move(other426.endpoints);
+  draining = other426.draining;
+  held_back = std::move(other426.held_back);
+  leads = other426.leads;
+  __isset = other426.__isset;
   return *this;
 }
 void ControllerNotice::printTo(std::ostream& out) const {
@@ -10136,30 +11944,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RegisterHolder::RegisterHolder(const RegisterHolder& other361) {
-  instance = other361.instance;
-  process = other361.process;
-  released = other361.released;
-  __isset = other361.__isset;
+RegisterHolder::RegisterHolder(const RegisterHolder& other427) {
+  instance = other427.instance;
+  process = other427.process;
+  released = other427.released;
+  __isset = other427.__isset;
 }
-RegisterHolder::RegisterHolder(RegisterHolder&& other362) noexcept {
-  instance = std::move(other362.instance);
-  process = other362.process;
-  released = other362.released;
-  __isset = other362.__isset;
+RegisterHolder::RegisterHolder(RegisterHolder&& other428) noexcept {
+  instance = std::move(other428.instance);
+  process = other428.process;
+  released = other428.released;
+  __isset = other428.__isset;
 }
-RegisterHolder& RegisterHolder::operator=(const RegisterHolder& other363) {
-  instance = other363.instance;
-  process = other363.process;
-  released = other363.released;
-  __isset = other363.__isset;
+RegisterHolder& RegisterHolder::operator=(const RegisterHolder& other429) {
+  instance = other429.instance;
+  process = other429.process;
+  released = other429.released;
+  __isset = other429.__isset;
   return *this;
 }
-RegisterHolder& RegisterHolder::operator=(RegisterHolder&& other364) noexcept {
-  instance = std::move(other364.instance);
-  process = other364.process;
-  released = other364.released;
-  __isset = other364.__isset;
+RegisterHolder& RegisterHolder::operator=(RegisterHolder&& other430) noexcept {
+  instance = std::move(other430.instance);
+  process = other430.process;
+  released = other430.released;
+  __isset = other430.__isset;
   return *this;
 }
 void RegisterHolder::printTo(std::ostream& out) const {
@@ -10264,26 +12072,26 @@
   swap(a.__isset, b.__isset);
 }
 
-HolderState::HolderState(const HolderState& other365) noexcept {
-  process = other365.process;
-  incarnation = other365.incarnation;
-  __isset = other365.__isset;
+HolderState::HolderState(const HolderState& other431) noexcept {
+  process = other431.process;
+  incarnation = other431.incarnation;
+  __isset = other431.__isset;
 }
-HolderState::HolderState(HolderState&& other366) noexcept {
-  process = other366.process;
-  incarnation = other366.incarnation;
-  __isset = other366.__isset;
+HolderState::HolderState(HolderState&& other432) noexcept {
+  process = other432.process;
+  incarnation = other432.incarnation;
+  __isset = other432.__isset;
 }
-HolderState& HolderState::operator=(const HolderState& other367) noexcept {
-  process = other367.process;
-  incarnation = other367.incarnation;
-  __isset = other367.__isset;
+HolderState& HolderState::operator=(const HolderState& other433) noexcept {
+  process = other433.process;
+  incarnation = other433.incarnation;
+  __isset = other433.__isset;
   return *this;
 }
-HolderState& HolderState::operator=(HolderState&& other368) noexcept {
-  process = other368.process;
-  incarnation = other368.incarnation;
-  __isset = other368.__isset;
+HolderState& HolderState::operator=(HolderState&& other434) noexcept {
+  process = other434.process;
+  incarnation = other434.incarnation;
+  __isset = other434.__isset;
   return *this;
 }
 void HolderState::printTo(std::ostream& out) const {
@@ -10387,26 +12195,26 @@
   swap(a.__isset, b.__isset);
 }
 
-ReserveUse::ReserveUse(const ReserveUse& other369) noexcept {
-  term = other369.term;
-  used = other369.used;
-  __isset = other369.__isset;
+ReserveUse::ReserveUse(const ReserveUse& other435) noexcept {
+  term = other435.term;
+  used = other435.used;
+  __isset = other435.__isset;
 }
-ReserveUse::ReserveUse(ReserveUse&& other370) noexcept {
-  term = other370.term;
-  used = other370.used;
-  __isset = other370.__isset;
+ReserveUse::ReserveUse(ReserveUse&& other436) noexcept {
+  term = other436.term;
+  used = other436.used;
+  __isset = other436.__isset;
 }
-ReserveUse& ReserveUse::operator=(const ReserveUse& other371) noexcept {
-  term = other371.term;
-  used = other371.used;
-  __isset = other371.__isset;
+ReserveUse& ReserveUse::operator=(const ReserveUse& other437) noexcept {
+  term = other437.term;
+  used = other437.used;
+  __isset = other437.__isset;
   return *this;
 }
-ReserveUse& ReserveUse::operator=(ReserveUse&& other372) noexcept {
-  term = other372.term;
-  used = other372.used;
-  __isset = other372.__isset;
+ReserveUse& ReserveUse::operator=(ReserveUse&& other438) noexcept {
+  term = other438.term;
+  used = other438.used;
+  __isset = other438.__isset;
   return *this;
 }
 void ReserveUse::printTo(std::ostream& out) const {
@@ -10510,26 +12318,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PutDocument::PutDocument(const PutDocument& other373) {
-  version = other373.version;
-  text = other373.text;
-  __isset = other373.__isset;
+PutDocument::PutDocument(const PutDocument& other439) {
+  version = other439.version;
+  text = other439.text;
+  __isset = other439.__isset;
 }
-PutDocument::PutDocument(PutDocument&& other374) noexcept {
-  version = other374.version;
-  text = std::move(other374.text);
-  __isset = other374.__isset;
+PutDocument::PutDocument(PutDocument&& other440) noexcept {
+  version = other440.version;
+  text = std::move(other440.text);
+  __isset = other440.__isset;
 }
-PutDocument& PutDocument::operator=(const PutDocument& other375) {
-  version = other375.version;
-  text = other375.text;
-  __isset = other375.__isset;
+PutDocument& PutDocument::operator=(const PutDocument& other441) {
+  version = other441.version;
+  text = other441.text;
+  __isset = other441.__isset;
   return *this;
 }
-PutDocument& PutDocument::operator=(PutDocument&& other376) noexcept {
-  version = other376.version;
-  text = std::move(other376.text);
-  __isset = other376.__isset;
+PutDocument& PutDocument::operator=(PutDocument&& other442) noexcept {
+  version = other442.version;
+  text = std::move(other442.text);
+  __isset = other442.__isset;
   return *this;
 }
 void PutDocument::printTo(std::ostream& out) const {
@@ -10564,6 +12372,11 @@
   this->reserve = val;
 __isset.reserve = true;
 }
+
+void FleetCommand::__set_evacuation(const ZoneEvacuation& val) {
+  this->evacuation = val;
+__isset.evacuation = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj)
 {
   obj.printTo(out);
@@ -10624,6 +12437,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuation.read(iprot);
+          this->__isset.evacuation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10661,6 +12482,11 @@
     xfer += this->reserve.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuation) {
+    xfer += oprot->writeFieldBegin("evacuation", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->evacuation.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10672,37 +12498,42 @@
   swap(a.holder, b.holder);
   swap(a.endpoint, b.endpoint);
   swap(a.reserve, b.reserve);
+  swap(a.evacuation, b.evacuation);
   swap(a.__isset, b.__isset);
 }
 
-FleetCommand::FleetCommand(const FleetCommand& other377) {
-  put = other377.put;
-  holder = other377.holder;
-  endpoint = other377.endpoint;
-  reserve = other377.reserve;
-  __isset = other377.__isset;
-}
-FleetCommand::FleetCommand(FleetCommand&& other378) noexcept {
-  put = std::move(other378.put);
-  holder = std::move(other378.holder);
-  endpoint = std::move(other378.endpoint);
-  reserve = std::move(other378.reserve);
-  __isset = other378.__isset;
-}
-FleetCommand& FleetCommand::operator=(const FleetCommand& other379) {
-  put = other379.put;
-  holder = other379.holder;
-  endpoint = other379.endpoint;
-  reserve = other379.reserve;
-  __isset = other379.__isset;
+FleetCommand::FleetCommand(const FleetCommand& other443) {
+  put = other443.put;
+  holder = other443.holder;
+  endpoint = other443.endpoint;
+  reserve = other443.reserve;
+  evacuation = other443.evacuation;
+  __isset = other443.__isset;
+}
+FleetCommand::FleetCommand(FleetCommand&& other444) noexcept {
+  put = std::move(other444.put);
+  holder = std::move(other444.holder);
+  endpoint = std::move(other444.endpoint);
+  reserve = std::move(other444.reserve);
+  evacuation = std::move(other444.evacuation);
+  __isset = other444.__isset;
+}
+FleetCommand& FleetCommand::operator=(const FleetCommand& other445) {
+  put = other445.put;
+  holder = other445.holder;
+  endpoint = other445.endpoint;
+  reserve = other445.reserve;
+  evacuation = other445.evacuation;
+  __isset = other445.__isset;
   return *this;
 }
-FleetCommand& FleetCommand::operator=(FleetCommand&& other380) noexcept {
-  put = std::move(other380.put);
-  holder = std::move(other380.holder);
-  endpoint = std::move(other380.endpoint);
-  reserve = std::move(other380.reserve);
-  __isset = other380.__isset;
+FleetCommand& FleetCommand::operator=(FleetCommand&& other446) noexcept {
+  put = std::move(other446.put);
+  holder = std::move(other446.holder);
+  endpoint = std::move(other446.endpoint);
+  reserve = std::move(other446.reserve);
+  evacuation = std::move(other446.evacuation);
+  __isset = other446.__isset;
   return *this;
 }
 void FleetCommand::printTo(std::ostream& out) const {
@@ -10712,6 +12543,7 @@
   out << ", " << "holder="; (__isset.holder ? (out << to_string(holder)) : (out << "<null>"));
   out << ", " << "endpoint="; (__isset.endpoint ? (out << to_string(endpoint)) : (out << "<null>"));
   out << ", " << "reserve="; (__isset.reserve ? (out << to_string(reserve)) : (out << "<null>"));
+  out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10735,6 +12567,14 @@
 void FleetSnapshot::__set_reserve_used(const bool val) {
   this->reserve_used = val;
 }
+
+void FleetSnapshot::__set_evacuated_zones(const std::set<std::string> & val) {
+  this->evacuated_zones = val;
+}
+
+void FleetSnapshot::__set_evacuations_index(const int64_t val) {
+  this->evacuations_index = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj)
 {
   obj.printTo(out);
@@ -10775,17 +12615,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->holders.clear();
-            uint32_t _size381;
-            ::apache::thrift::protocol::TType _ktype382;
-            ::apache::thrift::protocol::TType _vtype383;
-            xfer += iprot->readMapBegin(_ktype382, _vtype383, _size381);
-            uint32_t _i385;
-            for (_i385 = 0; _i385 < _size381; ++_i385)
+            uint32_t _size447;
+            ::apache::thrift::protocol::TType _ktype448;
+            ::apache::thrift::protocol::TType _vtype449;
+            xfer += iprot->readMapBegin(_ktype448, _vtype449, _size447);
+            uint32_t _i451;
+            for (_i451 = 0; _i451 < _size447; ++_i451)
             {
-              std::string _key386;
-              xfer += iprot->readString(_key386);
-              HolderState& _val387 = this->holders[_key386];
-              xfer += _val387.read(iprot);
+              std::string _key452;
+              xfer += iprot->readString(_key452);
+              HolderState& _val453 = this->holders[_key452];
+              xfer += _val453.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10798,17 +12638,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->endpoints.clear();
-            uint32_t _size388;
-            ::apache::thrift::protocol::TType _ktype389;
-            ::apache::thrift::protocol::TType _vtype390;
-            xfer += iprot->readMapBegin(_ktype389, _vtype390, _size388);
-            uint32_t _i392;
-            for (_i392 = 0; _i392 < _size388; ++_i392)
+            uint32_t _size454;
+            ::apache::thrift::protocol::TType _ktype455;
+            ::apache::thrift::protocol::TType _vtype456;
+            xfer += iprot->readMapBegin(_ktype455, _vtype456, _size454);
+            uint32_t _i458;
+            for (_i458 = 0; _i458 < _size454; ++_i458)
             {
-              std::string _key393;
-              xfer += iprot->readString(_key393);
-              EndpointRecord& _val394 = this->endpoints[_key393];
-              xfer += _val394.read(iprot);
+              std::string _key459;
+              xfer += iprot->readString(_key459);
+              EndpointRecord& _val460 = this->endpoints[_key459];
+              xfer += _val460.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -10825,6 +12665,35 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_SET) {
+          {
+            this->evacuated_zones.clear();
+            uint32_t _size461;
+            ::apache::thrift::protocol::TType _etype464;
+            xfer += iprot->readSetBegin(_etype464, _size461);
+            uint32_t _i465;
+            for (_i465 = 0; _i465 < _size461; ++_i465)
+            {
+              std::string _elem466;
+              xfer += iprot->readString(_elem466);
+              this->evacuated_zones.insert(_elem466);
+            }
+            xfer += iprot->readSetEnd();
+          }
+          this->__isset.evacuated_zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->evacuations_index);
+          this->__isset.evacuations_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10849,11 +12718,11 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::map<std::string, HolderState> ::const_iterator _iter395;
-    for (_iter395 = this->holders.begin(); _iter395 != this->holders.end(); ++_iter395)
+    std::map<std::string, HolderState> ::const_iterator _iter467;
+    for (_iter467 = this->holders.begin(); _iter467 != this->holders.end(); ++_iter467)
     {
-      xfer += oprot->writeString(_iter395->first);
-      xfer += _iter395->second.write(oprot);
+      xfer += oprot->writeString(_iter467->first);
+      xfer += _iter467->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10862,11 +12731,11 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::map<std::string, EndpointRecord> ::const_iterator _iter396;
-    for (_iter396 = this->endpoints.begin(); _iter396 != this->endpoints.end(); ++_iter396)
+    std::map<std::string, EndpointRecord> ::const_iterator _iter468;
+    for (_iter468 = this->endpoints.begin(); _iter468 != this->endpoints.end(); ++_iter468)
     {
-      xfer += oprot->writeString(_iter396->first);
-      xfer += _iter396->second.write(oprot);
+      xfer += oprot->writeString(_iter468->first);
+      xfer += _iter468->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -10876,6 +12745,22 @@
   xfer += oprot->writeBool(this->reserve_used);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("evacuated_zones", ::apache::thrift::protocol::T_SET, 5);
+  {
+    xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated_zones.size()));
+    std::set<std::string> ::const_iterator _iter469;
+    for (_iter469 = this->evacuated_zones.begin(); _iter469 != this->evacuated_zones.end(); ++_iter469)
+    {
+      xfer += oprot->writeString((*_iter469));
+    }
+    xfer += oprot->writeSetEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("evacuations_index", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->evacuations_index);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10887,37 +12772,47 @@
   swap(a.holders, b.holders);
   swap(a.endpoints, b.endpoints);
   swap(a.reserve_used, b.reserve_used);
+  swap(a.evacuated_zones, b.evacuated_zones);
+  swap(a.evacuations_index, b.evacuations_index);
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshot::FleetSnapshot(const FleetSnapshot& other397) {
-  document = other397.document;
-  holders = other397.holders;
-  endpoints = other397.endpoints;
-  reserve_used = other397.reserve_used;
-  __isset = other397.__isset;
-}
-FleetSnapshot::FleetSnapshot(FleetSnapshot&& other398) noexcept {
-  document = std::move(other398.document);
-  holders = std::move(other398.holders);
-  endpoints = std::move(other398.endpoints);
-  reserve_used = other398.reserve_used;
-  __isset = other398.__isset;
-}
-FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other399) {
-  document = other399.document;
-  holders = other399.holders;
-  endpoints = other399.endpoints;
-  reserve_used = other399.reserve_used;
-  __isset = other399.__isset;
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other470) {
+  document = other470.document;
+  holders = other470.holders;
+  endpoints = other470.endpoints;
+  reserve_used = other470.reserve_used;
+  evacuated_zones = other470.evacuated_zones;
+  evacuations_index = other470.evacuations_index;
+  __isset = other470.__isset;
+}
+FleetSnapshot::FleetSnapshot(FleetSnapshot&& other471) noexcept {
+  document = std::move(other471.document);
+  holders = std::move(other471.holders);
+  endpoints = std::move(other471.endpoints);
+  reserve_used = other471.reserve_used;
+  evacuated_zones = std::move(other471.evacuated_zones);
+  evacuations_index = other471.evacuations_index;
+  __isset = other471.__isset;
+}
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other472) {
+  document = other472.document;
+  holders = other472.holders;
+  endpoints = other472.endpoints;
+  reserve_used = other472.reserve_used;
+  evacuated_zones = other472.evacuated_zones;
+  evacuations_index = other472.evacuations_index;
+  __isset = other472.__isset;
   return *this;
 }
-FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other400) noexcept {
-  document = std::move(other400.document);
-  holders = std::move(other400.holders);
-  endpoints = std::move(other400.endpoints);
-  reserve_used = other400.reserve_used;
-  __isset = other400.__isset;
+FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other473) noexcept {
+  document = std::move(other473.document);
+  holders = std::move(other473.holders);
+  endpoints = std::move(other473.endpoints);
+  reserve_used = other473.reserve_used;
+  evacuated_zones = std::move(other473.evacuated_zones);
+  evacuations_index = other473.evacuations_index;
+  __isset = other473.__isset;
   return *this;
 }
 void FleetSnapshot::printTo(std::ostream& out) const {
@@ -10927,6 +12822,8 @@
   out << ", " << "holders=" << to_string(holders);
   out << ", " << "endpoints=" << to_string(endpoints);
   out << ", " << "reserve_used=" << to_string(reserve_used);
+  out << ", " << "evacuated_zones=" << to_string(evacuated_zones);
+  out << ", " << "evacuations_index=" << to_string(evacuations_index);
   out << ")";
 }
 
@@ -11014,6 +12911,16 @@
   this->controller_notice = val;
 __isset.controller_notice = true;
 }
+
+void PeerMessage::__set_relay_request(const RelayRequest& val) {
+  this->relay_request = val;
+__isset.relay_request = true;
+}
+
+void PeerMessage::__set_relay_answer(const RelayAnswer& val) {
+  this->relay_answer = val;
+__isset.relay_answer = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -11170,6 +13077,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relay_request.read(iprot);
+          this->__isset.relay_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relay_answer.read(iprot);
+          this->__isset.relay_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11267,6 +13190,16 @@
     xfer += this->controller_notice.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.relay_request) {
+    xfer += oprot->writeFieldBegin("relay_request", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->relay_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.relay_answer) {
+    xfer += oprot->writeFieldBegin("relay_answer", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->relay_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11290,85 +13223,95 @@
   swap(a.proxy_report, b.proxy_report);
   swap(a.proxy_update, b.proxy_update);
   swap(a.controller_notice, b.controller_notice);
+  swap(a.relay_request, b.relay_request);
+  swap(a.relay_answer, b.relay_answer);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other401) {
-  hello = other401.hello;
-  ping = other401.ping;
-  pong = other401.pong;
-  consensus = other401.consensus;
-  report = other401.report;
-  update = other401.update;
-  forward = other401.forward;
-  forward_response = other401.forward_response;
-  propose = other401.propose;
-  propose_response = other401.propose_response;
-  query = other401.query;
-  query_response = other401.query_response;
-  drain = other401.drain;
-  proxy_report = other401.proxy_report;
-  proxy_update = other401.proxy_update;
-  controller_notice = other401.controller_notice;
-  __isset = other401.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other402) noexcept {
-  hello = std::move(other402.hello);
-  ping = other402.ping;
-  pong = other402.pong;
-  consensus = std::move(other402.consensus);
-  report = std::move(other402.report);
-  update = std::move(other402.update);
-  forward = std::move(other402.forward);
-  forward_response = std::move(other402.forward_response);
-  propose = std::move(other402.propose);
-  propose_response = std::move(other402.propose_response);
-  query = std::move(other402.query);
-  query_response = std::move(other402.query_response);
-  drain = other402.drain;
-  proxy_report = std::move(other402.proxy_report);
-  proxy_update = std::move(other402.proxy_update);
-  controller_notice = std::move(other402.controller_notice);
-  __isset = other402.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other403) {
-  hello = other403.hello;
-  ping = other403.ping;
-  pong = other403.pong;
-  consensus = other403.consensus;
-  report = other403.report;
-  update = other403.update;
-  forward = other403.forward;
-  forward_response = other403.forward_response;
-  propose = other403.propose;
-  propose_response = other403.propose_response;
-  query = other403.query;
-  query_response = other403.query_response;
-  drain = other403.drain;
-  proxy_report = other403.proxy_report;
-  proxy_update = other403.proxy_update;
-  controller_notice = other403.controller_notice;
-  __isset = other403.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other474) {
+  hello = other474.hello;
+  ping = other474.ping;
+  pong = other474.pong;
+  consensus = other474.consensus;
+  report = other474.report;
+  update = other474.update;
+  forward = other474.forward;
+  forward_response = other474.forward_response;
+  propose = other474.propose;
+  propose_response = other474.propose_response;
+  query = other474.query;
+  query_response = other474.query_response;
+  drain = other474.drain;
+  proxy_report = other474.proxy_report;
+  proxy_update = other474.proxy_update;
+  controller_notice = other474.controller_notice;
+  relay_request = other474.relay_request;
+  relay_answer = other474.relay_answer;
+  __isset = other474.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other475) noexcept {
+  hello = std::move(other475.hello);
+  ping = other475.ping;
+  pong = other475.pong;
+  consensus = std::move(other475.consensus);
+  report = std::move(other475.report);
+  update = std::move(other475.update);
+  forward = std::move(other475.forward);
+  forward_response = std::move(other475.forward_response);
+  propose = std::move(other475.propose);
+  propose_response = std::move(other475.propose_response);
+  query = std::move(other475.query);
+  query_response = std::move(other475.query_response);
+  drain = other475.drain;
+  proxy_report = std::move(other475.proxy_report);
+  proxy_update = std::move(other475.proxy_update);
+  controller_notice = std::move(other475.controller_notice);
+  relay_request = std::move(other475.relay_request);
+  relay_answer = std::move(other475.relay_answer);
+  __isset = other475.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other476) {
+  hello = other476.hello;
+  ping = other476.ping;
+  pong = other476.pong;
+  consensus = other476.consensus;
+  report = other476.report;
+  update = other476.update;
+  forward = other476.forward;
+  forward_response = other476.forward_response;
+  propose = other476.propose;
+  propose_response = other476.propose_response;
+  query = other476.query;
+  query_response = other476.query_response;
+  drain = other476.drain;
+  proxy_report = other476.proxy_report;
+  proxy_update = other476.proxy_update;
+  controller_notice = other476.controller_notice;
+  relay_request = other476.relay_request;
+  relay_answer = other476.relay_answer;
+  __isset = other476.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other404) noexcept {
-  hello = std::move(other404.hello);
-  ping = other404.ping;
-  pong = other404.pong;
-  consensus = std::move(other404.consensus);
-  report = std::move(other404.report);
-  update = std::move(other404.update);
-  forward = std::move(other404.forward);
-  forward_response = std::move(other404.forward_response);
-  propose = std::move(other404.propose);
-  propose_response = std::move(other404.propose_response);
-  query = std::move(other404.query);
-  query_response = std::move(other404.query_response);
-  drain = other404.drain;
-  proxy_report = std::move(other404.proxy_report);
-  proxy_update = std::move(other404.proxy_update);
-  controller_notice = std::move(other404.controller_notice);
-  __isset = other404.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other477) noexcept {
+  hello = std::move(other477.hello);
+  ping = other477.ping;
+  pong = other477.pong;
+  consensus = std::move(other477.consensus);
+  report = std::move(other477.report);
+  update = std::move(other477.update);
+  forward = std::move(other477.forward);
+  forward_response = std::move(other477.forward_response);
+  propose = std::move(other477.propose);
+  propose_response = std::move(other477.propose_response);
+  query = std::move(other477.query);
+  query_response = std::move(other477.query_response);
+  drain = other477.drain;
+  proxy_report = std::move(other477.proxy_report);
+  proxy_update = std::move(other477.proxy_update);
+  controller_notice = std::move(other477.controller_notice);
+  relay_request = std::move(other477.relay_request);
+  relay_answer = std::move(other477.relay_answer);
+  __isset = other477.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -11390,6 +13333,8 @@
   out << ", " << "proxy_report="; (__isset.proxy_report ? (out << to_string(proxy_report)) : (out << "<null>"));
   out << ", " << "proxy_update="; (__isset.proxy_update ? (out << to_string(proxy_update)) : (out << "<null>"));
   out << ", " << "controller_notice="; (__isset.controller_notice ? (out << to_string(controller_notice)) : (out << "<null>"));
+  out << ", " << "relay_request="; (__isset.relay_request ? (out << to_string(relay_request)) : (out << "<null>"));
+  out << ", " << "relay_answer="; (__isset.relay_answer ? (out << to_string(relay_answer)) : (out << "<null>"));
   out << ")";
 }
 
@@ -11503,30 +13448,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other405) {
-  change_id = other405.change_id;
-  fingerprint = other405.fingerprint;
-  result = other405.result;
-  __isset = other405.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other478) {
+  change_id = other478.change_id;
+  fingerprint = other478.fingerprint;
+  result = other478.result;
+  __isset = other478.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other406) noexcept {
-  change_id = std::move(other406.change_id);
-  fingerprint = std::move(other406.fingerprint);
-  result = std::move(other406.result);
-  __isset = other406.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other479) noexcept {
+  change_id = std::move(other479.change_id);
+  fingerprint = std::move(other479.fingerprint);
+  result = std::move(other479.result);
+  __isset = other479.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other407) {
-  change_id = other407.change_id;
-  fingerprint = other407.fingerprint;
-  result = other407.result;
-  __isset = other407.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other480) {
+  change_id = other480.change_id;
+  fingerprint = other480.fingerprint;
+  result = other480.result;
+  __isset = other480.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other408) noexcept {
-  change_id = std::move(other408.change_id);
-  fingerprint = std::move(other408.fingerprint);
-  result = std::move(other408.result);
-  __isset = other408.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other481) noexcept {
+  change_id = std::move(other481.change_id);
+  fingerprint = std::move(other481.fingerprint);
+  result = std::move(other481.result);
+  __isset = other481.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -11618,14 +13563,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size409;
-            ::apache::thrift::protocol::TType _etype412;
-            xfer += iprot->readListBegin(_etype412, _size409);
-            this->objects.resize(_size409);
-            uint32_t _i413;
-            for (_i413 = 0; _i413 < _size409; ++_i413)
+            uint32_t _size482;
+            ::apache::thrift::protocol::TType _etype485;
+            xfer += iprot->readListBegin(_etype485, _size482);
+            this->objects.resize(_size482);
+            uint32_t _i486;
+            for (_i486 = 0; _i486 < _size482; ++_i486)
             {
-              xfer += this->objects[_i413].read(iprot);
+              xfer += this->objects[_i486].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11638,14 +13583,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size414;
-            ::apache::thrift::protocol::TType _etype417;
-            xfer += iprot->readListBegin(_etype417, _size414);
-            this->changes.resize(_size414);
-            uint32_t _i418;
-            for (_i418 = 0; _i418 < _size414; ++_i418)
+            uint32_t _size487;
+            ::apache::thrift::protocol::TType _etype490;
+            xfer += iprot->readListBegin(_etype490, _size487);
+            this->changes.resize(_size487);
+            uint32_t _i491;
+            for (_i491 = 0; _i491 < _size487; ++_i491)
             {
-              xfer += this->changes[_i418].read(iprot);
+              xfer += this->changes[_i491].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11666,14 +13611,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size419;
-            ::apache::thrift::protocol::TType _etype422;
-            xfer += iprot->readListBegin(_etype422, _size419);
-            this->groups.resize(_size419);
-            uint32_t _i423;
-            for (_i423 = 0; _i423 < _size419; ++_i423)
+            uint32_t _size492;
+            ::apache::thrift::protocol::TType _etype495;
+            xfer += iprot->readListBegin(_etype495, _size492);
+            this->groups.resize(_size492);
+            uint32_t _i496;
+            for (_i496 = 0; _i496 < _size492; ++_i496)
             {
-              xfer += this->groups[_i423].read(iprot);
+              xfer += this->groups[_i496].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11686,14 +13631,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size424;
-            ::apache::thrift::protocol::TType _etype427;
-            xfer += iprot->readListBegin(_etype427, _size424);
-            this->endpoints.resize(_size424);
-            uint32_t _i428;
-            for (_i428 = 0; _i428 < _size424; ++_i428)
+            uint32_t _size497;
+            ::apache::thrift::protocol::TType _etype500;
+            xfer += iprot->readListBegin(_etype500, _size497);
+            this->endpoints.resize(_size497);
+            uint32_t _i501;
+            for (_i501 = 0; _i501 < _size497; ++_i501)
             {
-              xfer += this->endpoints[_i428].read(iprot);
+              xfer += this->endpoints[_i501].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11706,14 +13651,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size429;
-            ::apache::thrift::protocol::TType _etype432;
-            xfer += iprot->readListBegin(_etype432, _size429);
-            this->instances.resize(_size429);
-            uint32_t _i433;
-            for (_i433 = 0; _i433 < _size429; ++_i433)
+            uint32_t _size502;
+            ::apache::thrift::protocol::TType _etype505;
+            xfer += iprot->readListBegin(_etype505, _size502);
+            this->instances.resize(_size502);
+            uint32_t _i506;
+            for (_i506 = 0; _i506 < _size502; ++_i506)
             {
-              xfer += this->instances[_i433].read(iprot);
+              xfer += this->instances[_i506].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11726,14 +13671,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size434;
-            ::apache::thrift::protocol::TType _etype437;
-            xfer += iprot->readListBegin(_etype437, _size434);
-            this->journal.resize(_size434);
-            uint32_t _i438;
-            for (_i438 = 0; _i438 < _size434; ++_i438)
+            uint32_t _size507;
+            ::apache::thrift::protocol::TType _etype510;
+            xfer += iprot->readListBegin(_etype510, _size507);
+            this->journal.resize(_size507);
+            uint32_t _i511;
+            for (_i511 = 0; _i511 < _size507; ++_i511)
             {
-              xfer += this->journal[_i438].read(iprot);
+              xfer += this->journal[_i511].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -11774,10 +13719,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter439;
-    for (_iter439 = this->objects.begin(); _iter439 != this->objects.end(); ++_iter439)
+    std::vector<Object> ::const_iterator _iter512;
+    for (_iter512 = this->objects.begin(); _iter512 != this->objects.end(); ++_iter512)
     {
-      xfer += (*_iter439).write(oprot);
+      xfer += (*_iter512).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11786,10 +13731,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter440;
-    for (_iter440 = this->changes.begin(); _iter440 != this->changes.end(); ++_iter440)
+    std::vector<AppliedChange> ::const_iterator _iter513;
+    for (_iter513 = this->changes.begin(); _iter513 != this->changes.end(); ++_iter513)
     {
-      xfer += (*_iter440).write(oprot);
+      xfer += (*_iter513).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11802,10 +13747,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter441;
-    for (_iter441 = this->groups.begin(); _iter441 != this->groups.end(); ++_iter441)
+    std::vector<GroupState> ::const_iterator _iter514;
+    for (_iter514 = this->groups.begin(); _iter514 != this->groups.end(); ++_iter514)
     {
-      xfer += (*_iter441).write(oprot);
+      xfer += (*_iter514).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11814,10 +13759,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter442;
-    for (_iter442 = this->endpoints.begin(); _iter442 != this->endpoints.end(); ++_iter442)
+    std::vector<EndpointInfo> ::const_iterator _iter515;
+    for (_iter515 = this->endpoints.begin(); _iter515 != this->endpoints.end(); ++_iter515)
     {
-      xfer += (*_iter442).write(oprot);
+      xfer += (*_iter515).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11826,10 +13771,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter443;
-    for (_iter443 = this->instances.begin(); _iter443 != this->instances.end(); ++_iter443)
+    std::vector<InstanceInfo> ::const_iterator _iter516;
+    for (_iter516 = this->instances.begin(); _iter516 != this->instances.end(); ++_iter516)
     {
-      xfer += (*_iter443).write(oprot);
+      xfer += (*_iter516).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11838,10 +13783,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter444;
-    for (_iter444 = this->journal.begin(); _iter444 != this->journal.end(); ++_iter444)
+    std::vector<JournalEntry> ::const_iterator _iter517;
+    for (_iter517 = this->journal.begin(); _iter517 != this->journal.end(); ++_iter517)
     {
-      xfer += (*_iter444).write(oprot);
+      xfer += (*_iter517).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -11870,54 +13815,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other445) {
-  revision = other445.revision;
-  objects = other445.objects;
-  changes = other445.changes;
-  groups_revision = other445.groups_revision;
-  groups = other445.groups;
-  endpoints = other445.endpoints;
-  instances = other445.instances;
-  journal = other445.journal;
-  session_secret = other445.session_secret;
-  __isset = other445.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other446) noexcept {
-  revision = other446.revision;
-  objects = std::move(other446.objects);
-  changes = std::move(other446.changes);
-  groups_revision = other446.groups_revision;
-  groups = std::move(other446.groups);
-  endpoints = std::move(other446.endpoints);
-  instances = std::move(other446.instances);
-  journal = std::move(other446.journal);
-  session_secret = std::move(other446.session_secret);
-  __isset = other446.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other447) {
-  revision = other447.revision;
-  objects = other447.objects;
-  changes = other447.changes;
-  groups_revision = other447.groups_revision;
-  groups = other447.groups;
-  endpoints = other447.endpoints;
-  instances = other447.instances;
-  journal = other447.journal;
-  session_secret = other447.session_secret;
-  __isset = other447.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other518) {
+  revision = other518.revision;
+  objects = other518.objects;
+  changes = other518.changes;
+  groups_revision = other518.groups_revision;
+  groups = other518.groups;
+  endpoints = other518.endpoints;
+  instances = other518.instances;
+  journal = other518.journal;
+  session_secret = other518.session_secret;
+  __isset = other518.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other519) noexcept {
+  revision = other519.revision;
+  objects = std::move(other519.objects);
+  changes = std::move(other519.changes);
+  groups_revision = other519.groups_revision;
+  groups = std::move(other519.groups);
+  endpoints = std::move(other519.endpoints);
+  instances = std::move(other519.instances);
+  journal = std::move(other519.journal);
+  session_secret = std::move(other519.session_secret);
+  __isset = other519.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other520) {
+  revision = other520.revision;
+  objects = other520.objects;
+  changes = other520.changes;
+  groups_revision = other520.groups_revision;
+  groups = other520.groups;
+  endpoints = other520.endpoints;
+  instances = other520.instances;
+  journal = other520.journal;
+  session_secret = other520.session_secret;
+  __isset = other520.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other448) noexcept {
-  revision = other448.revision;
-  objects = std::move(other448.objects);
-  changes = std::move(other448.changes);
-  groups_revision = other448.groups_revision;
-  groups = std::move(other448.groups);
-  endpoints = std::move(other448.endpoints);
-  instances = std::move(other448.instances);
-  journal = std::move(other448.journal);
-  session_secret = std::move(other448.session_secret);
-  __isset = other448.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other521) noexcept {
+  revision = other521.revision;
+  objects = std::move(other521.objects);
+  changes = std::move(other521.changes);
+  groups_revision = other521.groups_revision;
+  groups = std::move(other521.groups);
+  endpoints = std::move(other521.endpoints);
+  instances = std::move(other521.instances);
+  journal = std::move(other521.journal);
+  session_secret = std::move(other521.session_secret);
+  __isset = other521.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
