--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -150,6 +150,12 @@
 
 class EndpointRecord;
 
+class ZoneEvacuation;
+
+class EvacuatedZones;
+
+class RelayInstance;
+
 class PrimaryAssignment;
 
 class PrimaryContact;
@@ -160,6 +166,16 @@
 
 class ProxyUpdate;
 
+class RelayedPreparedStatement;
+
+class RelayedSession;
+
+class RelayedStatement;
+
+class RelayRequest;
+
+class RelayAnswer;
+
 class ControllerNotice;
 
 class RegisterHolder;
@@ -3069,7 +3085,7 @@
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
 typedef struct _EndpointRecord__isset {
-  _EndpointRecord__isset() : endpoint(false), group(false), address(false), zone(false), draining(false), primary(false), started_ms(false), sequence(false), gone(false), epoch(false) {}
+  _EndpointRecord__isset() : endpoint(false), group(false), address(false), zone(false), draining(false), primary(false), started_ms(false), sequence(false), gone(false), epoch(false), slots(false), cold_ms(false) {}
   bool endpoint :1;
   bool group :1;
   bool address :1;
@@ -3080,6 +3096,8 @@
   bool sequence :1;
   bool gone :1;
   bool epoch :1;
+  bool slots :1;
+  bool cold_ms :1;
 } _EndpointRecord__isset;
 
 class EndpointRecord : public virtual ::apache::thrift::TBase {
@@ -3099,7 +3117,9 @@
                    started_ms(0),
                    sequence(0),
                    gone(0),
-                   epoch(0) {
+                   epoch(0),
+                   slots(0),
+                   cold_ms(0) {
   }
 
   virtual ~EndpointRecord() noexcept;
@@ -3113,6 +3133,8 @@
   int64_t sequence;
   bool gone;
   int64_t epoch;
+  int32_t slots;
+  int64_t cold_ms;
 
   _EndpointRecord__isset __isset;
 
@@ -3136,6 +3158,10 @@
 
   void __set_epoch(const int64_t val);
 
+  void __set_slots(const int32_t val);
+
+  void __set_cold_ms(const int64_t val);
+
   bool operator == (const EndpointRecord & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -3158,6 +3184,10 @@
       return false;
     if (!(epoch == rhs.epoch))
       return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(cold_ms == rhs.cold_ms))
+      return false;
     return true;
   }
   bool operator != (const EndpointRecord &rhs) const {
@@ -3176,6 +3206,168 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj);
 
+typedef struct _ZoneEvacuation__isset {
+  _ZoneEvacuation__isset() : zone(false), active(false) {}
+  bool zone :1;
+  bool active :1;
+} _ZoneEvacuation__isset;
+
+class ZoneEvacuation : public virtual ::apache::thrift::TBase {
+ public:
+
+  ZoneEvacuation(const ZoneEvacuation&);
+  ZoneEvacuation(ZoneEvacuation&&) noexcept;
+  ZoneEvacuation& operator=(const ZoneEvacuation&);
+  ZoneEvacuation& operator=(ZoneEvacuation&&) noexcept;
+  ZoneEvacuation() noexcept
+                 : zone(),
+                   active(0) {
+  }
+
+  virtual ~ZoneEvacuation() noexcept;
+  std::string zone;
+  bool active;
+
+  _ZoneEvacuation__isset __isset;
+
+  void __set_zone(const std::string& val);
+
+  void __set_active(const bool val);
+
+  bool operator == (const ZoneEvacuation & rhs) const
+  {
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(active == rhs.active))
+      return false;
+    return true;
+  }
+  bool operator != (const ZoneEvacuation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ZoneEvacuation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ZoneEvacuation &a, ZoneEvacuation &b);
+
+std::ostream& operator<<(std::ostream& out, const ZoneEvacuation& obj);
+
+typedef struct _EvacuatedZones__isset {
+  _EvacuatedZones__isset() : index(false), zones(false) {}
+  bool index :1;
+  bool zones :1;
+} _EvacuatedZones__isset;
+
+class EvacuatedZones : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuatedZones(const EvacuatedZones&);
+  EvacuatedZones(EvacuatedZones&&) noexcept;
+  EvacuatedZones& operator=(const EvacuatedZones&);
+  EvacuatedZones& operator=(EvacuatedZones&&) noexcept;
+  EvacuatedZones() noexcept
+                 : index(0) {
+  }
+
+  virtual ~EvacuatedZones() noexcept;
+  int64_t index;
+  std::vector<std::string>  zones;
+
+  _EvacuatedZones__isset __isset;
+
+  void __set_index(const int64_t val);
+
+  void __set_zones(const std::vector<std::string> & val);
+
+  bool operator == (const EvacuatedZones & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    if (!(zones == rhs.zones))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuatedZones &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuatedZones & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuatedZones &a, EvacuatedZones &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuatedZones& obj);
+
+typedef struct _RelayInstance__isset {
+  _RelayInstance__isset() : instance(false), zone(false), available(false) {}
+  bool instance :1;
+  bool zone :1;
+  bool available :1;
+} _RelayInstance__isset;
+
+class RelayInstance : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayInstance(const RelayInstance&);
+  RelayInstance(RelayInstance&&) noexcept;
+  RelayInstance& operator=(const RelayInstance&);
+  RelayInstance& operator=(RelayInstance&&) noexcept;
+  RelayInstance() noexcept
+                : instance(),
+                  zone(),
+                  available(0) {
+  }
+
+  virtual ~RelayInstance() noexcept;
+  std::string instance;
+  std::string zone;
+  bool available;
+
+  _RelayInstance__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_available(const bool val);
+
+  bool operator == (const RelayInstance & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(available == rhs.available))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayInstance &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayInstance & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayInstance &a, RelayInstance &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayInstance& obj);
+
 typedef struct _PrimaryAssignment__isset {
   _PrimaryAssignment__isset() : group(false), endpoint(false), order(false) {}
   bool group :1;
@@ -3302,7 +3494,7 @@
 std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj);
 
 typedef struct _ProxyReport__isset {
-  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false), quiet_micros(false), first(false) {}
+  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false), quiet_micros(false), first(false), relay_zone(false), evacuations_index(false) {}
   bool process :1;
   bool sent_micros :1;
   bool document_version :1;
@@ -3312,6 +3504,8 @@
   bool stopped :1;
   bool quiet_micros :1;
   bool first :1;
+  bool relay_zone :1;
+  bool evacuations_index :1;
 } _ProxyReport__isset;
 
 class ProxyReport : public virtual ::apache::thrift::TBase {
@@ -3328,7 +3522,9 @@
                 wants_document(0),
                 stopped(0),
                 quiet_micros(0),
-                first(0) {
+                first(0),
+                relay_zone(),
+                evacuations_index(0) {
   }
 
   virtual ~ProxyReport() noexcept;
@@ -3341,6 +3537,8 @@
   bool stopped;
   int64_t quiet_micros;
   bool first;
+  std::string relay_zone;
+  int64_t evacuations_index;
 
   _ProxyReport__isset __isset;
 
@@ -3362,6 +3560,10 @@
 
   void __set_first(const bool val);
 
+  void __set_relay_zone(const std::string& val);
+
+  void __set_evacuations_index(const int64_t val);
+
   bool operator == (const ProxyReport & rhs) const
   {
     if (!(process == rhs.process))
@@ -3382,6 +3584,12 @@
       return false;
     if (!(first == rhs.first))
       return false;
+    if (__isset.relay_zone != rhs.__isset.relay_zone)
+      return false;
+    else if (__isset.relay_zone && !(relay_zone == rhs.relay_zone))
+      return false;
+    if (!(evacuations_index == rhs.evacuations_index))
+      return false;
     return true;
   }
   bool operator != (const ProxyReport &rhs) const {
@@ -3467,7 +3675,7 @@
 std::ostream& operator<<(std::ostream& out, const ConfirmedPosition& obj);
 
 typedef struct _ProxyUpdate__isset {
-  _ProxyUpdate__isset() : report_sent_micros(false), leader(false), shares(false), document_version(false), document(false), endpoints(false), primaries(false), controllers(false), entries(false), report_now(false), positions(false) {}
+  _ProxyUpdate__isset() : report_sent_micros(false), leader(false), shares(false), document_version(false), document(false), endpoints(false), primaries(false), controllers(false), entries(false), report_now(false), positions(false), evacuated(false), relays(false) {}
   bool report_sent_micros :1;
   bool leader :1;
   bool shares :1;
@@ -3479,6 +3687,8 @@
   bool entries :1;
   bool report_now :1;
   bool positions :1;
+  bool evacuated :1;
+  bool relays :1;
 } _ProxyUpdate__isset;
 
 class ProxyUpdate : public virtual ::apache::thrift::TBase {
@@ -3509,6 +3719,8 @@
   int32_t entries;
   bool report_now;
   std::vector<ConfirmedPosition>  positions;
+  EvacuatedZones evacuated;
+  std::vector<RelayInstance>  relays;
 
   _ProxyUpdate__isset __isset;
 
@@ -3534,6 +3746,10 @@
 
   void __set_positions(const std::vector<ConfirmedPosition> & val);
 
+  void __set_evacuated(const EvacuatedZones& val);
+
+  void __set_relays(const std::vector<RelayInstance> & val);
+
   bool operator == (const ProxyUpdate & rhs) const
   {
     if (!(report_sent_micros == rhs.report_sent_micros))
@@ -3560,6 +3776,12 @@
       return false;
     if (!(positions == rhs.positions))
       return false;
+    if (__isset.evacuated != rhs.__isset.evacuated)
+      return false;
+    else if (__isset.evacuated && !(evacuated == rhs.evacuated))
+      return false;
+    if (!(relays == rhs.relays))
+      return false;
     return true;
   }
   bool operator != (const ProxyUpdate &rhs) const {
@@ -3578,6 +3800,444 @@
 
 std::ostream& operator<<(std::ostream& out, const ProxyUpdate& obj);
 
+typedef struct _RelayedPreparedStatement__isset {
+  _RelayedPreparedStatement__isset() : writes(false), shape(false) {}
+  bool writes :1;
+  bool shape :1;
+} _RelayedPreparedStatement__isset;
+
+class RelayedPreparedStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedPreparedStatement(const RelayedPreparedStatement&);
+  RelayedPreparedStatement(RelayedPreparedStatement&&) noexcept;
+  RelayedPreparedStatement& operator=(const RelayedPreparedStatement&);
+  RelayedPreparedStatement& operator=(RelayedPreparedStatement&&) noexcept;
+  RelayedPreparedStatement() noexcept
+                           : writes(0),
+                             shape() {
+  }
+
+  virtual ~RelayedPreparedStatement() noexcept;
+  bool writes;
+  std::string shape;
+
+  _RelayedPreparedStatement__isset __isset;
+
+  void __set_writes(const bool val);
+
+  void __set_shape(const std::string& val);
+
+  bool operator == (const RelayedPreparedStatement & rhs) const
+  {
+    if (!(writes == rhs.writes))
+      return false;
+    if (!(shape == rhs.shape))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedPreparedStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedPreparedStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedPreparedStatement &a, RelayedPreparedStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedPreparedStatement& obj);
+
+typedef struct _RelayedSession__isset {
+  _RelayedSession__isset() : database(false), key(false), values(false), prepared(false), last_commit_term(false), last_commit_number(false), unplaced_commit_age_micros(false), configuration_version(false) {}
+  bool database :1;
+  bool key :1;
+  bool values :1;
+  bool prepared :1;
+  bool last_commit_term :1;
+  bool last_commit_number :1;
+  bool unplaced_commit_age_micros :1;
+  bool configuration_version :1;
+} _RelayedSession__isset;
+
+class RelayedSession : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedSession(const RelayedSession&);
+  RelayedSession(RelayedSession&&) noexcept;
+  RelayedSession& operator=(const RelayedSession&);
+  RelayedSession& operator=(RelayedSession&&) noexcept;
+  RelayedSession() noexcept
+                 : database(),
+                   key(),
+                   last_commit_term(0),
+                   last_commit_number(0),
+                   unplaced_commit_age_micros(0),
+                   configuration_version(0) {
+  }
+
+  virtual ~RelayedSession() noexcept;
+  std::string database;
+  std::string key;
+  std::map<std::string, std::string>  values;
+  std::map<std::string, RelayedPreparedStatement>  prepared;
+  int64_t last_commit_term;
+  int64_t last_commit_number;
+  int64_t unplaced_commit_age_micros;
+  int64_t configuration_version;
+
+  _RelayedSession__isset __isset;
+
+  void __set_database(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_values(const std::map<std::string, std::string> & val);
+
+  void __set_prepared(const std::map<std::string, RelayedPreparedStatement> & val);
+
+  void __set_last_commit_term(const int64_t val);
+
+  void __set_last_commit_number(const int64_t val);
+
+  void __set_unplaced_commit_age_micros(const int64_t val);
+
+  void __set_configuration_version(const int64_t val);
+
+  bool operator == (const RelayedSession & rhs) const
+  {
+    if (!(database == rhs.database))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(values == rhs.values))
+      return false;
+    if (!(prepared == rhs.prepared))
+      return false;
+    if (!(last_commit_term == rhs.last_commit_term))
+      return false;
+    if (!(last_commit_number == rhs.last_commit_number))
+      return false;
+    if (__isset.unplaced_commit_age_micros != rhs.__isset.unplaced_commit_age_micros)
+      return false;
+    else if (__isset.unplaced_commit_age_micros && !(unplaced_commit_age_micros == rhs.unplaced_commit_age_micros))
+      return false;
+    if (!(configuration_version == rhs.configuration_version))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedSession &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedSession & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedSession &a, RelayedSession &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedSession& obj);
+
+typedef struct _RelayedStatement__isset {
+  _RelayedStatement__isset() : kind(false), id(false), text(false), name(false), value(false), writes(false) {}
+  bool kind :1;
+  bool id :1;
+  bool text :1;
+  bool name :1;
+  bool value :1;
+  bool writes :1;
+} _RelayedStatement__isset;
+
+class RelayedStatement : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedStatement(const RelayedStatement&);
+  RelayedStatement(RelayedStatement&&) noexcept;
+  RelayedStatement& operator=(const RelayedStatement&);
+  RelayedStatement& operator=(RelayedStatement&&) noexcept;
+  RelayedStatement() noexcept
+                   : kind(0),
+                     id(),
+                     text(),
+                     name(),
+                     value(),
+                     writes(0) {
+  }
+
+  virtual ~RelayedStatement() noexcept;
+  int32_t kind;
+  std::string id;
+  std::string text;
+  std::string name;
+  std::string value;
+  bool writes;
+
+  _RelayedStatement__isset __isset;
+
+  void __set_kind(const int32_t val);
+
+  void __set_id(const std::string& val);
+
+  void __set_text(const std::string& val);
+
+  void __set_name(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  void __set_writes(const bool val);
+
+  bool operator == (const RelayedStatement & rhs) const
+  {
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    if (!(name == rhs.name))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    if (!(writes == rhs.writes))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedStatement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedStatement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedStatement &a, RelayedStatement &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedStatement& obj);
+
+typedef struct _RelayRequest__isset {
+  _RelayRequest__isset() : operation(false), session(false), statement(false), abandoned(false) {}
+  bool operation :1;
+  bool session :1;
+  bool statement :1;
+  bool abandoned :1;
+} _RelayRequest__isset;
+
+class RelayRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayRequest(const RelayRequest&);
+  RelayRequest(RelayRequest&&) noexcept;
+  RelayRequest& operator=(const RelayRequest&);
+  RelayRequest& operator=(RelayRequest&&) noexcept;
+  RelayRequest() noexcept
+               : operation(0),
+                 abandoned(0) {
+  }
+
+  virtual ~RelayRequest() noexcept;
+  int64_t operation;
+  RelayedSession session;
+  RelayedStatement statement;
+  bool abandoned;
+
+  _RelayRequest__isset __isset;
+
+  void __set_operation(const int64_t val);
+
+  void __set_session(const RelayedSession& val);
+
+  void __set_statement(const RelayedStatement& val);
+
+  void __set_abandoned(const bool val);
+
+  bool operator == (const RelayRequest & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (__isset.session != rhs.__isset.session)
+      return false;
+    else if (__isset.session && !(session == rhs.session))
+      return false;
+    if (__isset.statement != rhs.__isset.statement)
+      return false;
+    else if (__isset.statement && !(statement == rhs.statement))
+      return false;
+    if (!(abandoned == rhs.abandoned))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayRequest &a, RelayRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayRequest& obj);
+
+typedef struct _RelayAnswer__isset {
+  _RelayAnswer__isset() : operation(false), outcome(false), rows(false), signature(false), code(false), message(false), state(false), position_term(false), position_number(false), ended(false), last_commit_term(false), last_commit_number(false), unplaced_commit(false), configuration_version(false), declined(false) {}
+  bool operation :1;
+  bool outcome :1;
+  bool rows :1;
+  bool signature :1;
+  bool code :1;
+  bool message :1;
+  bool state :1;
+  bool position_term :1;
+  bool position_number :1;
+  bool ended :1;
+  bool last_commit_term :1;
+  bool last_commit_number :1;
+  bool unplaced_commit :1;
+  bool configuration_version :1;
+  bool declined :1;
+} _RelayAnswer__isset;
+
+class RelayAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayAnswer(const RelayAnswer&);
+  RelayAnswer(RelayAnswer&&) noexcept;
+  RelayAnswer& operator=(const RelayAnswer&);
+  RelayAnswer& operator=(RelayAnswer&&) noexcept;
+  RelayAnswer() noexcept
+              : operation(0),
+                outcome(0),
+                signature(),
+                code(),
+                message(),
+                state(0),
+                position_term(0),
+                position_number(0),
+                ended(0),
+                last_commit_term(0),
+                last_commit_number(0),
+                unplaced_commit(0),
+                configuration_version(0),
+                declined(0) {
+  }
+
+  virtual ~RelayAnswer() noexcept;
+  int64_t operation;
+  int32_t outcome;
+  std::vector<std::string>  rows;
+  std::string signature;
+  std::string code;
+  std::string message;
+  int32_t state;
+  int64_t position_term;
+  int64_t position_number;
+  bool ended;
+  int64_t last_commit_term;
+  int64_t last_commit_number;
+  bool unplaced_commit;
+  int64_t configuration_version;
+  bool declined;
+
+  _RelayAnswer__isset __isset;
+
+  void __set_operation(const int64_t val);
+
+  void __set_outcome(const int32_t val);
+
+  void __set_rows(const std::vector<std::string> & val);
+
+  void __set_signature(const std::string& val);
+
+  void __set_code(const std::string& val);
+
+  void __set_message(const std::string& val);
+
+  void __set_state(const int32_t val);
+
+  void __set_position_term(const int64_t val);
+
+  void __set_position_number(const int64_t val);
+
+  void __set_ended(const bool val);
+
+  void __set_last_commit_term(const int64_t val);
+
+  void __set_last_commit_number(const int64_t val);
+
+  void __set_unplaced_commit(const bool val);
+
+  void __set_configuration_version(const int64_t val);
+
+  void __set_declined(const bool val);
+
+  bool operator == (const RelayAnswer & rhs) const
+  {
+    if (!(operation == rhs.operation))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    if (!(signature == rhs.signature))
+      return false;
+    if (!(code == rhs.code))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (__isset.position_term != rhs.__isset.position_term)
+      return false;
+    else if (__isset.position_term && !(position_term == rhs.position_term))
+      return false;
+    if (!(position_number == rhs.position_number))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(last_commit_term == rhs.last_commit_term))
+      return false;
+    if (!(last_commit_number == rhs.last_commit_number))
+      return false;
+    if (!(unplaced_commit == rhs.unplaced_commit))
+      return false;
+    if (!(configuration_version == rhs.configuration_version))
+      return false;
+    if (!(declined == rhs.declined))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayAnswer &a, RelayAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj);
+
 typedef struct _ControllerNotice__isset {
   _ControllerNotice__isset() : has_disk(false), joining(false), controllers(false), endpoints(false), draining(false), held_back(false), leads(false) {}
   bool has_disk :1;
@@ -3878,11 +4538,12 @@
 std::ostream& operator<<(std::ostream& out, const PutDocument& obj);
 
 typedef struct _FleetCommand__isset {
-  _FleetCommand__isset() : put(false), holder(false), endpoint(false), reserve(false) {}
+  _FleetCommand__isset() : put(false), holder(false), endpoint(false), reserve(false), evacuation(false) {}
   bool put :1;
   bool holder :1;
   bool endpoint :1;
   bool reserve :1;
+  bool evacuation :1;
 } _FleetCommand__isset;
 
 class FleetCommand : public virtual ::apache::thrift::TBase {
@@ -3900,6 +4561,7 @@
   RegisterHolder holder;
   EndpointRecord endpoint;
   ReserveUse reserve;
+  ZoneEvacuation evacuation;
 
   _FleetCommand__isset __isset;
 
@@ -3911,6 +4573,8 @@
 
   void __set_reserve(const ReserveUse& val);
 
+  void __set_evacuation(const ZoneEvacuation& val);
+
   bool operator == (const FleetCommand & rhs) const
   {
     if (__isset.put != rhs.__isset.put)
@@ -3929,6 +4593,10 @@
       return false;
     else if (__isset.reserve && !(reserve == rhs.reserve))
       return false;
+    if (__isset.evacuation != rhs.__isset.evacuation)
+      return false;
+    else if (__isset.evacuation && !(evacuation == rhs.evacuation))
+      return false;
     return true;
   }
   bool operator != (const FleetCommand &rhs) const {
@@ -3948,11 +4616,13 @@
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj);
 
 typedef struct _FleetSnapshot__isset {
-  _FleetSnapshot__isset() : document(false), holders(false), endpoints(false), reserve_used(false) {}
+  _FleetSnapshot__isset() : document(false), holders(false), endpoints(false), reserve_used(false), evacuated_zones(false), evacuations_index(false) {}
   bool document :1;
   bool holders :1;
   bool endpoints :1;
   bool reserve_used :1;
+  bool evacuated_zones :1;
+  bool evacuations_index :1;
 } _FleetSnapshot__isset;
 
 class FleetSnapshot : public virtual ::apache::thrift::TBase {
@@ -3963,7 +4633,8 @@
   FleetSnapshot& operator=(const FleetSnapshot&);
   FleetSnapshot& operator=(FleetSnapshot&&) noexcept;
   FleetSnapshot() noexcept
-                : reserve_used(0) {
+                : reserve_used(0),
+                  evacuations_index(0) {
   }
 
   virtual ~FleetSnapshot() noexcept;
@@ -3971,6 +4642,8 @@
   std::map<std::string, HolderState>  holders;
   std::map<std::string, EndpointRecord>  endpoints;
   bool reserve_used;
+  std::set<std::string>  evacuated_zones;
+  int64_t evacuations_index;
 
   _FleetSnapshot__isset __isset;
 
@@ -3982,6 +4655,10 @@
 
   void __set_reserve_used(const bool val);
 
+  void __set_evacuated_zones(const std::set<std::string> & val);
+
+  void __set_evacuations_index(const int64_t val);
+
   bool operator == (const FleetSnapshot & rhs) const
   {
     if (!(document == rhs.document))
@@ -3992,6 +4669,10 @@
       return false;
     if (!(reserve_used == rhs.reserve_used))
       return false;
+    if (!(evacuated_zones == rhs.evacuated_zones))
+      return false;
+    if (!(evacuations_index == rhs.evacuations_index))
+      return false;
     return true;
   }
   bool operator != (const FleetSnapshot &rhs) const {
@@ -4011,7 +4692,7 @@
 std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj);
 
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : hello(false), ping(false), pong(false), consensus(false), report(false), update(false), forward(false), forward_response(false), propose(false), propose_response(false), query(false), query_response(false), drain(false), proxy_report(false), proxy_update(false), controller_notice(false) {}
+  _PeerMessage__isset() : hello(false), ping(false), pong(false), consensus(false), report(false), update(false), forward(false), forward_response(false), propose(false), propose_response(false), query(false), query_response(false), drain(false), proxy_report(false), proxy_update(false), controller_notice(false), relay_request(false), relay_answer(false) {}
   bool hello :1;
   bool ping :1;
   bool pong :1;
@@ -4028,6 +4709,8 @@
   bool proxy_report :1;
   bool proxy_update :1;
   bool controller_notice :1;
+  bool relay_request :1;
+  bool relay_answer :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -4060,6 +4743,8 @@
   ProxyReport proxy_report;
   ProxyUpdate proxy_update;
   ControllerNotice controller_notice;
+  RelayRequest relay_request;
+  RelayAnswer relay_answer;
 
   _PeerMessage__isset __isset;
 
@@ -4095,6 +4780,10 @@
 
   void __set_controller_notice(const ControllerNotice& val);
 
+  void __set_relay_request(const RelayRequest& val);
+
+  void __set_relay_answer(const RelayAnswer& val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -4161,6 +4850,14 @@
       return false;
     else if (__isset.controller_notice && !(controller_notice == rhs.controller_notice))
       return false;
+    if (__isset.relay_request != rhs.__isset.relay_request)
+      return false;
+    else if (__isset.relay_request && !(relay_request == rhs.relay_request))
+      return false;
+    if (__isset.relay_answer != rhs.__isset.relay_answer)
+      return false;
+    else if (__isset.relay_answer && !(relay_answer == rhs.relay_answer))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -395,6 +395,29 @@
   9: bool gone,
   10: i64 epoch,                         // raised when a record that is older
                                          // by start and sequence takes over
+  11: i32 slots,                         // statements at a time; 0: unknown
+  12: i64 cold_ms,                       // how much longer it is slow after its
+                                         // start, when the record was sent
+}
+
+// Whether an operator has ordered that no work goes to the endpoints of an
+// availability zone.
+struct ZoneEvacuation {
+  1: string zone,
+  2: bool active,
+}
+
+// All evacuated availability zones, as of an index of the controllers' log.
+struct EvacuatedZones {
+  1: i64 index,
+  2: list<string> zones,
+}
+
+// An entry that runs operations for other entries, or does so no longer.
+struct RelayInstance {
+  1: string instance,
+  2: string zone,
+  3: bool available,
 }
 
 // The endpoint that leads a group since `term` of the controllers' order.
@@ -423,6 +446,9 @@
   7: bool stopped,                       // last report: holds nothing
   8: i64 quiet_micros,                   // since a token was taken, or the start
   9: bool first,                         // on a new link: send all endpoints
+  10: optional string relay_zone,        // set: runs operations for other
+                                         // entries; its availability zone
+  11: i64 evacuations_index,             // of the EvacuatedZones applied
 }
 
 // A position that the primary of a group confirmed after the leader had
@@ -448,6 +474,61 @@
   9: i32 entries,                        // connected to the sender
   10: bool report_now,                   // wants a report with contacts
   11: list<ConfirmedPosition> positions,
+  12: optional EvacuatedZones evacuated,
+  13: list<RelayInstance> relays,        // changed ones; all on a new link
+}
+
+// What an entry that runs an operation for another one has to know of the
+// caller's session.
+struct RelayedPreparedStatement {
+  1: bool writes,
+  2: string shape,
+}
+
+struct RelayedSession {
+  1: string database,
+  2: string key,
+  3: map<string, string> values,
+  4: map<string, RelayedPreparedStatement> prepared,
+  5: i64 last_commit_term,
+  6: i64 last_commit_number,
+  7: optional i64 unplaced_commit_age_micros,
+  8: i64 configuration_version,          // the operation runs on this or later
+}
+
+struct RelayedStatement {
+  1: i32 kind,
+  2: string id,
+  3: string text,
+  4: string name,
+  5: string value,
+  6: bool writes,
+}
+
+// Entry to entry: a statement of an operation, or its end.
+struct RelayRequest {
+  1: i64 operation,                      // number given by the sender
+  2: optional RelayedSession session,    // with the first statement
+  3: optional RelayedStatement statement,
+  4: bool abandoned,                     // the caller has left
+}
+
+struct RelayAnswer {
+  1: i64 operation,
+  2: i32 outcome,
+  3: list<string> rows,
+  4: string signature,
+  5: string code,
+  6: string message,
+  7: i32 state,
+  8: optional i64 position_term,
+  9: i64 position_number,
+  10: bool ended,                        // the operation; none follows
+  11: i64 last_commit_term,
+  12: i64 last_commit_number,
+  13: bool unplaced_commit,              // committed without a known position
+  14: i64 configuration_version,         // that the operation has run on
+  15: bool declined,                     // nothing was done; run it elsewhere
 }
 
 // Controller to controller.
@@ -491,6 +572,7 @@
   2: optional RegisterHolder holder,
   3: optional EndpointRecord endpoint,   // as it was when it last changed
   4: optional ReserveUse reserve,
+  5: optional ZoneEvacuation evacuation,
 }
 
 struct FleetSnapshot {
@@ -498,6 +580,8 @@
   2: map<string, HolderState> holders,   // by instance
   3: map<string, EndpointRecord> endpoints,  // by name
   4: bool reserve_used,
+  5: set<string> evacuated_zones,
+  6: i64 evacuations_index,              // of their last change in the log
 }
 
 struct PeerMessage {
@@ -517,6 +601,8 @@
   14: optional ProxyReport proxy_report,
   15: optional ProxyUpdate proxy_update,
   16: optional ControllerNotice controller_notice,
+  17: optional RelayRequest relay_request,
+  18: optional RelayAnswer relay_answer,
 }
 
 // ---- snapshot of the control state machine -------------------------------
