Run operations on the customer's relay, which keeps connections open

Cause: each entry sees operations of all customers, and a connection belongs to one customer, so that nearly every operation opened a connection and asked the owner of the rate for a token. Change: an entry hands an operation to another entry, chosen by a rendezvous hash of the customer in the zone of the endpoint that it needs. The relay keeps idle connections.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -142,6 +142,7 @@
     // By group: asked_at of the newest position sent.
     std::map<std::string, Time> positions_sent;
     std::size_t controllers_sent = 0;
+    std::optional<messages::RelayInstance> relay;
   };
   struct PendingPut {
     std::int64_t version = 0;
@@ -196,6 +197,7 @@
   void OnNotice(Time now,
                 const std::string& from,
                 const messages::ControllerNotice& notice);
+  std::vector<messages::RelayInstance> KnownRelays(Time now) const;
   const std::string& CompressedDocument();
   void AddPositions(Entry& entry, messages::ProxyUpdate& update) const;
   bool ApplyHeartbeat(Time now, const messages::EndpointRecord& heartbeat);
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -144,14 +144,22 @@
   entry.reports.emplace_back(now, report.sent_micros);
   if (entry.reports.size() > kMaxReportsKept)
     entry.reports.pop_front();
+  if (report.__isset.relay && entry.relay != report.relay) {
+    entry.relay = report.relay;
+    messages::ProxyUpdate change;
+    change.relays.push_back(report.relay);
+    SendToEntries(change);
+  }
   messages::ProxyUpdate update;
   update.report_sent_micros = report.sent_micros;
   update.leader = HoldsLeadership(now);
   update.document_version = announced_version_;
   if (report.wants_document && announced_version_ > report.document_version)
     update.__set_document(CompressedDocument());
-  if (new_link)
+  if (new_link) {
     update.endpoints = directory_.All();
+    update.relays = KnownRelays(now);
+  }
   if (new_link || entry.controllers_sent != offered_controllers_.size())
     update.controllers.assign(offered_controllers_.begin(),
                               offered_controllers_.end());
@@ -172,6 +180,16 @@
   hooks_.send(from, std::move(message));
 }
 
+std::vector<messages::RelayInstance> Controller::KnownRelays(Time now) const {
+  std::vector<messages::RelayInstance> relays;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.relay && entry.relay->available &&
+        now - entry.reported_at < kEntryTimeout)
+      relays.push_back(*entry.relay);
+  }
+  return relays;
+}
+
 const std::string& Controller::CompressedDocument() {
   if (compressed_version_ != state_.version()) {
     compressed_document_ = routing::CompressDocument(state_.text());
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -9322,9 +9322,9 @@
   this->first = val;
 }
 
-void ProxyReport::__set_relay_zone(const std::string& val) {
-  this->relay_zone = val;
-__isset.relay_zone = true;
+void ProxyReport::__set_relay(const RelayInstance& val) {
+  this->relay = val;
+__isset.relay = true;
 }
 
 void ProxyReport::__set_evacuations_index(const int64_t val) {
@@ -9455,9 +9455,9 @@
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->relay_zone);
-          this->__isset.relay_zone = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->relay.read(iprot);
+          this->__isset.relay = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -9539,9 +9539,9 @@
   xfer += oprot->writeBool(this->first);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.relay_zone) {
-    xfer += oprot->writeFieldBegin("relay_zone", ::apache::thrift::protocol::T_STRING, 10);
-    xfer += oprot->writeString(this->relay_zone);
+  if (this->__isset.relay) {
+    xfer += oprot->writeFieldBegin("relay", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->relay.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldBegin("evacuations_index", ::apache::thrift::protocol::T_I64, 11);
@@ -9564,7 +9564,7 @@
   swap(a.stopped, b.stopped);
   swap(a.quiet_micros, b.quiet_micros);
   swap(a.first, b.first);
-  swap(a.relay_zone, b.relay_zone);
+  swap(a.relay, b.relay);
   swap(a.evacuations_index, b.evacuations_index);
   swap(a.__isset, b.__isset);
 }
@@ -9579,7 +9579,7 @@
   stopped = other315.stopped;
   quiet_micros = other315.quiet_micros;
   first = other315.first;
-  relay_zone = other315.relay_zone;
+  relay = other315.relay;
   evacuations_index = other315.evacuations_index;
   __isset = other315.__isset;
 }
@@ -9593,7 +9593,7 @@
   stopped = other316.stopped;
   quiet_micros = other316.quiet_micros;
   first = other316.first;
-  relay_zone = std::move(other316.relay_zone);
+  relay = std::move(other316.relay);
   evacuations_index = other316.evacuations_index;
   __isset = other316.__isset;
 }
@@ -9607,7 +9607,7 @@
   stopped = other317.stopped;
   quiet_micros = other317.quiet_micros;
   first = other317.first;
-  relay_zone = other317.relay_zone;
+  relay = other317.relay;
   evacuations_index = other317.evacuations_index;
   __isset = other317.__isset;
   return *this;
@@ -9622,7 +9622,7 @@
   stopped = other318.stopped;
   quiet_micros = other318.quiet_micros;
   first = other318.first;
-  relay_zone = std::move(other318.relay_zone);
+  relay = std::move(other318.relay);
   evacuations_index = other318.evacuations_index;
   __isset = other318.__isset;
   return *this;
@@ -9639,7 +9639,7 @@
   out << ", " << "stopped=" << to_string(stopped);
   out << ", " << "quiet_micros=" << to_string(quiet_micros);
   out << ", " << "first=" << to_string(first);
-  out << ", " << "relay_zone="; (__isset.relay_zone ? (out << to_string(relay_zone)) : (out << "<null>"));
+  out << ", " << "relay="; (__isset.relay ? (out << to_string(relay)) : (out << "<null>"));
   out << ", " << "evacuations_index=" << to_string(evacuations_index);
   out << ")";
 }
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -3494,7 +3494,7 @@
 std::ostream& operator<<(std::ostream& out, const PrimaryContact& obj);
 
 typedef struct _ProxyReport__isset {
-  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false), quiet_micros(false), first(false), relay_zone(false), evacuations_index(false) {}
+  _ProxyReport__isset() : process(false), sent_micros(false), document_version(false), wants_document(false), shares(false), contacts(false), stopped(false), quiet_micros(false), first(false), relay(false), evacuations_index(false) {}
   bool process :1;
   bool sent_micros :1;
   bool document_version :1;
@@ -3504,7 +3504,7 @@
   bool stopped :1;
   bool quiet_micros :1;
   bool first :1;
-  bool relay_zone :1;
+  bool relay :1;
   bool evacuations_index :1;
 } _ProxyReport__isset;
 
@@ -3523,7 +3523,6 @@
                 stopped(0),
                 quiet_micros(0),
                 first(0),
-                relay_zone(),
                 evacuations_index(0) {
   }
 
@@ -3537,7 +3536,7 @@
   bool stopped;
   int64_t quiet_micros;
   bool first;
-  std::string relay_zone;
+  RelayInstance relay;
   int64_t evacuations_index;
 
   _ProxyReport__isset __isset;
@@ -3560,7 +3559,7 @@
 
   void __set_first(const bool val);
 
-  void __set_relay_zone(const std::string& val);
+  void __set_relay(const RelayInstance& val);
 
   void __set_evacuations_index(const int64_t val);
 
@@ -3584,9 +3583,9 @@
       return false;
     if (!(first == rhs.first))
       return false;
-    if (__isset.relay_zone != rhs.__isset.relay_zone)
+    if (__isset.relay != rhs.__isset.relay)
       return false;
-    else if (__isset.relay_zone && !(relay_zone == rhs.relay_zone))
+    else if (__isset.relay && !(relay == rhs.relay))
       return false;
     if (!(evacuations_index == rhs.evacuations_index))
       return false;
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -446,8 +446,8 @@
   7: bool stopped,                       // last report: holds nothing
   8: i64 quiet_micros,                   // since a token was taken, or the start
   9: bool first,                         // on a new link: send all endpoints
-  10: optional string relay_zone,        // set: runs operations for other
-                                         // entries; its availability zone
+  10: optional RelayInstance relay,      // of the sender; on a new link and when
+                                         // it changes
   11: i64 evacuations_index,             // of the EvacuatedZones applied
 }
 
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -38,6 +38,10 @@
     const platform::BootSettings& settings) {
   statements::ProxyOptions options;
   options.zone = settings.zone;
+  options.relay = PeerName(settings, kRelayPortOffset);
+  // Controllers run on the instances with a disk. Such an instance is restarted
+  // and cut off together with its controller.
+  options.offers_relay = settings.data_folder.empty();
   options.limit_window = LimitWindowOf(settings);
   options.max_configuration_age = settings.configuration_bound / 2;
   // New operations end with the lease of the rate shares as well.
@@ -78,6 +82,7 @@
       [this](const std::string& peer, bool up) {
         controllers_.OnLink(SystemClock::Now(), peer, up);
       });
+  relay_links_ = MakeRelayLinks();
   adapters::HttpServerOptions http;
   http.host = settings_.readiness_listen.host;
   http.port = settings_.readiness_listen.port;
@@ -101,6 +106,7 @@
 void EntryService::Start() {
   peers_->SetPeers(PeerAddresses(controllers_.KnownControllers()));
   peers_->Start();
+  relay_links_->Start();
   http_->Start();
   AcceptNextCaller();
   Tick();
@@ -120,6 +126,18 @@
     else
       it->second->Write(platform::EncodeRefusal(answer));
   };
+  hooks.send_to_relay = [this](const std::string& relay,
+                               const messages::RelayRequest& request) {
+    messages::PeerMessage message;
+    message.__set_relay_request(request);
+    relay_links_->Send(relay, message);
+  };
+  hooks.answer_relayed = [this](const std::string& entry,
+                                const messages::RelayAnswer& answer) {
+    messages::PeerMessage message;
+    message.__set_relay_answer(answer);
+    relay_links_->Send(entry, message);
+  };
   hooks.close_session = [this](SessionId id) { CloseCaller(id); };
   hooks.has_unread_input = [this](SessionId id) {
     const auto it = callers_.find(id);
@@ -193,6 +211,28 @@
   return hooks;
 }
 
+std::unique_ptr<adapters::PeerTransport> EntryService::MakeRelayLinks() {
+  return std::make_unique<adapters::PeerTransport>(
+      context_, RelayLinkOptions(settings_), log_.logger(),
+      [this](const std::string& from, const messages::PeerMessage& message) {
+        if (message.__isset.relay_request)
+          proxy_.OnRelayRequest(SystemClock::Now(), from,
+                                message.relay_request);
+        if (message.__isset.relay_answer)
+          proxy_.OnRelayAnswer(SystemClock::Now(), from, message.relay_answer);
+      },
+      [this](const std::string& entry, bool up) {
+        proxy_.OnRelayLink(SystemClock::Now(), entry, up);
+      });
+}
+
+void EntryService::ConnectWantedRelays() {
+  if (proxy_.WantedRelays() == connected_relays_)
+    return;
+  connected_relays_ = proxy_.WantedRelays();
+  relay_links_->SetPeers(PeerAddresses(connected_relays_));
+}
+
 void EntryService::AcceptNextCaller() {
   acceptor_.async_accept(
       [this](boost::system::error_code error, tcp::socket socket) {
@@ -310,6 +350,7 @@
 void EntryService::Tick() {
   const Time now = SystemClock::Now();
   proxy_.Tick(now);
+  ConnectWantedRelays();
   controllers_.Tick(now);
   if (IsReady() != last_logged_readiness_) {
     last_logged_readiness_ = !last_logged_readiness_;
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -50,6 +50,8 @@
   };
   statements::ProxyHooks MakeHooks();
   statements::ControllerClientHooks MakeControllerHooks();
+  std::unique_ptr<adapters::PeerTransport> MakeRelayLinks();
+  void ConnectWantedRelays();
   void AcceptNextCaller();
   void OnCallerAccepted(boost::asio::ip::tcp::socket socket);
   void OnCallerLine(statements::SessionId id, std::string_view line);
@@ -83,6 +85,9 @@
   std::vector<std::weak_ptr<adapters::LineSocket>> closing_callers_;
   std::function<void()> on_drained_;
   std::unique_ptr<adapters::PeerTransport> peers_;
+  // Links to other entries, for relayed operations.
+  std::unique_ptr<adapters::PeerTransport> relay_links_;
+  std::set<std::string> connected_relays_;  // that this entry connects to
   std::unique_ptr<adapters::HttpServer> http_;
 };
 
--- a/programs/goldcrestd/platform_peers.cc
+++ b/programs/goldcrestd/platform_peers.cc
@@ -19,6 +19,12 @@
 // these links are up.
 constexpr std::chrono::milliseconds kMaxReconnectBackoff{150};
 
+// Each entry has links to dozens of others. StatementProxy probes a relay when
+// it owes an answer, so that idle links need few pings.
+constexpr std::chrono::seconds kRelayPingInterval{30};
+constexpr std::chrono::seconds kRelaySilenceTimeout{75};
+constexpr std::chrono::milliseconds kMaxRelayReconnectBackoff{2'000};
+
 }  // namespace
 
 std::string PeerName(const platform::BootSettings& settings,
@@ -65,6 +71,16 @@
   return options;
 }
 
+adapters::PeerTransportOptions RelayLinkOptions(
+    const platform::BootSettings& settings) {
+  adapters::PeerTransportOptions options =
+      PeerOptions(settings, kRelayPortOffset);
+  options.ping_interval = kRelayPingInterval;
+  options.silence_timeout = kRelaySilenceTimeout;
+  options.max_backoff = kMaxRelayReconnectBackoff;
+  return options;
+}
+
 quota::LimitWindow LimitWindowOf(const platform::BootSettings& settings) {
   return {settings.quota_window, settings.quota_tolerance,
           settings.quota_allowance};
--- a/programs/goldcrestd/platform_peers.h
+++ b/programs/goldcrestd/platform_peers.h
@@ -16,6 +16,8 @@
 // instance use these ports of the instance's internal range.
 inline constexpr std::uint16_t kControllerPortOffset = 0;
 inline constexpr std::uint16_t kEntryPortOffset = 1;
+// Port of the entry for other entries.
+inline constexpr std::uint16_t kRelayPortOffset = 2;
 
 //! Name of this instance's process whose peer port has this offset in the
 //! internal range.
@@ -33,6 +35,10 @@
     const platform::BootSettings& settings,
     std::uint16_t offset);
 
+//! Options of the links between entries.
+adapters::PeerTransportOptions RelayLinkOptions(
+    const platform::BootSettings& settings);
+
 quota::LimitWindow LimitWindowOf(const platform::BootSettings& settings);
 
 }  // namespace goldcrest
--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -157,9 +157,11 @@
   bool IsAvoided(Time now, const std::string& endpoint) const;
 
   //! Closes connections that have been idle for too long or whose endpoint
-  //! satisfies `unwanted`.
+  //! satisfies `unwanted`. `kept` tells how many connections to an endpoint are
+  //! kept open for longer.
   void CloseIdle(Time now,
-                 const std::function<bool(const std::string&)>& unwanted);
+                 const std::function<bool(const std::string&)>& unwanted,
+                 const std::function<int(const std::string&)>& kept);
 
   //! Connections that no session uses and whose oldest outstanding answer has
   //! been due since before `oldest`.
--- a/statements/include/goldcrest/statements/controller_client.h
+++ b/statements/include/goldcrest/statements/controller_client.h
@@ -73,6 +73,8 @@
   struct ControllerState {
     bool linked = false;
     bool first_report_sent = false;
+    // As the controller has been told.
+    std::optional<messages::RelayInstance> relay;
     std::int64_t version = 0;
     Time last_report_at;
   };
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -16,6 +16,7 @@
 #include "goldcrest/statements/connection_pool.h"
 #include "goldcrest/statements/position_history.h"
 #include "goldcrest/statements/primary_view.h"
+#include "goldcrest/statements/relay_directory.h"
 #include "goldcrest/statements/statement.h"
 
 namespace goldcrest::statements {
@@ -43,6 +44,12 @@
   std::function<void(ConnectionId, const ConnectionTarget&)> open;
   std::function<void(ConnectionId, const std::vector<EndpointCommand>&)> send;
   std::function<void(ConnectionId)> close;
+  //! Hands a message to the relay, or the answer to the entry that sent the
+  //! request.
+  std::function<void(const std::string& relay, const messages::RelayRequest&)>
+      send_to_relay;
+  std::function<void(const std::string& entry, const messages::RelayAnswer&)>
+      answer_relayed;
   std::function<void(const Decision&)> log_decision;
   //! One operation has ended.
   std::function<void(const routing::Route&, Outcome, Duration)> completed;
@@ -50,6 +57,8 @@
 
 struct ProxyOptions {
   std::string zone;
+  std::string relay;          //!< This entry's name towards other entries.
+  bool offers_relay = false;  //!< Runs operations for other entries.
   quota::LimitWindow limit_window;
   int entry_count = 11;  //!< Used until a controller reports the number.
   //! A caller is told that a database or key does not exist only if the
@@ -97,9 +106,23 @@
                            Time requested_at,
                            LogPosition position);
   void OnEntryCount(int entries);
+  void OnRelay(const messages::RelayInstance& relay);
   //! Admits waiting operations after the holder's shares have changed.
   void OnShares(Time now);
 
+  // Events of the links to other entries.
+  void OnRelayLink(Time now, const std::string& relay, bool up);
+  void OnRelayRequest(Time now,
+                      const std::string& from,
+                      const messages::RelayRequest& request);
+  void OnRelayAnswer(Time now,
+                     const std::string& from,
+                     const messages::RelayAnswer& answer);
+  //! Relays to which this entry needs a link.
+  const std::set<std::string>& WantedRelays() const { return relays_.Wanted(); }
+  //! This entry as a relay, as far as controllers have to know.
+  messages::RelayInstance OwnRelay() const;
+
   //! Applies timeouts and retries; has to be called at least every
   //! kTickInterval.
   void Tick(Time now);
@@ -157,8 +180,16 @@
     bool writes = false;
     std::string shape;
   };
+  // The operation of another entry that a session runs.
+  struct RemoteOperation {
+    std::string entry;
+    std::int64_t operation = 0;
+    // As the other entry has told it.
+    std::optional<Time> unplaced_commit_at;
+  };
   struct Session {
     SessionId id = 0;
+    std::optional<RemoteOperation> remote;
     std::string database;
     std::string key;
     // Of the running operation. Without a customer, `customer` is "-".
@@ -178,6 +209,8 @@
     bool statement_succeeded = false;  // of the running transaction
     bool aborted = false;  // the transaction was rolled back; not yet reported
     ConnectionId connection = 0;
+    std::string relay;  // runs the operation; empty: this entry
+    std::int64_t relayed_operation = 0;
     std::optional<PendingStatement> pending;
     std::deque<Statement> queued_statements;
     // When the open transaction is rolled back unless a statement arrives.
@@ -202,6 +235,9 @@
   void HandlePrepare(Time now, Session& session, const Statement& statement);
   void HandleEndpointStatement(Time now, Session& session, Statement statement);
   bool StartOperation(Time now, Session& session);
+  //! Runs an operation that has been started, here or on a relay.
+  void RunOperation(Time now, Session& session, Statement statement);
+  void BeginTransaction(Time now, Session& session, Statement statement);
   void SubmitStatement(Time now, Session& session, Statement statement);
   void Reply(Time now, Session& session, Answer answer);
   void ReplyLocally(Time now, Session& session, Answer answer);
@@ -234,6 +270,34 @@
   void RefuseWithdrawn(Time now, Session& session);
   void EndUnconfirmedTransactions(Time now);
 
+  // Operations that another entry runs.
+  bool UsesRelays(const std::string& group) const;
+  std::string ZoneForOperation(Time now,
+                               const Session& session,
+                               const Statement& statement);
+  bool RelayOperation(Time now, Session& session, const Statement& statement);
+  bool ForwardStatement(Time now, Session& session, const Statement& statement);
+  enum class RelayMessage { kFirst, kFollowing };
+  void SendRelayedStatement(Time now,
+                            Session& session,
+                            const Statement& statement,
+                            RelayMessage message);
+  messages::RelayedSession DescribeSession(Time now,
+                                           const Session& session,
+                                           const Statement& statement) const;
+  enum class RelayEnd { kEndedThere, kAbandon };
+  void LeaveRelay(Session& session, RelayEnd end);
+  void RestartOperation(Time now, Session& session);
+  void OnRelayLost(Time now,
+                   const std::string& relay,
+                   const std::string& cause);
+  void ProbeRelays(Time now);
+  // Operations that this entry runs for others.
+  SessionId OpenRemoteSession(Time now,
+                              const std::string& from,
+                              const messages::RelayRequest& request);
+  void SendRelayAnswer(const Session& session, const Answer& answer);
+
   void SetLimits(const routing::RoutingTable& table);
   void ConfirmConfiguration(Time now);
   //! False if a newer configuration may be in force elsewhere.
@@ -279,6 +343,7 @@
   void Send(const Connection& connection,
             const std::vector<EndpointCommand>& commands);
   int EqualConnectionShare(const std::string& endpoint) const;
+  int KeptConnections(const std::string& endpoint) const;
   int ConnectionLimit(const std::string& endpoint) const;
 
   // Answers of endpoints, retries, timeouts and lost connections.
@@ -339,6 +404,14 @@
   PrimaryView primaries_{&directory_};
   ConnectionPool pool_;
   quota::Holder holder_;
+  RelayDirectory relays_;
+  std::int64_t next_relayed_operation_ = 1;
+  std::map<std::int64_t, SessionId> relayed_operations_;
+  // The newest configuration that a relay has run an operation on.
+  std::int64_t required_version_ = 0;
+  SessionId next_remote_session_ = 0;
+  // By entry and number of the operation.
+  std::map<std::pair<std::string, std::int64_t>, SessionId> remote_sessions_;
   std::map<std::string, PositionHistory> positions_;  // by group
   std::map<SessionId, Session> sessions_;
   std::map<std::string, std::vector<SessionId>> waiting_sessions_;  // by group
--- a/statements/src/connection_pool.cc
+++ b/statements/src/connection_pool.cc
@@ -29,6 +29,10 @@
 constexpr Duration kIdleTimeout = std::chrono::milliseconds(200);
 constexpr Duration kIdleTimeoutWhenBusy = std::chrono::milliseconds(1500);
 
+// Idle time of connections that are kept for the next operations. Shorter than
+// the time after which endpoints close them.
+constexpr Duration kKeptIdleTimeout = std::chrono::seconds(30);
+
 // How long a statement waits for a connection that is being rolled back before
 // it opens another one. Longer than a round trip between availability zones.
 constexpr Duration kMaxRollbackWait = std::chrono::milliseconds(100);
@@ -341,16 +345,26 @@
 
 void ConnectionPool::CloseIdle(
     Time now,
-    const std::function<bool(const std::string&)>& unwanted) {
+    const std::function<bool(const std::string&)>& unwanted,
+    const std::function<int(const std::string&)>& kept) {
   std::vector<ConnectionId> closing;
+  std::map<std::string, int> closing_at;
   for (const auto& [id, connection] : connections_) {
     if (connection.state != Connection::State::kIdle)
       continue;
     const bool busy = health_.at(connection.endpoint).window > 0;
     const Duration timeout = busy ? kIdleTimeoutWhenBusy : kIdleTimeout;
-    if (now - connection.state_since >= timeout ||
-        unwanted(connection.endpoint))
-      closing.push_back(id);
+    const Duration idle = now - connection.state_since;
+    if (idle < timeout && !unwanted(connection.endpoint))
+      continue;
+    int& closed = closing_at[connection.endpoint];
+    const bool is_kept = idle < kKeptIdleTimeout &&
+                         health_.at(connection.endpoint).connections - closed <=
+                             kept(connection.endpoint);
+    if (is_kept && !unwanted(connection.endpoint))
+      continue;
+    ++closed;
+    closing.push_back(id);
   }
   for (const ConnectionId id : closing)
     Close(id);
--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -81,6 +81,8 @@
   }
   for (const messages::EndpointRecord& record : update.endpoints)
     proxy_.OnEndpoint(now, record);
+  for (const messages::RelayInstance& relay : update.relays)
+    proxy_.OnRelay(relay);
   for (const messages::PrimaryAssignment& assignment : update.primaries)
     proxy_.OnAssignment(now, assignment);
   for (const messages::ConfirmedPosition& position : update.positions)
@@ -216,6 +218,11 @@
       report.contacts = std::move(contacts);
     }
   }
+  messages::RelayInstance relay = proxy_.OwnRelay();
+  if (!state.first_report_sent || state.relay != relay) {
+    report.__set_relay(relay);
+    state.relay = std::move(relay);
+  }
   state.last_report_at = now;
   state.first_report_sent = true;
   messages::PeerMessage message;
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -418,6 +418,7 @@
   RefuseSessionStarts(now);
   AdmitWaitingOperations(now);
   EndUnconfirmedTransactions(now);
+  ProbeRelays(now);
   if (stop_phase_ != StopPhase::kNone)
     CloseSessionsBetweenOperations(now);
   std::vector<SessionId> due;
@@ -460,10 +461,13 @@
   }
   for (const ConnectionId id : pool_.RollbacksDue(now))
     SendRollback(now, *pool_.Find(id));
-  pool_.CloseIdle(now, [this](const std::string& endpoint) {
+  const auto unwanted = [this](const std::string& endpoint) {
     const auto* entry = directory_.Find(endpoint);
     return entry == nullptr || entry->record.gone ||
            (entry->record.draining && !entry->record.primary);
+  };
+  pool_.CloseIdle(now, unwanted, [this](const std::string& endpoint) {
+    return KeptConnections(endpoint);
   });
   std::vector<std::string> groups;
   for (const auto& [group, ids] : waiting_sessions_) {
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -24,6 +24,11 @@
 // statements take the idle ones.
 constexpr Duration kMaxIdleConnectionWait = std::chrono::milliseconds(80);
 
+// Part of an endpoint's connections that relays keep open while they are idle.
+// The rest is for entries that run operations themselves, and for reconnecting
+// after a loss of power, when an endpoint counts dead connections for seconds.
+constexpr int kKeptPercent = 65;
+
 // Connections of each endpoint that are left to the probes of the controllers.
 constexpr int kProbeConnections = 1;
 
@@ -213,7 +218,20 @@
 
 int StatementProxy::EqualConnectionShare(const std::string& endpoint) const {
   const int limit = ConnectionLimit(endpoint) - kProbeConnections;
-  return std::max(1, limit / std::max(1, options_.entry_count));
+  return std::max({1, limit / std::max(1, options_.entry_count),
+                   KeptConnections(endpoint)});
+}
+
+// Connections that a relay keeps open for the next operations of its customers.
+// The relays of the endpoint's availability zone share a part of its limit.
+int StatementProxy::KeptConnections(const std::string& endpoint) const {
+  const auto* entry = directory_.Find(endpoint);
+  if (entry == nullptr || table_ == nullptr || !options_.offers_relay ||
+      entry->record.zone != options_.zone || !UsesRelays(entry->record.group))
+    return 0;
+  const int relays = std::max(1, relays_.CountIn(options_.zone));
+  const int kept = ConnectionLimit(endpoint) * kKeptPercent / 100;
+  return (kept + relays - 1) / relays;
 }
 
 // Assigns an idle connection to the session and returns true. If there is none,
--- /dev/null
+++ b/statements/src/proxy_relay.cc
@@ -0,0 +1,425 @@
+// Operations that another entry runs for this one, and those that this entry
+// runs for others.
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "goldcrest/statements/statement_proxy.h"
+
+namespace goldcrest::statements {
+namespace {
+
+// Added to the times after which a relay answers by itself: a round trip
+// between availability zones on a busy link.
+constexpr Duration kRelayRoundTrip = std::chrono::milliseconds(60);
+
+// Relays are used where an entry's equal part of a group's connections is below
+// this part of the customers: most operations would open a connection.
+constexpr int kCustomersPerConnection = 4;
+
+// Numbers of sessions that are run for other entries begin here.
+constexpr SessionId kFirstRemoteSession = SessionId{1} << 48U;
+
+bool IsValid(const messages::RelayedStatement& statement) {
+  return statement.kind >= 0 &&
+         statement.kind <= static_cast<std::int32_t>(StatementKind::kMalformed);
+}
+
+bool IsValid(const messages::RelayAnswer& answer) {
+  return answer.outcome >= 0 &&
+         answer.outcome <= static_cast<std::int32_t>(Outcome::kOther) &&
+         answer.state >= 0 &&
+         answer.state <= static_cast<std::int32_t>(TransactionState::kFailed);
+}
+
+}  // namespace
+
+bool StatementProxy::UsesRelays(const std::string& group) const {
+  const auto it = table_->groups.find(group);
+  if (options_.relay.empty() || it == table_->groups.end())
+    return false;
+  return it->second.connection_limit * kCustomersPerConnection <
+         options_.entry_count * static_cast<int>(table_->customers.size());
+}
+
+// The availability zone of the endpoint that the operation needs. Empty if
+// there is none.
+std::string StatementProxy::ZoneForOperation(Time now,
+                                             const Session& session,
+                                             const Statement& statement) {
+  const std::string& group = session.route->group;
+  const bool begins = statement.kind == StatementKind::kBegin;
+  if (session.route->consistency == routing::Consistency::kPrimary || begins ||
+      Writes(session, statement)) {
+    const auto* primary = directory_.Find(primaries_.PrimaryOf(now, group));
+    return primary == nullptr ? "" : primary->record.zone;
+  }
+  std::vector<std::string> zones;
+  for (const auto* member : directory_.MembersOf(group)) {
+    if (member->record.draining ||
+        pool_.IsAvoided(now, member->record.endpoint))
+      continue;
+    if (member->record.zone == options_.zone)
+      return options_.zone;
+    zones.push_back(member->record.zone);
+  }
+  if (zones.empty())
+    return "";
+  std::ranges::sort(zones);
+  const std::size_t hash =
+      std::hash<std::string>{}(session.customer + '\n' + group);
+  return zones[hash % zones.size()];
+}
+
+// Hands the operation that begins with `statement` to the customer's relay.
+// Returns false if this entry has to run it.
+bool StatementProxy::RelayOperation(Time now,
+                                    Session& session,
+                                    const Statement& statement) {
+  if (session.remote || !UsesRelays(session.route->group))
+    return false;
+  const std::string zone = ZoneForOperation(now, session, statement);
+  if (zone.empty())
+    return false;
+  const std::string relay = relays_.Choose(now, session.customer, zone);
+  if (relay.empty() || relay == options_.relay)
+    return false;
+  session.relay = relay;
+  session.relayed_operation = next_relayed_operation_++;
+  relayed_operations_[session.relayed_operation] = session.id;
+  relays_.OnOperationStarted(now, relay);
+  SendRelayedStatement(now, session, statement, RelayMessage::kFirst);
+  return true;
+}
+
+// Sends a statement of a transaction to the relay that runs it. Returns false
+// for a statement that this entry answers itself.
+bool StatementProxy::ForwardStatement(Time now,
+                                      Session& session,
+                                      const Statement& statement) {
+  const bool prepared = session.prepared.count(statement.name) > 0;
+  switch (statement.kind) {
+    case StatementKind::kSet:
+      session.values[statement.name] = statement.value;
+      break;
+    case StatementKind::kPrepare:
+      session.prepared[statement.name] = {statement.writes, statement.value};
+      break;
+    case StatementKind::kDeallocate:
+      if (!prepared)
+        return false;
+      session.prepared.erase(statement.name);
+      break;
+    case StatementKind::kExecute:
+      if (!prepared)
+        return false;
+      break;
+    case StatementKind::kCommit:
+    case StatementKind::kRead:
+    case StatementKind::kWrite:
+      break;
+    case StatementKind::kBegin:
+    case StatementKind::kBeginReadOnly:
+    case StatementKind::kRollback:
+    case StatementKind::kMalformed:
+      return false;
+  }
+  SendRelayedStatement(now, session, statement, RelayMessage::kFollowing);
+  return true;
+}
+
+void StatementProxy::SendRelayedStatement(Time now,
+                                          Session& session,
+                                          const Statement& statement,
+                                          RelayMessage message) {
+  messages::RelayRequest request;
+  request.operation = session.relayed_operation;
+  if (message == RelayMessage::kFirst)
+    request.__set_session(DescribeSession(now, session, statement));
+  messages::RelayedStatement relayed;
+  relayed.kind = static_cast<std::int32_t>(statement.kind);
+  relayed.id = statement.id;
+  relayed.text = statement.text;
+  relayed.name = statement.name;
+  relayed.value = statement.value;
+  relayed.writes = statement.writes;
+  request.__set_statement(relayed);
+  PendingStatement pending;
+  pending.statement = statement;
+  pending.arrival = now;
+  pending.deadline = now + session.route->statement_timeout + kRelayRoundTrip;
+  pending.give_up_at = now + session.route->statement_timeout / 2;
+  pending.token_taken = true;
+  pending.sent = true;
+  session.pending = std::move(pending);
+  hooks_.send_to_relay(session.relay, request);
+}
+
+messages::RelayedSession StatementProxy::DescribeSession(
+    Time now,
+    const Session& session,
+    const Statement& statement) const {
+  messages::RelayedSession described;
+  described.database = session.database;
+  described.key = session.key;
+  described.values = session.values;
+  const bool transaction = statement.kind == StatementKind::kBegin ||
+                           statement.kind == StatementKind::kBeginReadOnly;
+  for (const auto& [name, prepared] : session.prepared) {
+    if (!transaction && name != statement.name)
+      continue;
+    messages::RelayedPreparedStatement copy;
+    copy.writes = prepared.writes;
+    copy.shape = prepared.shape;
+    described.prepared[name] = copy;
+  }
+  described.last_commit_term = session.last_commit.term;
+  described.last_commit_number = session.last_commit.number;
+  if (session.unplaced_commit_at)
+    described.__set_unplaced_commit_age_micros(
+        (now - *session.unplaced_commit_at).count());
+  described.configuration_version = std::max(Version(), required_version_);
+  return described;
+}
+
+// Forgets the relayed operation, which the relay ends by itself or is told to
+// abandon.
+void StatementProxy::LeaveRelay(Session& session, RelayEnd end) {
+  if (session.relay.empty())
+    return;
+  relayed_operations_.erase(session.relayed_operation);
+  relays_.OnOperationEnded(session.relay);
+  if (end == RelayEnd::kAbandon) {
+    messages::RelayRequest request;
+    request.operation = session.relayed_operation;
+    request.abandoned = true;
+    hooks_.send_to_relay(session.relay, request);
+  }
+  session.relay.clear();
+}
+
+void StatementProxy::OnRelayAnswer(Time now,
+                                   const std::string& from,
+                                   const messages::RelayAnswer& message) {
+  relays_.OnHeard(now, from);
+  const auto operation = relayed_operations_.find(message.operation);
+  if (operation == relayed_operations_.end())
+    return;
+  Session& session = sessions_.at(operation->second);
+  if (session.relay != from || !session.pending || !IsValid(message))
+    return;
+  const SessionId id = session.id;
+  if (message.declined) {
+    relays_.OnDeclined(now, from);
+    LeaveRelay(session, RelayEnd::kEndedThere);
+    RestartOperation(now, session);
+    return ContinueSession(now, id);
+  }
+  required_version_ =
+      std::max(required_version_, message.configuration_version);
+  const LogPosition last_commit{message.last_commit_term,
+                                message.last_commit_number};
+  if (session.last_commit < last_commit) {
+    session.last_commit = last_commit;
+    session.unplaced_commit_at.reset();
+  }
+  if (message.unplaced_commit)
+    session.unplaced_commit_at = now + std::chrono::microseconds(1);
+  Answer answer;
+  answer.outcome = static_cast<Outcome>(message.outcome);
+  answer.rows = message.rows;
+  answer.signature = message.signature;
+  answer.code = message.code;
+  answer.message = message.message;
+  if (message.__isset.position_term)
+    answer.position = {message.position_term, message.position_number};
+  session.state = static_cast<TransactionState>(message.state);
+  if (answer.outcome == Outcome::kDone &&
+      session.state == TransactionState::kOpen)
+    session.statement_succeeded = true;
+  if (message.ended) {
+    LeaveRelay(session, RelayEnd::kEndedThere);
+    EndOperation(now, session, answer.outcome);
+  }
+  Reply(now, session, std::move(answer));
+  ContinueSession(now, id);
+}
+
+// Runs the operation elsewhere, of which nothing has taken effect. Its first
+// statement is pending.
+void StatementProxy::RestartOperation(Time now, Session& session) {
+  Statement statement = std::move(session.pending->statement);
+  session.pending.reset();
+  RunOperation(now, session, std::move(statement));
+}
+
+// A relay is lost or unresponsive: what has no effect is run elsewhere.
+void StatementProxy::OnRelayLost(Time now,
+                                 const std::string& relay,
+                                 const std::string& cause) {
+  std::vector<SessionId> affected;
+  for (const auto& [operation, id] : relayed_operations_) {
+    if (sessions_.at(id).relay == relay)
+      affected.push_back(id);
+  }
+  for (const SessionId id : affected) {
+    Session& session = sessions_.at(id);
+    LeaveRelay(session, RelayEnd::kAbandon);
+    const bool restartable = session.pending &&
+                             session.state == TransactionState::kIdle &&
+                             !Writes(session, session.pending->statement) &&
+                             now < session.pending->give_up_at;
+    if (restartable) {
+      ReportDecision(now, session, "retried", relay, cause);
+      RestartOperation(now, session);
+    } else {
+      if (session.pending)
+        session.pending->give_up_at = now;  // Prevents a retry.
+      OnConnectionLost(now, session, cause + " " + relay);
+    }
+    ContinueSession(now, id);
+  }
+}
+
+messages::RelayInstance StatementProxy::OwnRelay() const {
+  messages::RelayInstance relay;
+  relay.instance = options_.relay;
+  relay.zone = options_.zone;
+  relay.available = options_.offers_relay && stop_phase_ == StopPhase::kNone;
+  return relay;
+}
+
+// Runs an operation whose route and customer are known.
+void StatementProxy::RunOperation(Time now,
+                                  Session& session,
+                                  Statement statement) {
+  if (RelayOperation(now, session, statement))
+    return;
+  // The caller may have seen the effect of a newer configuration.
+  if (required_version_ > Version())
+    return Refuse(now, session, Outcome::kBusy,
+                  "a newer configuration is in force; retry after 100 ms");
+  if (statement.kind == StatementKind::kBegin ||
+      statement.kind == StatementKind::kBeginReadOnly)
+    return BeginTransaction(now, session, std::move(statement));
+  SubmitStatement(now, session, std::move(statement));
+}
+
+void StatementProxy::OnRelay(const messages::RelayInstance& relay) {
+  relays_.OnRelay(relay);
+}
+
+void StatementProxy::OnRelayLink(Time now, const std::string& relay, bool up) {
+  relays_.OnLink(now, relay, up);
+  if (up)
+    return;
+  OnRelayLost(now, relay, "lost relay");
+  std::vector<SessionId> left;
+  for (auto it = remote_sessions_.lower_bound({relay, 0});
+       it != remote_sessions_.end() && it->first.first == relay; ++it)
+    left.push_back(it->second);
+  for (const SessionId id : left)
+    OnSessionClosed(now, id);
+}
+
+void StatementProxy::ProbeRelays(Time now) {
+  for (const std::string& relay : relays_.TakeProbesDue(now))
+    hooks_.send_to_relay(relay, messages::RelayRequest());
+  for (const std::string& relay : relays_.TakeUnresponsive(now))
+    OnRelayLost(now, relay, "unresponsive relay");
+}
+
+// A request without a number is a probe.
+void StatementProxy::OnRelayRequest(Time now,
+                                    const std::string& from,
+                                    const messages::RelayRequest& request) {
+  messages::RelayAnswer answer;
+  answer.operation = request.operation;
+  if (request.operation == 0)
+    return hooks_.answer_relayed(from, answer);
+  const auto known = remote_sessions_.find({from, request.operation});
+  if (request.abandoned) {
+    if (known != remote_sessions_.end())
+      OnSessionClosed(now, SessionId(known->second));
+    return;
+  }
+  if (!request.__isset.statement || !IsValid(request.statement))
+    return;
+  SessionId id = 0;
+  if (known != remote_sessions_.end()) {
+    id = known->second;
+  } else if (request.__isset.session) {
+    OnVersionAnnounced(request.session.configuration_version);
+    if (stop_phase_ != StopPhase::kNone || !HasConfirmedConfiguration() ||
+        request.session.configuration_version > Version()) {
+      answer.declined = true;
+      return hooks_.answer_relayed(from, answer);
+    }
+    id = OpenRemoteSession(now, from, request);
+  } else {
+    return;  // The operation has ended here, for example by its idle timeout.
+  }
+  Statement statement;
+  statement.kind = static_cast<StatementKind>(request.statement.kind);
+  statement.id = request.statement.id;
+  statement.text = request.statement.text;
+  statement.name = request.statement.name;
+  statement.value = request.statement.value;
+  statement.writes = request.statement.writes;
+  OnStatement(now, id, std::move(statement));
+}
+
+SessionId StatementProxy::OpenRemoteSession(
+    Time now,
+    const std::string& from,
+    const messages::RelayRequest& request) {
+  const SessionId id = kFirstRemoteSession + next_remote_session_++;
+  remote_sessions_[{from, request.operation}] = id;
+  Session& session = sessions_[id];
+  session.id = id;
+  session.remote.emplace();
+  session.remote->entry = from;
+  session.remote->operation = request.operation;
+  session.database = request.session.database;
+  session.key = request.session.key;
+  session.values = request.session.values;
+  for (const auto& [name, prepared] : request.session.prepared)
+    session.prepared[name] = {prepared.writes, prepared.shape};
+  session.last_commit = {request.session.last_commit_term,
+                         request.session.last_commit_number};
+  if (request.session.__isset.unplaced_commit_age_micros)
+    session.unplaced_commit_at =
+        now - Duration(request.session.unplaced_commit_age_micros);
+  session.remote->unplaced_commit_at = session.unplaced_commit_at;
+  session.answered_at = now;
+  return id;
+}
+
+void StatementProxy::SendRelayAnswer(const Session& session,
+                                     const Answer& answer) {
+  messages::RelayAnswer message;
+  message.operation = session.remote->operation;
+  message.outcome = static_cast<std::int32_t>(answer.outcome);
+  message.rows = answer.rows;
+  message.signature = answer.signature;
+  message.code = answer.code;
+  message.message = answer.message;
+  message.state = static_cast<std::int32_t>(answer.state);
+  if (answer.position) {
+    message.__set_position_term(answer.position->term);
+    message.position_number = answer.position->number;
+  }
+  message.ended = session.state == TransactionState::kIdle;
+  message.last_commit_term = session.last_commit.term;
+  message.last_commit_number = session.last_commit.number;
+  message.unplaced_commit =
+      session.unplaced_commit_at.has_value() &&
+      session.unplaced_commit_at != session.remote->unplaced_commit_at;
+  message.configuration_version = Version();
+  hooks_.answer_relayed(session.remote->entry, message);
+}
+
+}  // namespace goldcrest::statements
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -57,7 +57,8 @@
 StatementProxy::StatementProxy(ProxyOptions options, ProxyHooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      pool_({hooks_.open, hooks_.close}) {}
+      pool_({hooks_.open, hooks_.close}),
+      relays_(options_.relay) {}
 
 void StatementProxy::OnSessionStart(Time now,
                                     SessionId id,
@@ -145,12 +146,15 @@
     holder_.StopWaiting(session.customer);
   std::erase(token_waiters_, id);
   DetachConnection(now, session);
+  if (session.remote)
+    remote_sessions_.erase({session.remote->entry, session.remote->operation});
   sessions_.erase(it);
 }
 
 // Detaches the session from its connection, which is reused once its
 // outstanding answers have arrived.
 void StatementProxy::DetachConnection(Time now, Session& session) {
+  LeaveRelay(session, RelayEnd::kAbandon);
   if (session.connection == 0)
     return;
   Connection* connection = pool_.Find(session.connection);
@@ -169,6 +173,9 @@
       return;
     Session& session = it->second;
     if (session.queued_statements.empty()) {
+      // The session of another entry's operation ends with it.
+      if (session.remote && session.state == TransactionState::kIdle)
+        return OnSessionClosed(now, id);
       if (MayCloseSession(now, session))
         CloseSession(now, id);
       return;
@@ -203,6 +210,9 @@
     return ReplyError(now, session, Outcome::kMalformed,
                       "the transaction has failed");
   }
+  if (!session.relay.empty() && session.state == TransactionState::kOpen &&
+      ForwardStatement(now, session, statement))
+    return;
   switch (statement.kind) {
     case StatementKind::kBegin:
     case StatementKind::kBeginReadOnly:
@@ -235,8 +245,13 @@
                       "a transaction is open already");
   }
   session.read_only = statement.kind == StatementKind::kBeginReadOnly;
-  if (!StartOperation(now, session))
-    return;
+  if (StartOperation(now, session))
+    RunOperation(now, session, std::move(statement));
+}
+
+void StatementProxy::BeginTransaction(Time now,
+                                      Session& session,
+                                      Statement statement) {
   session.pending = PendingStatement{};
   session.pending->statement = std::move(statement);
   session.pending->arrival = now;
@@ -310,9 +325,10 @@
     return ReplyError(now, session, Outcome::kUnknownPrepared,
                       "no such prepared statement");
   }
-  if (session.state == TransactionState::kIdle && !StartOperation(now, session))
-    return;
-  SubmitStatement(now, session, std::move(statement));
+  if (session.state != TransactionState::kIdle)
+    return SubmitStatement(now, session, std::move(statement));
+  if (StartOperation(now, session))
+    RunOperation(now, session, std::move(statement));
 }
 
 void StatementProxy::SubmitStatement(Time now,
@@ -370,7 +386,10 @@
       table_->transaction_idle_timeout > Duration::zero())
     session.transaction_idle_deadline = now + table_->transaction_idle_timeout;
   session.answered_at = now;
-  hooks_.answer(session.id, answer);
+  if (session.remote)
+    SendRelayAnswer(session, answer);
+  else
+    hooks_.answer(session.id, answer);
 }
 
 void StatementProxy::Refuse(Time now,
@@ -391,7 +410,7 @@
 
 void StatementProxy::EndOperation(Time now, Session& session, Outcome outcome) {
   session.transaction_idle_deadline = kNever;
-  if (session.route != nullptr)
+  if (session.route != nullptr && !session.remote)
     hooks_.completed(*session.route, outcome, now - session.started_at);
   session.route = nullptr;
   session.table.reset();
--- a/statements/tests/connection_pool_test.cc
+++ b/statements/tests/connection_pool_test.cc
@@ -99,9 +99,25 @@
   PoolFixture fixture;
   fixture.OpenIdle(kStart, "a");
   const auto wanted = [](const std::string&) { return false; };
-  fixture.pool.CloseIdle(kStart + milliseconds(199), wanted);
+  const auto none_kept = [](const std::string&) { return 0; };
+  fixture.pool.CloseIdle(kStart + milliseconds(199), wanted, none_kept);
   CHECK(fixture.pool.Size() == 1);
-  fixture.pool.CloseIdle(kStart + milliseconds(200), wanted);
+  fixture.pool.CloseIdle(kStart + milliseconds(200), wanted, none_kept);
+  CHECK(fixture.pool.Size() == 0);
+}
+
+// Guards against relays that open a connection for each operation, and against
+// relays that keep all connections of an endpoint to themselves.
+TEST_CASE("A relay keeps as many idle connections as it may", "[statements]") {
+  PoolFixture fixture;
+  fixture.OpenIdle(kStart, "a");
+  fixture.OpenIdle(kStart, "b");
+  fixture.OpenIdle(kStart, "c");
+  const auto wanted = [](const std::string&) { return false; };
+  const auto two_kept = [](const std::string&) { return 2; };
+  fixture.pool.CloseIdle(kStart + milliseconds(200), wanted, two_kept);
+  CHECK(fixture.pool.Size() == 2);
+  fixture.pool.CloseIdle(kStart + std::chrono::seconds(30), wanted, two_kept);
   CHECK(fixture.pool.Size() == 0);
 }
 
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -34,6 +34,8 @@
 ProxyFixture::ProxyFixture(Duration max_configuration_age,
                            Duration confirmation_lease) {
   options_.zone = "z1";
+  options_.relay = "self:1";
+  options_.offers_relay = true;
   options_.entry_count = 2;
   options_.max_configuration_age = max_configuration_age;
   options_.confirmation_lease = confirmation_lease;
@@ -84,6 +86,14 @@
     sent[id].insert(sent[id].end(), commands.begin(), commands.end());
   };
   hooks.close = [this](ConnectionId id) { closed.push_back(id); };
+  hooks.send_to_relay = [this](const std::string& relay,
+                               const messages::RelayRequest& request) {
+    relay_requests.emplace_back(relay, request);
+  };
+  hooks.answer_relayed = [this](const std::string& entry,
+                                const messages::RelayAnswer& answer) {
+    relay_answers.emplace_back(entry, answer);
+  };
   hooks.log_decision = [](const Decision&) {};
   hooks.completed = [](const routing::Route&, Outcome, Duration) {};
   proxy = std::make_unique<StatementProxy>(options_, hooks);
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -64,6 +64,8 @@
   std::vector<SessionId> closed_sessions;
   std::set<SessionId> unread_input;
   std::map<SessionId, std::vector<Answer>> answers;
+  std::vector<std::pair<std::string, messages::RelayRequest>> relay_requests;
+  std::vector<std::pair<std::string, messages::RelayAnswer>> relay_answers;
   std::unique_ptr<StatementProxy> proxy;
 
  private:
