Order a promotion once although the old primary's record lags

Cause: when a promoted endpoint led, 30 ms after the order, the record of the draining former primary still named it, until its next heartbeat. The planner returned to that record, surveyed the group again and ordered another promotion.

Change: a primary that has answered that it leads is left only for a record that changed after that answer.

Result: the test "A promotion that is in force is ordered once" failed 27 of 38 assertions on the code before; now goldcrest_fleet_tests passes 979 assertions in 35 test cases.

--- a/fleet/src/failover_planner.cc
+++ b/fleet/src/failover_planner.cc
@@ -140,7 +140,12 @@
   const auto* known = directory_->Find(group.primary);
   if (known == nullptr || known->record.gone || !known->record.primary) {
     const std::string found = FindPrimary(name, group);
-    if (!found.empty() && found != group.primary)
+    // After a promotion, the record of the former primary still names it until
+    // its next heartbeat.
+    const bool outdated = known != nullptr && !known->record.gone &&
+                          group.leads_at && group.has_led && !found.empty() &&
+                          directory_->Find(found)->changed_at < *group.leads_at;
+    if (!found.empty() && found != group.primary && !outdated)
       MonitorEndpoint(now, name, group, found);
   }
   const auto* primary = directory_->Find(group.primary);
--- a/fleet/tests/planners_test.cc
+++ b/fleet/tests/planners_test.cc
@@ -135,6 +135,34 @@
   CHECK(group.orders.empty());
 }
 
+// Guards against a second order within milliseconds of the first, because the
+// record of the former primary still names it until its next heartbeat.
+TEST_CASE("A promotion that is in force is ordered once",
+          "[fleet][guarantee]") {
+  FailoverGroup group;
+  group.Answer("p", ProbeResult::Kind::kLeads);
+  group.now += milliseconds(10);
+  group.SetRole("p", true, true);
+  group.Advance(milliseconds(20));
+  group.Answer("r1", ProbeResult::Kind::kFollows, 7);
+  group.Answer("r2", ProbeResult::Kind::kFollows, 9);
+  REQUIRE(group.orders.size() == 1);
+  group.planner->OnPromotion(group.now, group.orders[0],
+                             PromotionResult::kAccepted);
+  group.now += milliseconds(30);
+  group.probes.emplace_back("r2", ProbePurpose::kLeadership);
+  group.Answer("r2", ProbeResult::Kind::kLeads, 9);
+  group.probes.clear();
+  for (int i = 0; i < 20; ++i) {
+    group.Advance(milliseconds(50));
+    for (const auto& [endpoint, purpose] : std::exchange(group.probes, {})) {
+      CHECK(purpose == ProbePurpose::kLeadership);
+      CHECK(endpoint == "r2");
+    }
+  }
+  CHECK(group.orders.size() == 1);
+}
+
 TEST_CASE("A draining primary is replaced", "[fleet]") {
   FailoverGroup group;
   group.SetRole("p", true, true);
