Promote no member of an evacuated availability zone

Cause: the planner of promotions knows of no evacuated zones, so that a primary there stays, and a member there may be promoted.

Change: FailoverPlanner::SetEvacuatedZones(). A primary in such a zone is replaced like a draining one, by a member of another zone; a group without one is left alone until a member joins. An order for a member whose zone is evacuated before it has answered is not sent again.

--- a/fleet/include/goldcrest/fleet/failover_planner.h
+++ b/fleet/include/goldcrest/fleet/failover_planner.h
@@ -63,8 +63,9 @@
 };
 
 //! Monitors the primaries of all groups, and has another endpoint promoted when
-//! a primary is lost or drains. Exists on the leader of the controllers for one
-//! term.
+//! a primary is lost, drains or is in an evacuated availability zone. No member
+//! of an evacuated zone is promoted. Exists on the leader of the controllers
+//! for one term.
 //!
 //! A primary counts as lost when the leader can't reach it and no entry has
 //! reached it since then, or when far more entries fail to reach it than
@@ -88,6 +89,8 @@
 
   //! `sync_replicas` by group.
   void SetGroups(Time now, const std::map<std::string, int>& sync_replicas);
+  //! Availability zones whose endpoints may get no work.
+  void SetEvacuatedZones(std::set<std::string> zones);
   void Tick(Time now);
 
   void OnProbe(Time now,
@@ -191,6 +194,10 @@
                    Group& group,
                    const std::string& cause);
   bool IsLost(Time now, const Group& group) const;
+  bool IsEvacuated(const routing::EndpointDirectory::Entry& entry) const;
+  //! True if it gets no new work: it drains, or its zone is evacuated.
+  bool IsLeaving(const routing::EndpointDirectory::Entry& entry) const;
+  bool IsReplaceable(const std::string& name, const Group& group) const;
   std::string FindPrimary(const std::string& name, const Group& group) const;
 
   std::int64_t term_;
@@ -199,6 +206,7 @@
   Time started_at_;
   std::int64_t issued_orders_ = 0;
   std::map<std::string, Group> groups_;
+  std::set<std::string> evacuated_zones_;
 };
 
 }  // namespace goldcrest::fleet
--- a/fleet/src/failover_planner.cc
+++ b/fleet/src/failover_planner.cc
@@ -75,6 +75,30 @@
   }
 }
 
+void FailoverPlanner::SetEvacuatedZones(std::set<std::string> zones) {
+  evacuated_zones_ = std::move(zones);
+}
+
+bool FailoverPlanner::IsEvacuated(
+    const routing::EndpointDirectory::Entry& entry) const {
+  return evacuated_zones_.count(entry.record.zone) > 0;
+}
+
+bool FailoverPlanner::IsLeaving(
+    const routing::EndpointDirectory::Entry& entry) const {
+  return entry.record.draining || IsEvacuated(entry);
+}
+
+// True if a member other than the primary may be promoted.
+bool FailoverPlanner::IsReplaceable(const std::string& name,
+                                    const Group& group) const {
+  return std::ranges::any_of(
+      directory_->MembersOf(name), [&](const auto* member) {
+        return member->record.endpoint != group.primary &&
+               !IsEvacuated(*member);
+      });
+}
+
 void FailoverPlanner::Tick(Time now) {
   for (auto& [name, group] : groups_) {
     switch (group.phase) {
@@ -158,6 +182,12 @@
   }
   if (primary->record.draining)
     return BeginSurvey(now, name, group, "primary drains");
+  if (IsEvacuated(*primary)) {
+    // Without a successor there is nothing to decide until a member joins.
+    if (IsReplaceable(name, group))
+      BeginSurvey(now, name, group, "availability zone evacuated");
+    return;
+  }
   if (IsLost(now, group)) {
     if (!group.has_led) {
       // Another writer may have named it the primary.
@@ -216,6 +246,9 @@
                                 Group& group) {
   if (now < group.next_send_at)
     return;
+  if (const auto* candidate = directory_->Find(group.order->endpoint);
+      candidate != nullptr && IsEvacuated(*candidate))
+    return BeginSurvey(now, name, group, "availability zone evacuated");
   if (group.send_count >= kMaxPromotionSends)
     return BeginSurvey(now, name, group, "no answer to the promotion");
   ++group.send_count;
--- a/fleet/src/failover_survey.cc
+++ b/fleet/src/failover_survey.cc
@@ -69,7 +69,7 @@
   for (const auto* member : directory_->MembersOf(name)) {
     addresses.insert(member->record.address);
     if (member->record.endpoint == group.primary ||
-        (!counts_draining && member->record.draining))
+        (!counts_draining && IsLeaving(*member)))
       continue;
     group.holders.insert(member->record.endpoint);
     group.live_holders.insert(member->record.endpoint);
@@ -136,7 +136,7 @@
 // Asks the endpoints that call themselves primary whether one leads.
 void FailoverPlanner::ProbeClaimants(const std::string& name, Group& group) {
   for (const auto* member : directory_->MembersOf(name)) {
-    if (!member->record.draining &&
+    if (!IsLeaving(*member) &&
         (member->record.primary || member->record.endpoint == group.primary))
       hooks_.probe(*member, ProbePurpose::kLeadership);
   }
@@ -146,7 +146,7 @@
                                              const Group& group) const {
   const auto* primary = directory_->Find(group.primary);
   const bool primary_serves =
-      primary != nullptr && !primary->record.gone && primary->record.draining;
+      primary != nullptr && !primary->record.gone && IsLeaving(*primary);
   // One that stays catches up with a primary that still serves.
   const bool prefers_staying =
       primary_serves && group.rounds <= kMaxCatchUpRounds;
@@ -155,7 +155,8 @@
   for (const auto* member : directory_->MembersOf(name)) {
     const std::string& endpoint = member->record.endpoint;
     const auto it = group.positions.find(endpoint);
-    if (it == group.positions.end() || group.refused.count(endpoint) > 0)
+    if (it == group.positions.end() || group.refused.count(endpoint) > 0 ||
+        IsEvacuated(*member))
       continue;
     const bool stays = !member->record.draining;
     const std::tuple rank(prefers_staying && stays, it->second.position, stays);
@@ -168,7 +169,9 @@
     return best;
   const ProbeResult* highest = nullptr;
   for (const auto& [endpoint, result] : group.undetermined) {
-    if (group.refused.count(endpoint) > 0 ||
+    const auto* entry = directory_->Find(endpoint);
+    if (entry == nullptr || IsEvacuated(*entry) ||
+        group.refused.count(endpoint) > 0 ||
         (highest != nullptr && result.position <= highest->position))
       continue;
     best = endpoint;
@@ -270,7 +273,7 @@
   if (result.purpose == ProbePurpose::kLeadership) {
     const auto* entry = directory_->Find(endpoint);
     if (result.kind != ProbeResult::Kind::kLeads || entry == nullptr ||
-        entry->record.draining || group.sync_replicas == 0)
+        IsLeaving(*entry) || group.sync_replicas == 0)
       return;
     MonitorEndpoint(now, name, group, endpoint);
     group.has_led = true;
