Order the evacuation of an availability zone through the log

Cause: an operator can't withdraw work from the endpoints of a zone.

Change: Controller::Evacuate() puts the order, or its end, into the replicated log and acknowledges it once it is committed; a repeated call is acknowledged again. FleetState keeps the zones and the log index of their last change. Entries get the set when it changes, and with each answer to a report of a lower index.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -24,7 +24,8 @@
 
 namespace goldcrest::fleet {
 
-//! Result of a call that reads or writes the configuration.
+//! Result of a call that reads or writes the configuration or the evacuated
+//! availability zones.
 struct ConfigurationResult {
   enum class Kind {
     kDone,
@@ -106,6 +107,12 @@
   void Put(Time now, std::int64_t version, std::string text, Done done);
   ConfigurationResult Get(Time now) const;
 
+  //! Orders that no work goes to the endpoints of the zone, or withdraws that
+  //! order if `active` is false. Calls `done` once the order is committed, or
+  //! the call has failed. An order that is in force already is acknowledged
+  //! again.
+  void Evacuate(Time now, const std::string& zone, bool active, Done done);
+
   void OnProbe(Time now,
                const std::string& group,
                const std::string& endpoint,
@@ -149,6 +156,12 @@
     std::int64_t term = 0;
     Done done;
   };
+  struct PendingEvacuation {
+    std::string zone;
+    std::int64_t index = 0;
+    std::int64_t term = 0;
+    Done done;
+  };
   // State that only a leader has, for one term.
   struct Leadership {
     std::int64_t term = 0;
@@ -210,6 +223,10 @@
   void SendToEntries(const messages::ProxyUpdate& update);
   void PlanMembership(Time now);
   void FailLostPuts();
+  void AnswerEvacuations(const messages::LogEntry& entry);
+  void FailLostEvacuations();
+  void AnnounceEvacuations();
+  messages::EvacuatedZones EvacuationsForEntries() const;
   void SendMessages(const std::vector<consensus::Outbound>& messages);
 
   ControllerOptions options_;
@@ -235,6 +252,9 @@
   // Controllers that entries connect to: those with a disk.
   std::set<std::string> offered_controllers_;
   std::vector<PendingPut> pending_puts_;
+  std::vector<PendingEvacuation> pending_evacuations_;
+  std::set<std::string> announced_zones_;   // evacuated, as entries were told
+  std::int64_t announced_evacuations_ = 0;  // index of the above
   std::unique_ptr<Leadership> leadership_;
   Time next_notice_;
   Time next_membership_check_;
--- a/fleet/include/goldcrest/fleet/fleet_state.h
+++ b/fleet/include/goldcrest/fleet/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "goldcrest/messages/messages.h"
@@ -10,14 +11,14 @@
 namespace goldcrest::fleet {
 
 //! The state machine that the controllers replicate: the newest configuration
-//! document, the instances that may hold shares of customers' rates, and the
-//! endpoints, so that after a restart of all instances no controller has to
-//! wait for heartbeats.
+//! document, the instances that may hold shares of customers' rates, the
+//! evacuated availability zones, and the endpoints, so that after a restart of
+//! all instances no controller has to wait for heartbeats.
 class FleetState {
  public:
-  //! Applies a committed command. Deterministic. A document replaces only a
-  //! document of a lower version.
-  void Apply(const messages::FleetCommand& command);
+  //! Applies the command that is committed at `index` of the log.
+  //! Deterministic. A document replaces only a document of a lower version.
+  void Apply(const messages::FleetCommand& command, std::int64_t index);
 
   void Load(messages::FleetSnapshot snapshot);
   const messages::FleetSnapshot& Save() const { return state_; }
@@ -35,8 +36,17 @@
   //! True if a leader has granted the reserves of limits, and they may not be
   //! granted again yet.
   bool reserve_used() const { return state_.reserve_used; }
+  const std::set<std::string>& evacuated_zones() const {
+    return state_.evacuated_zones;
+  }
+  //! Index in the log of the last change of the evacuated zones; 0 if there was
+  //! none.
+  std::int64_t evacuations_index() const { return state_.evacuations_index; }
 
  private:
+  void ApplyEvacuation(const messages::ZoneEvacuation& evacuation,
+                       std::int64_t index);
+
   messages::FleetSnapshot state_;
 };
 
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -67,6 +67,7 @@
   applied_index_ = restored.snapshot.last_index;
   LoadEndpoints(now);
   OnDocumentChanged(now);
+  AnnounceEvacuations();
   hooks_.log_decision("snapshot_loaded", std::to_string(applied_index_),
                       "version " + std::to_string(state_.version()));
 }
@@ -88,6 +89,7 @@
     ProposeReserveReset(now);
   }
   FailLostPuts();
+  FailLostEvacuations();
   if (now >= next_notice_) {
     next_notice_ = now + kNoticeInterval;
     SendNotices(now);
@@ -151,6 +153,7 @@
   // After a restart, one output may commit hundreds of documents.
   OnDocumentChanged(now);
   AnnounceDocument();
+  AnnounceEvacuations();
   ReportTermChange();
 }
 
@@ -191,7 +194,7 @@
     failed_ = true;
     return;
   }
-  state_.Apply(*command);
+  state_.Apply(*command, entry.index);
   if (command->__isset.endpoint)
     MergeEndpoint(now, command->endpoint);
   if (command->__isset.reserve)
@@ -212,6 +215,7 @@
       hooks_.send(it->first, std::move(message));
     }
   }
+  AnswerEvacuations(entry);
   std::vector<PendingPut> done;
   std::erase_if(pending_puts_, [&](PendingPut& put) {
     if (put.index > entry.index || state_.version() < put.version)
@@ -353,6 +357,8 @@
   SendMessages(replica_.Abdicate(now).messages);
   for (PendingPut& put : std::exchange(pending_puts_, {}))
     put.done({ConfigurationResult::Kind::kUnknown, "", ""});
+  for (PendingEvacuation& call : std::exchange(pending_evacuations_, {}))
+    call.done({ConfigurationResult::Kind::kUnknown, "", ""});
 }
 
 void Controller::BeginDrain(Time now) {
--- a/fleet/src/controller_leadership.cc
+++ b/fleet/src/controller_leadership.cc
@@ -70,6 +70,7 @@
       };
   leadership_->failover = std::make_unique<FailoverPlanner>(
       now, leadership_->term, &directory_, std::move(failover));
+  leadership_->failover->SetEvacuatedZones(state_.evacuated_zones());
   SetLimits(now);
   leadership_->last_reserve_grant = now;
   // Before the first configuration no request could use tokens or fail, so that
--- a/fleet/src/controller_peers.cc
+++ b/fleet/src/controller_peers.cc
@@ -150,6 +150,8 @@
   update.document_version = announced_version_;
   if (report.wants_document && announced_version_ > report.document_version)
     update.__set_document(CompressedDocument());
+  if (report.evacuations_index < state_.evacuations_index())
+    update.__set_evacuated(EvacuationsForEntries());
   if (new_link)
     update.endpoints = directory_.All();
   if (new_link || entry.controllers_sent != offered_controllers_.size())
--- a/fleet/src/fleet_state.cc
+++ b/fleet/src/fleet_state.cc
@@ -23,7 +23,8 @@
 
 }  // namespace
 
-void FleetState::Apply(const messages::FleetCommand& command) {
+void FleetState::Apply(const messages::FleetCommand& command,
+                       std::int64_t index) {
   if (command.__isset.put && (state_.document.text.empty() ||
                               command.put.version > state_.document.version))
     state_.document = command.put;
@@ -33,6 +34,8 @@
   }
   if (command.__isset.reserve)
     state_.reserve_used = command.reserve.used;
+  if (command.__isset.evacuation)
+    ApplyEvacuation(command.evacuation, index);
   if (!command.__isset.holder)
     return;
   messages::HolderState& holder = state_.holders[command.holder.instance];
@@ -44,6 +47,16 @@
   }
 }
 
+// A repeated order changes nothing, so that the index stays as well.
+void FleetState::ApplyEvacuation(const messages::ZoneEvacuation& evacuation,
+                                 std::int64_t index) {
+  const bool changed =
+      evacuation.active ? state_.evacuated_zones.insert(evacuation.zone).second
+                        : state_.evacuated_zones.erase(evacuation.zone) > 0;
+  if (changed)
+    state_.evacuations_index = index;
+}
+
 void FleetState::Load(messages::FleetSnapshot snapshot) {
   state_ = std::move(snapshot);
 }
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -8,7 +8,6 @@
 #include "goldcrest/adapters/json.h"
 #include "goldcrest/adapters/system_clock.h"
 #include "goldcrest/platform/endpoint_heartbeat.h"
-#include "goldcrest/platform/http_requests.h"
 #include "goldcrest/platform/routing_document.h"
 #include "goldcrest/storage/storage_error.h"
 #include "programs/goldcrestd/platform_peers.h"
@@ -192,6 +191,10 @@
   prober_.CloseIdleConnections(now);
   if (controller_ != nullptr)
     controller_->Tick(now);
+  if (controller_ != nullptr)
+    counters_.GetGauge("goldcrest_zones_evacuated")
+        .Set(static_cast<std::int64_t>(
+            controller_->state().evacuated_zones().size()));
   if (controller_ != nullptr && controller_->HasFailed())
     Suspend();
   scheduler_.After(kTickInterval, [this] { Tick(); });
@@ -250,6 +253,9 @@
     case platform::HttpRequestKind::kGetConfiguration:
       return respond(
           ToResponse(controller_->Get(SystemClock::Now()), request.path));
+    case platform::HttpRequestKind::kStartEvacuation:
+    case platform::HttpRequestKind::kEndEvacuation:
+      return HandleEvacuation(*call, request.path, respond);
     case platform::HttpRequestKind::kMetrics: {
       HttpResponse response;
       response.content_type = adapters::Counters::kContentType;
@@ -313,6 +319,28 @@
       });
 }
 
+void ControllerService::HandleEvacuation(
+    const platform::DecodedHttpRequest& call,
+    const std::string& path,
+    const adapters::HttpServer::Respond& respond) {
+  if (const std::string problem = platform::FindZoneProblem(call.zone);
+      !problem.empty()) {
+    log_.LogEvent("evacuation_refused", {{"cause", problem}});
+    return respond(ErrorResponse(400, problem));
+  }
+  const bool active = call.kind == platform::HttpRequestKind::kStartEvacuation;
+  controller_->Evacuate(SystemClock::Now(), call.zone, active,
+                        [this, respond, path, active,
+                         zone = call.zone](const ConfigurationResult& result) {
+                          log_.LogEvent(
+                              "evacuation_answered",
+                              {{"zone", zone},
+                               {"active", active},
+                               {"result", static_cast<int>(result.kind)}});
+                          respond(ToResponse(result, path));
+                        });
+}
+
 HttpResponse ControllerService::ToResponse(const ConfigurationResult& result,
                                            std::string_view path) const {
   HttpResponse response;
--- a/programs/goldcrestd/controller_service.h
+++ b/programs/goldcrestd/controller_service.h
@@ -14,6 +14,7 @@
 #include "goldcrest/adapters/scheduler.h"
 #include "goldcrest/fleet/controller.h"
 #include "goldcrest/platform/boot_settings.h"
+#include "goldcrest/platform/http_requests.h"
 #include "goldcrest/storage/log_store.h"
 #include "programs/goldcrestd/endpoint_prober.h"
 #include "programs/goldcrestd/platform_log.h"
@@ -69,6 +70,9 @@
                                               const std::string& body);
   void HandlePutConfiguration(const std::string& body,
                               const adapters::HttpServer::Respond& respond);
+  void HandleEvacuation(const platform::DecodedHttpRequest& call,
+                        const std::string& path,
+                        const adapters::HttpServer::Respond& respond);
   adapters::HttpResponse ToResponse(const fleet::ConfigurationResult& result,
                                     std::string_view path) const;
   void Promote(const messages::PrimaryAssignment& assignment);
