Send no work to evacuated availability zones

Cause: entries know of no evacuated zones, and an entry that was frozen would go on by what it knew before.

Change: routing::ZoneEvacuations holds the set, when each zone is closed, and whether the entry may rely on the set; routing::MayGetWork() tells whether an endpoint may get work. Entries report the index of their set and apply newer ones. Reads leave the zone at once. Its primary serves, and its transactions last, for half of evacuation-timeout-ms, and at most until three quarters of it after the leader last confirmed the set. Then transactions are rolled back, and what only that primary can do is refused as not run; a commit or single statement that was sent keeps its outcome. After a freeze of more than a quarter of the bound, an entry whose set was confirmed more than half of the bound ago sends nothing until the leader has answered a report sent since.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -42,6 +42,7 @@
   options.max_configuration_age = settings.configuration_bound / 2;
   // New operations end with the lease of the rate shares as well.
   options.confirmation_lease = quota::kShareLease;
+  options.evacuation_timeout = settings.evacuation_timeout;
   return options;
 }
 
@@ -311,6 +312,8 @@
   const Time now = SystemClock::Now();
   proxy_.Tick(now);
   controllers_.Tick(now);
+  counters_.GetGauge("goldcrest_zones_evacuated")
+      .Set(static_cast<std::int64_t>(proxy_.evacuations().size()));
   if (IsReady() != last_logged_readiness_) {
     last_logged_readiness_ = !last_logged_readiness_;
     log_.LogEvent(last_logged_readiness_ ? "ready" : "not_ready",
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -13,6 +13,7 @@
 #include "goldcrest/quota/holder.h"
 #include "goldcrest/routing/endpoint_directory.h"
 #include "goldcrest/routing/routing_table.h"
+#include "goldcrest/routing/zone_evacuations.h"
 #include "goldcrest/statements/connection_pool.h"
 #include "goldcrest/statements/position_history.h"
 #include "goldcrest/statements/primary_view.h"
@@ -58,6 +59,9 @@
   //! A transaction that depends on a key is rolled back when the configuration
   //! has not been confirmed as the newest one for this long.
   Duration confirmation_lease = Duration::max();
+  //! Bound from the acknowledgement of a zone's evacuation to the last
+  //! statement that is sent to it; absent where no bound is in effect.
+  std::optional<Duration> evacuation_timeout;
 };
 
 //! The callers' sessions of one entry: chooses for each statement an endpoint
@@ -97,6 +101,10 @@
                            Time requested_at,
                            LogPosition position);
   void OnEntryCount(int entries);
+  void OnEvacuatedZones(Time now, const messages::EvacuatedZones& set);
+  //! By the word of the leading controller, no change after the known set of
+  //! evacuated zones had been acknowledged at `time`.
+  void OnEvacuationsConfirmed(Time now, Time time);
   //! Admits waiting operations after the holder's shares have changed.
   void OnShares(Time now);
 
@@ -133,6 +141,7 @@
     return primaries_.Contacts(now);
   }
   const routing::EndpointDirectory& directory() const { return directory_; }
+  const routing::ZoneEvacuations& evacuations() const { return evacuations_; }
 
  private:
   struct PendingStatement {
@@ -234,6 +243,17 @@
   void RefuseWithdrawn(Time now, Session& session);
   void EndUnconfirmedTransactions(Time now);
 
+  // Operations at endpoints of evacuated availability zones.
+  //! True when the statement that is next on the connection may be sent.
+  bool MaySend(Time now, const Connection& connection) const;
+  bool IsClosedTo(Time now, const std::string& endpoint) const;
+  //! True when idle connections to the endpoint serve no further work.
+  bool IsUnused(Time now, const std::string& endpoint) const;
+  //! Ends operations whose endpoint may get no more work, and resumes those
+  //! that were held until the evacuated zones were known.
+  void ContinueHeldOperations(Time now);
+  void EndEvacuatedOperation(Time now, Session& session);
+
   void SetLimits(const routing::RoutingTable& table);
   void ConfirmConfiguration(Time now);
   //! False if a newer configuration may be in force elsewhere.
@@ -339,6 +359,8 @@
   PrimaryView primaries_{&directory_};
   ConnectionPool pool_;
   quota::Holder holder_;
+  routing::ZoneEvacuations evacuations_;
+  bool operations_held_ = false;  // until the evacuated zones are known
   std::map<std::string, PositionHistory> positions_;  // by group
   std::map<SessionId, Session> sessions_;
   std::map<std::string, std::vector<SessionId>> waiting_sessions_;  // by group
--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -79,6 +79,8 @@
       hooks_.log_decision("configuration_unreadable", from,
                           std::to_string(update.document.size()) + " bytes");
   }
+  if (update.__isset.evacuated)
+    proxy_.OnEvacuatedZones(now, update.evacuated);
   for (const messages::EndpointRecord& record : update.endpoints)
     proxy_.OnEndpoint(now, record);
   for (const messages::PrimaryAssignment& assignment : update.primaries)
@@ -122,7 +124,8 @@
   // Another controller may lag and offer endpoints that have left.
   endpoints_known_ = true;
   // The leader held its lease after the report had been sent, so that no newer
-  // version had been acknowledged at that time.
+  // version and no further evacuation had been acknowledged at that time.
+  proxy_.OnEvacuationsConfirmed(now, sent_at);
   proxy_.OnNewestVersion(now, update.document_version, sent_at);
   proxy_.holder().OnUpdates(now, sent_at, update.shares);
   proxy_.OnShares(now);
@@ -167,8 +170,12 @@
   // answers them.
   if (!leader_.empty() && !AwaitsAnswer(now) && proxy_.holder().ReportDue(now))
     Report(now, leader_, false);
+  // Another controller may lead since a freeze.
+  const Duration interval = proxy_.evacuations().Knows(now)
+                                ? kKeepaliveReportInterval
+                                : kReportAnswerTimeout;
   for (const auto& [name, state] : controllers_) {
-    if (state.linked && now - state.last_report_at >= kKeepaliveReportInterval)
+    if (state.linked && now - state.last_report_at >= interval)
       Report(now, name, false);
   }
   FetchDocument(now);
@@ -201,6 +208,7 @@
   report.sent_micros = ToMicros(now);
   report.document_version = proxy_.Version();
   report.wants_document = wants_document;
+  report.evacuations_index = proxy_.evacuations().index();
   report.first = !state.first_report_sent;
   report.quiet_micros =
       proxy_.holder().TimeSinceLastTake(now, started_at_).count();
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -296,6 +296,11 @@
 }
 
 void StatementProxy::SendRollback(Time now, Connection& connection) {
+  if (!MaySend(now, connection)) {
+    ReportConnectionDecision(connection, "connection_closed",
+                             "availability zone evacuated, or not known to be");
+    return pool_.Close(connection.id);
+  }
   EndpointCommand rollback;
   rollback.kind = EndpointCommand::Kind::kRollback;
   connection.rollback_due = kNever;
@@ -415,6 +420,8 @@
 }
 
 void StatementProxy::Tick(Time now) {
+  evacuations_.Tick(now);
+  ContinueHeldOperations(now);
   RefuseSessionStarts(now);
   AdmitWaitingOperations(now);
   EndUnconfirmedTransactions(now);
@@ -460,10 +467,8 @@
   }
   for (const ConnectionId id : pool_.RollbacksDue(now))
     SendRollback(now, *pool_.Find(id));
-  pool_.CloseIdle(now, [this](const std::string& endpoint) {
-    const auto* entry = directory_.Find(endpoint);
-    return entry == nullptr || entry->record.gone ||
-           (entry->record.draining && !entry->record.primary);
+  pool_.CloseIdle(now, [&](const std::string& endpoint) {
+    return IsUnused(now, endpoint);
   });
   std::vector<std::string> groups;
   for (const auto& [group, ids] : waiting_sessions_) {
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "goldcrest/routing/endpoint_eligibility.h"
 #include "goldcrest/statements/statement_proxy.h"
 
 namespace goldcrest::statements {
@@ -95,6 +96,10 @@
   if (!session.pending || session.pending->sent || session.connection != 0 ||
       now < session.pending->retry_at)
     return;
+  if (!evacuations_.Knows(now)) {
+    session.pending->last_cause = "evacuated zones not confirmed";
+    return;
+  }
   if (NeedsPrimary(session))
     return DispatchToPrimary(now, session, policy);
   const auto required_position = RequiredReadPosition(session);
@@ -111,6 +116,11 @@
     session.pending->last_cause = "no primary known";
     return;
   }
+  if (IsClosedTo(now, primary)) {
+    session.pending->last_cause =
+        "primary " + primary + " is in an evacuated availability zone";
+    return;
+  }
   if (!pool_.HasCapacity(now, primary)) {
     session.pending->last_cause = "primary " + primary + " is busy";
     return;
@@ -166,7 +176,9 @@
   const std::string primary = primaries_.PrimaryOf(now, session.route->group);
   for (const auto* member : directory_.MembersOf(session.route->group)) {
     const std::string& endpoint = member->record.endpoint;
-    if (member->record.draining || pool_.IsAvoided(now, endpoint) ||
+    if (!routing::MayGetWork(now, member->record, evacuations_,
+                             routing::Work::kAnyMember) ||
+        pool_.IsAvoided(now, endpoint) ||
         pool_.IsBehind(now, endpoint, required_position))
       continue;
     const auto avoided = session.pending->avoided_until.find(endpoint);
@@ -285,6 +297,9 @@
 void StatementProxy::SendStatement(Time now,
                                    Session& session,
                                    Connection& connection) {
+  // ContinueHeldOperations() sends it later, or ends the operation.
+  if (!MaySend(now, connection))
+    return;
   const std::vector<EndpointCommand> values =
       ValueCommands(session, connection);
   if (!values.empty()) {
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -57,7 +57,8 @@
 StatementProxy::StatementProxy(ProxyOptions options, ProxyHooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      pool_({hooks_.open, hooks_.close}) {}
+      pool_({hooks_.open, hooks_.close}),
+      evacuations_(options_.evacuation_timeout) {}
 
 void StatementProxy::OnSessionStart(Time now,
                                     SessionId id,
--- a/statements/tests/controller_client_test.cc
+++ b/statements/tests/controller_client_test.cc
@@ -108,6 +108,32 @@
   CHECK(entry.TakeAsked() == std::vector<std::string>{"b"});
 }
 
+// Guards against an entry that is ready, or counts its set as current, before
+// it has applied the set that the same answer carries.
+TEST_CASE("An entry reports and applies the evacuated zones",
+          "[statements][guarantee]") {
+  Client entry;
+  entry.client->OnLink(entry.now, "a", true);
+  CHECK(entry.sent.back().second.evacuations_index == 0);
+  entry.SendDocument("a", 5);
+  entry.now += milliseconds(10);
+  messages::ProxyUpdate update;
+  update.document_version = 5;
+  update.leader = true;
+  update.report_sent_micros = ToMicros(entry.now);
+  messages::EvacuatedZones set;
+  set.index = 7;
+  set.zones = {"z1"};
+  update.__set_evacuated(set);
+  entry.client->OnUpdate(entry.now, "a", update);
+  REQUIRE(entry.client->IsReady());
+  // It was evacuated before this entry heard of it for the first time.
+  CHECK(entry.proxy().evacuations().IsClosed(entry.now, "z1"));
+  entry.now += milliseconds(300);
+  entry.client->Tick(entry.now);
+  CHECK(entry.sent.back().second.evacuations_index == 7);
+}
+
 // Guards against an entry that takes callers with whatever configuration the
 // first controller offers after a restart of all processes.
 TEST_CASE("An entry is ready once the leader has confirmed its configuration",
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -32,11 +32,13 @@
 }  // namespace
 
 ProxyFixture::ProxyFixture(Duration max_configuration_age,
-                           Duration confirmation_lease) {
+                           Duration confirmation_lease,
+                           std::optional<Duration> evacuation_timeout) {
   options_.zone = "z1";
   options_.entry_count = 2;
   options_.max_configuration_age = max_configuration_age;
   options_.confirmation_lease = confirmation_lease;
+  options_.evacuation_timeout = evacuation_timeout;
   StartEntry();
 
   const auto add = [this](const std::string& database,
@@ -105,7 +107,7 @@
   record.endpoint = endpoint;
   record.group = "g";
   record.address = "10.0.0.1:1";
-  record.zone = "z1";
+  record.zone = zones.try_emplace(endpoint, "z1").first->second;
   record.primary = primary;
   record.draining = draining;
   record.sequence = ++sequence_;
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -17,7 +17,8 @@
 class ProxyFixture {
  public:
   explicit ProxyFixture(Duration max_configuration_age = Duration::max(),
-                        Duration confirmation_lease = Duration::max());
+                        Duration confirmation_lease = Duration::max(),
+                        std::optional<Duration> evacuation_timeout = {});
 
   //! Replaces the proxy by a new one, which knows nothing yet.
   void StartEntry();
@@ -63,6 +64,7 @@
   std::vector<ConnectionId> closed;
   std::vector<SessionId> closed_sessions;
   std::set<SessionId> unread_input;
+  std::map<std::string, std::string> zones;  // by endpoint; "z1" if absent
   std::map<SessionId, std::vector<Answer>> answers;
   std::unique_ptr<StatementProxy> proxy;
 
