--- a/fleet/tests/evacuation_test.cc
+++ b/fleet/tests/evacuation_test.cc
@@ -120,6 +120,20 @@
   CHECK(ZonesOf(cluster, leader) == kEvacuated);
 }
 
+// Guards against sets that are sent again to all entries without a change.
+TEST_CASE("An order that is in the log twice changes the index once",
+          "[fleet]") {
+  FleetState state;
+  messages::FleetCommand command;
+  messages::ZoneEvacuation evacuation;
+  evacuation.zone = "z1";
+  evacuation.active = true;
+  command.__set_evacuation(evacuation);
+  state.Apply(command, 5);
+  state.Apply(command, 6);
+  CHECK(state.evacuations_index() == 5);
+}
+
 // Guards against an entry that learns of the order with its next report, or
 // never because the message that carried it was lost.
 TEST_CASE("Entries get the evacuated zones at once and until they have them",
