--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -296,6 +296,11 @@
 }
 
 void StatementProxy::SendRollback(Time now, Connection& connection) {
+  if (!MaySend(now, connection)) {
+    ReportConnectionDecision(connection, "connection_closed",
+                             "availability zone evacuated, or not known to be");
+    return pool_.Close(connection.id);
+  }
   EndpointCommand rollback;
   rollback.kind = EndpointCommand::Kind::kRollback;
   connection.rollback_due = kNever;
@@ -415,6 +420,8 @@
 }
 
 void StatementProxy::Tick(Time now) {
+  evacuations_.Tick(now);
+  ContinueHeldOperations(now);
   RefuseSessionStarts(now);
   AdmitWaitingOperations(now);
   EndUnconfirmedTransactions(now);
@@ -461,10 +468,8 @@
   }
   for (const ConnectionId id : pool_.RollbacksDue(now))
     SendRollback(now, *pool_.Find(id));
-  const auto unwanted = [this](const std::string& endpoint) {
-    const auto* entry = directory_.Find(endpoint);
-    return entry == nullptr || entry->record.gone ||
-           (entry->record.draining && !entry->record.primary);
+  const auto unwanted = [&](const std::string& endpoint) {
+    return IsUnused(now, endpoint);
   };
   pool_.CloseIdle(now, unwanted, [this](const std::string& endpoint) {
     return KeptConnections(endpoint);
--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "goldcrest/routing/endpoint_eligibility.h"
 #include "goldcrest/statements/statement_proxy.h"
 
 namespace goldcrest::statements {
@@ -59,7 +60,8 @@
   }
   std::vector<std::string> zones;
   for (const auto* member : directory_.MembersOf(group)) {
-    if (member->record.draining ||
+    if (!routing::MayGetWork(now, member->record, evacuations_,
+                             routing::Work::kAnyMember) ||
         pool_.IsAvoided(now, member->record.endpoint))
       continue;
     if (member->record.zone == options_.zone)
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -58,7 +58,8 @@
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
       pool_({hooks_.open, hooks_.close}),
-      relays_(options_.relay) {}
+      relays_(options_.relay),
+      evacuations_(options_.evacuation_timeout) {}
 
 void StatementProxy::OnSessionStart(Time now,
                                     SessionId id,
