Keep the wait for a token out of the time to find a connection

Cause: the time at which a statement gives up was fixed at its arrival, and was not moved when its operation took a token after a wait. An operation that waited for 250 of 250 ms took its token and was refused "no free connection" at the next tick. The token was lost.

Change: a statement's time to find a connection starts when its operation is admitted. It still ends at the statement timeout.

--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -203,6 +203,7 @@
   void HandleEndpointStatement(Time now, Session& session, Statement statement);
   bool StartOperation(Time now, Session& session);
   void SubmitStatement(Time now, Session& session, Statement statement);
+  static void SetGiveUpTime(Time now, Session& session);
   void Reply(Time now, Session& session, Answer answer);
   void ReplyLocally(Time now, Session& session, Answer answer);
   void ReplyError(Time now,
--- a/statements/src/proxy_admission.cc
+++ b/statements/src/proxy_admission.cc
@@ -71,6 +71,7 @@
         ReplyLocally(now, session, Answer::Completed());
         ContinueSession(now, id);
       } else {
+        SetGiveUpTime(now, session);
         waiting_sessions_[session.route->group].push_back(id);
         Dispatch(now, session, ConnectionPolicy::kMayOpen);
       }
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -323,15 +323,15 @@
   pending.statement = std::move(statement);
   pending.arrival = now;
   pending.deadline = now + session.route->statement_timeout;
-  const Time give_up_at =
-      now + session.route->statement_timeout / kGiveUpDivisor;
+  SetGiveUpTime(now, session);
   if (session.state == TransactionState::kIdle) {
-    pending.give_up_at =
-        std::min(give_up_at, TokenDeadline(now, *session.route));
+    const Time give_up_at = std::exchange(
+        pending.give_up_at,
+        std::min(pending.give_up_at, TokenDeadline(now, *session.route)));
     if (!AdmitOperation(now, session))
       return;
+    pending.give_up_at = give_up_at;
   }
-  pending.give_up_at = give_up_at;
   if (session.connection != 0) {
     Connection* connection = pool_.Find(session.connection);
     if (connection != nullptr)
@@ -341,6 +341,15 @@
   Dispatch(now, session, ConnectionPolicy::kMayOpen);
 }
 
+// Starts the statement's time to find a connection. The time that its operation
+// has waited for a token does not count: a refusal would lose the token.
+void StatementProxy::SetGiveUpTime(Time now, Session& session) {
+  PendingStatement& pending = *session.pending;
+  pending.give_up_at =
+      std::min(now + session.route->statement_timeout / kGiveUpDivisor,
+               pending.deadline);
+}
+
 void StatementProxy::ReplyLocally(Time now, Session& session, Answer answer) {
   answer.position.reset();
   Reply(now, session, std::move(answer));
