Order, reject and advise waiting statements by forecast

Cause: a customer at seven times its rate takes the others' connections and slots. Statements that no endpoint can serve in time wait for half of their timeout. Callers above a limit wait for tokens that do not come, and are told to retry after their deadline.

It rejects an operation on arrival, before it takes a token, if the forecasts say that it can't be served; an owner that does not answer proves no shortage of tokens. RetryAdvisor gives all retry-after times. RejectUnsent() keeps the outcome of a refusal without a text. The refusal of a BEGIN by the queue's forecast uses the queue of the transaction.

--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -16,7 +17,11 @@
 #include "goldcrest/statements/connection_pool.h"
 #include "goldcrest/statements/position_history.h"
 #include "goldcrest/statements/primary_view.h"
+#include "goldcrest/statements/retry_advice.h"
+#include "goldcrest/statements/service_forecast.h"
 #include "goldcrest/statements/statement.h"
+#include "goldcrest/statements/statement_queue.h"
+#include "goldcrest/statements/token_forecast.h"
 
 namespace goldcrest::statements {
 
@@ -46,6 +51,11 @@
   std::function<void(const Decision&)> log_decision;
   //! One operation has ended.
   std::function<void(const routing::Route&, Outcome, Duration)> completed;
+  // Optional, for metrics.
+  //! A caller was told to retry after this time. `cause`: a label.
+  std::function<void(std::string_view cause, Duration retry_after)> rejected;
+  //! A statement was sent this long after its operation was admitted.
+  std::function<void(int priority, Duration)> waited;
 };
 
 struct ProxyOptions {
@@ -140,6 +150,8 @@
     Time arrival;
     Time deadline;             // by the route's statement timeout
     Time give_up_at;           // refused then if it has not been sent
+    Time queued_at;            // when it began to wait for an endpoint
+    bool promised = false;     // its caller has returned when it was told to
     bool token_taken = false;  // its operation has taken a token
     bool sent = false;         // it may have reached an endpoint
     int attempts = 0;
@@ -183,7 +195,8 @@
     // When the open transaction is rolled back unless a statement arrives.
     Time transaction_idle_deadline = kNever;
     Time answered_at;
-    bool operation_ended = false;  // by the last answer
+    bool operation_ended = false;     // by the last answer
+    Time retry_promised_at = kNever;  // as told with the last refusal
   };
 
   // A session that was opened before the configuration was confirmed.
@@ -203,6 +216,9 @@
   void HandleEndpointStatement(Time now, Session& session, Statement statement);
   bool StartOperation(Time now, Session& session);
   void SubmitStatement(Time now, Session& session, Statement statement);
+  //! When a statement that may be sent from `now` on is refused unless it was
+  //! sent.
+  static Time GiveUpAt(Time now, const routing::Route& route);
   static void SetGiveUpTime(Time now, Session& session);
   void Reply(Time now, Session& session, Answer answer);
   void ReplyLocally(Time now, Session& session, Answer answer);
@@ -228,6 +244,41 @@
   void AbandonStatement(Time now, Session& session, const std::string& cause);
   bool AdmitOperation(Time now, Session& session);
 
+  // Order of waiting statements, early rejection and retry-after times.
+  //! A refusal whose caller is told when to retry.
+  struct Rejection {
+    std::string_view cause;  // label of the metric
+    std::string message;
+    std::string resource;       // what the caller waits for
+    Time capacity_at = kNever;  // when it is expected
+    Duration interval{};        // between two units of it
+    Outcome outcome = Outcome::kBusy;
+  };
+  void EnqueueStatement(Time now, Session& session);
+  bool IsWaiting(const Session& session, const std::string& group) const;
+  std::string QueueOf(const Session& session) const;
+  WaitingStatement DescribeWaiting(const Session& session) const;
+  std::vector<WaitingStatement> WaitingIn(const std::string& group) const;
+  void OnDispatched(Time now, Session& session);
+  void UpdateQueueLengths(Time now, const std::string& group);
+  //! Refuses an operation that can't be served in time, before it takes a
+  //! token.
+  bool RejectOnArrival(Time now, Session& session);
+  bool RejectWithoutToken(Time now, Session& session);
+  Rejection RateRejection(Time now, const Session& session);
+  void Reject(Time now, Session& session, const Rejection& rejection);
+  void RejectUnsent(Time now,
+                    Session& session,
+                    std::string_view cause,
+                    const std::string& message,
+                    Outcome outcome = Outcome::kBusy);
+  //! The end of a refusal's text, such as "; retry after 40 ms".
+  std::string AdviseRetry(Time now,
+                          const Rejection& rejection,
+                          const RetrySituation& situation,
+                          Session* session);
+  std::string AdviseRetryForConfiguration(Time now);
+
   // Operations whose key has been withdrawn since they began.
   bool IsKeyWithdrawn(const Session& session) const;
   void EndWithdrawnOperations(Time now);
@@ -243,7 +294,7 @@
   //! `outcome`, or kBusy while a newer configuration may know it.
   std::pair<Outcome, std::string> RefuseUnknown(Time now,
                                                 Outcome outcome,
-                                                const std::string& what) const;
+                                                const std::string& what);
 
   // Choice of the endpoint and the connection for a statement.
   bool NeedsPrimary(const Session& session) const;
@@ -343,6 +394,10 @@
   std::map<std::string, PositionHistory> positions_;  // by group
   std::map<SessionId, Session> sessions_;
   std::map<std::string, std::vector<SessionId>> waiting_sessions_;  // by group
+  std::map<std::string, StatementQueue> queues_;                    // by group
+  ServiceForecast service_forecast_;
+  TokenForecast token_forecast_;
+  RetryAdvisor retry_advisor_;
   std::vector<SessionId> token_waiters_;
   std::vector<PendingSessionStart> pending_session_starts_;
   enum class StopPhase { kNone, kClosingSessions, kRefusingOperations };
--- a/statements/src/proxy_admission.cc
+++ b/statements/src/proxy_admission.cc
@@ -39,22 +39,34 @@
 }
 
 // Takes a token from the customer's rate limit; returns false when the
-// operation has to wait for one.
+// operation has to wait for one or was refused.
 bool StatementProxy::AdmitOperation(Time now, Session& session) {
+  if (RejectOnArrival(now, session))
+    return false;
   if (holder_.TryTake(now, session.customer)) {
     session.pending->token_taken = true;
     return true;
   }
+  if (RejectWithoutToken(now, session))
+    return false;
   holder_.StartWaiting(now, session.customer);
   token_waiters_.push_back(session.id);
   return false;
 }
 
 // Admits the newest operation first: otherwise, each operation of a customer
-// that stays above its rate would be admitted just before its deadline.
+// that stays above its rate would be admitted just before its deadline. A
+// caller that has returned when it was told to goes first, one each time.
 void StatementProxy::AdmitWaitingOperations(Time now) {
   std::vector<SessionId> waiters = std::exchange(token_waiters_, {});
   std::ranges::reverse(waiters);
+  const auto returned = std::ranges::find_if(waiters, [this](SessionId id) {
+    const auto it = sessions_.find(id);
+    return it != sessions_.end() && it->second.pending &&
+           it->second.pending->promised;
+  });
+  if (returned != waiters.end())
+    std::rotate(waiters.begin(), returned, std::next(returned));
   std::vector<SessionId> left;
   for (const SessionId id : waiters) {
     const auto it = sessions_.find(id);
@@ -63,6 +75,7 @@
     Session& session = it->second;
     if (holder_.TryTakeWaiting(now, session.customer)) {
       session.pending->token_taken = true;
+      token_forecast_.OnTaken(session.customer);
       const StatementKind kind = session.pending->statement.kind;
       if (kind == StatementKind::kBegin ||
           kind == StatementKind::kBeginReadOnly) {
@@ -72,15 +85,15 @@
         ContinueSession(now, id);
       } else {
         SetGiveUpTime(now, session);
-        waiting_sessions_[session.route->group].push_back(id);
-        Dispatch(now, session, ConnectionPolicy::kMayOpen);
+        EnqueueStatement(now, session);
+        ContinueSession(now, id);
       }
       continue;
     }
     if (now >= session.pending->give_up_at) {
       holder_.StopWaiting(session.customer);
-      Refuse(now, session, Outcome::kBusy,
-             "customer's rate exceeded; retry after 500 ms");
+      token_forecast_.OnGaveUp(now, session.pending->arrival, session.customer);
+      Reject(now, session, RateRejection(now, session));
       ContinueSession(now, id);
       continue;
     }
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -85,8 +85,13 @@
       OnBeginAnswer(now, *connection, answer);
       break;
     case Connection::ExpectedAnswer::Kind::kStatement:
-      if (answer.outcome == Outcome::kDone)
+      if (answer.outcome == Outcome::kDone) {
         pool_.OnLatency(connection->endpoint, now - expected.processing_since);
+        const auto it = sessions_.find(connection->session);
+        if (it != sessions_.end())
+          service_forecast_.OnServed(it->second.database,
+                                     now - expected.sent_at);
+      }
       OnStatementAnswer(now, *connection, answer);
       break;
   }
@@ -277,6 +282,7 @@
   else if (outcome != Outcome::kBehind)
     pending.avoided_until[endpoint] = now + pause;
   pending.sent = false;
+  pending.queued_at = now;
   waiting_sessions_[session.route->group].push_back(session.id);
   ReportDecision(now, session, "retried", endpoint, NameOf(outcome));
   return true;
@@ -376,7 +382,7 @@
   if (!pending.sent && (!transaction || !session.statement_succeeded)) {
     if (Retry(now, session, cause, Outcome::kFailed))
       return;
-    return Refuse(now, session, Outcome::kBusy, "not run; retry after 200 ms");
+    return RejectUnsent(now, session, "connection_lost", "not run");
   }
   if (!transaction && !writes && Retry(now, session, cause, Outcome::kFailed))
     return;
@@ -410,8 +416,8 @@
     session.pending->give_up_at = now;  // Prevents a retry.
     return OnConnectionLost(now, session, cause);
   }
-  Refuse(now, session, Outcome::kBusy,
-         "not run: " + session.pending->last_cause + "; retry after 100 ms");
+  RejectUnsent(now, session, "no_endpoint",
+               "not run: " + session.pending->last_cause);
 }
 
 void StatementProxy::Tick(Time now) {
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -20,10 +20,6 @@
 // to this multiple of its equal share.
 constexpr int kMaxShareMultiple = 4;
 
-// A statement that has waited this long may open a connection before newer
-// statements take the idle ones.
-constexpr Duration kMaxIdleConnectionWait = std::chrono::milliseconds(80);
-
 // Connections of each endpoint that are left to the probes of the controllers.
 constexpr int kProbeConnections = 1;
 
@@ -47,48 +43,6 @@
   return Writes(session, session.pending->statement);
 }
 
-void StatementProxy::DispatchGroup(Time now, const std::string& group) {
-  const auto found = waiting_sessions_.find(group);
-  if (found == waiting_sessions_.end() || found->second.empty())
-    return;
-  struct Waiting {
-    int priority;
-    Time arrival;
-    SessionId id;
-  };
-  std::vector<Waiting> order;
-  for (const SessionId id : std::exchange(found->second, {})) {
-    const auto it = sessions_.find(id);
-    if (it == sessions_.end() || !it->second.pending ||
-        it->second.pending->sent || it->second.connection != 0 ||
-        it->second.route == nullptr || it->second.route->group != group)
-      continue;
-    const bool known = std::ranges::any_of(
-        order, [id](const Waiting& waiting) { return waiting.id == id; });
-    if (!known)
-      order.push_back(
-          {it->second.route->priority, it->second.pending->arrival, id});
-  }
-  std::ranges::sort(order, [](const Waiting& left, const Waiting& right) {
-    return std::tie(left.priority, left.arrival) <
-           std::tie(right.priority, right.arrival);
-  });
-  // First dispatches statements that can use an idle connection of their
-  // customer, then those that need a new one: opening takes a slot of the
-  // endpoint and may close an idle connection that another statement waits for.
-  // Overdue statements may open one in the first pass.
-  for (const Waiting& waiting : order) {
-    waiting_sessions_[group].push_back(waiting.id);
-    const bool overdue = now - waiting.arrival >= kMaxIdleConnectionWait;
-    Dispatch(
-        now, sessions_.at(waiting.id),
-        overdue ? ConnectionPolicy::kMayOpen : ConnectionPolicy::kIdleOnly);
-  }
-  for (const Waiting& waiting : order)
-    Dispatch(now, sessions_.at(waiting.id), ConnectionPolicy::kMayOpen);
-  // The next call removes the sessions whose statements were sent.
-}
-
 void StatementProxy::Dispatch(Time now,
                               Session& session,
                               ConnectionPolicy policy) {
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -21,11 +21,10 @@
 // of its timeout, so that the caller can still retry within its own deadline.
 constexpr int kGiveUpDivisor = 2;
 
-constexpr const char* kNotRunMessage = "not run; retry after 100 ms";
 constexpr const char* kStoppingMessage =
     "not run: planned stop; retry on a new connection";
 constexpr const char* kNoConfigurationMessage =
-    "no confirmed configuration yet; retry after 500 ms";
+    "no confirmed configuration yet";
 
 // Whether a statement begins an operation when no transaction is open.
 bool StartsOperation(StatementKind kind) {
@@ -88,7 +87,8 @@
   if (stop_phase_ == StopPhase::kRefusingOperations)
     return refuse({Outcome::kBusy, kStoppingMessage});
   if (!HasConfirmedConfiguration())
-    return refuse({Outcome::kBusy, kNoConfigurationMessage});
+    return refuse({Outcome::kBusy,
+                   kNoConfigurationMessage + AdviseRetryForConfiguration(now)});
   const routing::Route* route = table_->FindRoute(database);
   if (route == nullptr)
     return refuse(
@@ -111,7 +111,7 @@
   for (const PendingSessionStart& start : late) {
     Answer answer;
     answer.outcome = Outcome::kBusy;
-    answer.message = kNoConfigurationMessage;
+    answer.message = kNoConfigurationMessage + AdviseRetryForConfiguration(now);
     hooks_.log_decision({"session_refused", "", "", "", answer.message, {}, 0});
     hooks_.answer(start.session, answer);
     hooks_.close_session(start.session);
@@ -337,8 +337,11 @@
     if (connection != nullptr)
       return SendStatement(now, session, *connection);
   }
-  waiting_sessions_[session.route->group].push_back(session.id);
-  Dispatch(now, session, ConnectionPolicy::kMayOpen);
+  EnqueueStatement(now, session);
+}
+
+Time StatementProxy::GiveUpAt(Time now, const routing::Route& route) {
+  return now + route.statement_timeout / kGiveUpDivisor;
 }
 
 // Starts the statement's time to find a connection. The time that its operation
@@ -346,8 +349,7 @@
 void StatementProxy::SetGiveUpTime(Time now, Session& session) {
   PendingStatement& pending = *session.pending;
   pending.give_up_at =
-      std::min(now + session.route->statement_timeout / kGiveUpDivisor,
-               pending.deadline);
+      std::min(GiveUpAt(now, *session.route), pending.deadline);
 }
 
 void StatementProxy::ReplyLocally(Time now, Session& session, Answer answer) {
@@ -386,6 +388,8 @@
                             Session& session,
                             Outcome outcome,
                             const std::string& message) {
+  if (message.empty())
+    return RejectUnsent(now, session, "endpoint", "not run", outcome);
   ReportDecision(now, session, "refused", "",
                  std::string(NameOf(outcome)) + ": " + message);
   if (session.state == TransactionState::kOpen)
@@ -394,7 +398,7 @@
     EndOperation(now, session, outcome);
   Answer answer;
   answer.outcome = outcome;
-  answer.message = message.empty() ? kNotRunMessage : message;
+  answer.message = message;
   ReplyLocally(now, session, std::move(answer));
 }
 
--- a/statements/src/proxy_updates.cc
+++ b/statements/src/proxy_updates.cc
@@ -98,7 +98,7 @@
 std::pair<Outcome, std::string> StatementProxy::RefuseUnknown(
     Time now,
     Outcome outcome,
-    const std::string& what) const {
+    const std::string& what) {
   std::string message =
       what + " in version " + std::to_string(Version()) + ", confirmed ";
   if (configuration_confirmed_at_) {
@@ -112,7 +112,7 @@
     return {outcome, message};
   if (announced_version_ > Version())
     message += "; version " + std::to_string(announced_version_) + " exists";
-  return {Outcome::kBusy, message + "; retry after 500 ms"};
+  return {Outcome::kBusy, message + AdviseRetryForConfiguration(now)};
 }
 
 void StatementProxy::OnEndpoint(Time now,
@@ -149,6 +149,7 @@
 }
 
 void StatementProxy::OnShares(Time now) {
+  token_forecast_.OnOwnerAnswer(now);
   AdmitWaitingOperations(now);
 }
 
--- a/statements/tests/statement_queue_test.cc
+++ b/statements/tests/statement_queue_test.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 
+#include "proxy_fixture.h"
+
 namespace goldcrest::statements {
 namespace {
 
@@ -84,4 +86,20 @@
   CHECK(Order(queue, {fresh, returned}).front() == 9);
 }
 
+// Guards against a queue that grows with the number of callers.
+TEST_CASE("A bounded number of statements waits for a group",
+          "[statements][admission]") {
+  ProxyFixture fixture;
+  fixture.SetRole("p", false);
+  for (SessionId id = 1; id <= StatementQueue::kMaxWaiting + 1; ++id) {
+    fixture.OpenSession(id, "strict");
+    fixture.SendStatement(id, StatementKind::kWrite, "WRITE a b");
+  }
+  CHECK(fixture.AnswerCount(StatementQueue::kMaxWaiting) == 1);
+  const Answer& last = fixture.LastAnswer(StatementQueue::kMaxWaiting + 1);
+  CHECK(last.outcome == Outcome::kBusy);
+  CHECK_THAT(last.message,
+             Catch::Matchers::Matches("not run: .*; retry after [0-9]+ ms"));
+}
+
 }  // namespace goldcrest::statements
