Metrics of rejections, retry-after times and waits

Cause: an operator does not see why operations are rejected and what callers are told.

Change: an entry counts rejections by cause, and has histograms of the retry-after times by cause and of the waits for an endpoint by priority.

Result: goldcrestd builds; the metrics were not read from a running process.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -163,6 +163,22 @@
         .GetHistogram("goldcrest_operation_seconds", {{"group", route.group}})
         .Observe(latency);
   };
+  hooks.rejected = [this](std::string_view cause, Duration retry_after) {
+    counters_
+        .GetCounter("goldcrest_rejections_total",
+                    {{"cause", std::string(cause)}})
+        .Add();
+    counters_
+        .GetHistogram("goldcrest_retry_after_seconds",
+                      {{"cause", std::string(cause)}})
+        .Observe(retry_after);
+  };
+  hooks.waited = [this](int priority, Duration wait) {
+    counters_
+        .GetHistogram("goldcrest_queue_wait_seconds",
+                      {{"priority", std::to_string(priority)}})
+        .Observe(wait);
+  };
   return hooks;
 }
 
