Send no statement before its operation has a token

Cause: a session stays listed as waiting for an endpoint after its statement was refused for lack of a connection. When its next operation waited for a token, the entry sent that operation as soon as the connection opened, above the customer's rate.

Change: a statement waits for an endpoint only if its operation has taken a token or its transaction is open.

Result: the new test fails on the code before (a statement is sent without a token) and passes now; 62 test cases of statements, 34 of fleet and 34 of sessions pass.

--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -255,7 +255,7 @@
     Outcome outcome = Outcome::kBusy;
   };
   void EnqueueStatement(Time now, Session& session);
-  bool IsWaiting(const Session& session, const std::string& group) const;
+  static bool IsWaiting(const Session& session, const std::string& group);
   std::string QueueOf(const Session& session) const;
   WaitingStatement DescribeWaiting(const Session& session) const;
   std::vector<WaitingStatement> WaitingIn(const std::string& group) const;
--- a/statements/src/proxy_queue.cc
+++ b/statements/src/proxy_queue.cc
@@ -27,10 +27,15 @@
 
 }  // namespace
 
+// The session may still be listed for an earlier statement while its next
+// operation waits for a token.
 bool StatementProxy::IsWaiting(const Session& session,
-                               const std::string& group) const {
-  return session.pending && !session.pending->sent && session.connection == 0 &&
-         session.route != nullptr && session.route->group == group;
+                               const std::string& group) {
+  if (!session.pending || session.pending->sent || session.connection != 0 ||
+      session.route == nullptr || session.route->group != group)
+    return false;
+  return session.pending->token_taken ||
+         session.state == TransactionState::kOpen;
 }
 
 // Statements that only the primary may run wait apart from the others.
--- a/statements/tests/token_wait_test.cc
+++ b/statements/tests/token_wait_test.cc
@@ -33,4 +33,19 @@
   CHECK(fixture.LastAnswer(kCaller).outcome == Outcome::kDone);
 }
 
+// Guards against an operation above its customer's rate that is sent in the
+// place of the session's last statement, which no endpoint was found for.
+TEST_CASE("A statement is sent only once its operation has a token",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(kCaller, "strict");
+  fixture.SendStatement(kCaller, StatementKind::kWrite, "WRITE a b");
+  fixture.SendStatement(kCaller, StatementKind::kWrite, "WRITE c d");
+  fixture.proxy->holder().SetLimit("customer", quota::Limit{});
+  fixture.Advance(milliseconds(500));
+  CHECK(fixture.LastAnswer(kCaller).outcome == Outcome::kBusy);
+  fixture.AcceptConnection();
+  CHECK(fixture.sent.empty());
+}
+
 }  // namespace goldcrest::statements
