--- a/statements/tests/statement_queue_test.cc
+++ b/statements/tests/statement_queue_test.cc
@@ -102,4 +102,23 @@
              Catch::Matchers::Matches("not run: .*; retry after [0-9]+ ms"));
 }
 
+// Guards against a slot that is held for a caller that thinks.
+TEST_CASE("An idle transaction leaves the endpoint's slots to others",
+          "[statements][admission]") {
+  ProxyFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kBegin, "BEGIN");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a b");
+  const ConnectionId transaction = fixture.AcceptConnection();
+  fixture.Reply(transaction, {1, 5});
+  fixture.Reply(transaction, {1, 5});
+  fixture.OpenSession(2, "strict");
+  fixture.SendStatement(2, StatementKind::kWrite, "WRITE c d");
+  const ConnectionId other = fixture.AcceptConnection();
+  fixture.Reply(other, {1, 5}, Outcome::kBusy);  // One statement at a time now.
+  fixture.Advance(milliseconds(20));
+  fixture.Reply(other, {1, 6});
+  CHECK(fixture.LastAnswer(2).outcome == Outcome::kDone);
+}
+
 }  // namespace goldcrest::statements
