--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -21,10 +21,6 @@
 // to this multiple of its equal share.
 constexpr int kMaxShareMultiple = 4;
 
-// A statement that has waited this long may open a connection before newer
-// statements take the idle ones.
-constexpr Duration kMaxIdleConnectionWait = std::chrono::milliseconds(80);
-
 // Part of an endpoint's connections that relays keep open while they are idle.
 // The rest is for entries that run operations themselves, and for reconnecting
 // after a loss of power, when an endpoint counts dead connections for seconds.
@@ -53,48 +49,6 @@
   return Writes(session, session.pending->statement);
 }
 
-void StatementProxy::DispatchGroup(Time now, const std::string& group) {
-  const auto found = waiting_sessions_.find(group);
-  if (found == waiting_sessions_.end() || found->second.empty())
-    return;
-  struct Waiting {
-    int priority;
-    Time arrival;
-    SessionId id;
-  };
-  std::vector<Waiting> order;
-  for (const SessionId id : std::exchange(found->second, {})) {
-    const auto it = sessions_.find(id);
-    if (it == sessions_.end() || !it->second.pending ||
-        it->second.pending->sent || it->second.connection != 0 ||
-        it->second.route == nullptr || it->second.route->group != group)
-      continue;
-    const bool known = std::ranges::any_of(
-        order, [id](const Waiting& waiting) { return waiting.id == id; });
-    if (!known)
-      order.push_back(
-          {it->second.route->priority, it->second.pending->arrival, id});
-  }
-  std::ranges::sort(order, [](const Waiting& left, const Waiting& right) {
-    return std::tie(left.priority, left.arrival) <
-           std::tie(right.priority, right.arrival);
-  });
-  // First dispatches statements that can use an idle connection of their
-  // customer, then those that need a new one: opening takes a slot of the
-  // endpoint and may close an idle connection that another statement waits for.
-  // Overdue statements may open one in the first pass.
-  for (const Waiting& waiting : order) {
-    waiting_sessions_[group].push_back(waiting.id);
-    const bool overdue = now - waiting.arrival >= kMaxIdleConnectionWait;
-    Dispatch(
-        now, sessions_.at(waiting.id),
-        overdue ? ConnectionPolicy::kMayOpen : ConnectionPolicy::kIdleOnly);
-  }
-  for (const Waiting& waiting : order)
-    Dispatch(now, sessions_.at(waiting.id), ConnectionPolicy::kMayOpen);
-  // The next call removes the sessions whose statements were sent.
-}
-
 void StatementProxy::Dispatch(Time now,
                               Session& session,
                               ConnectionPolicy policy) {
--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -303,7 +303,8 @@
   // The caller may have seen the effect of a newer configuration.
   if (required_version_ > Version())
     return Refuse(now, session, Outcome::kBusy,
-                  "a newer configuration is in force; retry after 100 ms");
+                  "a newer configuration is in force" +
+                      AdviseRetryForConfiguration(now));
   if (statement.kind == StatementKind::kBegin ||
       statement.kind == StatementKind::kBeginReadOnly)
     return BeginTransaction(now, session, std::move(statement));
