Send reads to other zones by shares instead of a fixed cost

Cause: DispatchToAnyMember() adds 14 ms for an endpoint of another zone. Entries without an endpoint in their zone send their first reads to the replica that is first by name; entries with one leave it at once when it has no room for a connection.

Change: a read is assigned to a zone by ZoneBalance where the group has members in several, and waits there for its limit before it leaves its own zone. StatementProxy::ChooseZone() answers the same for operations that are handed to another entry. Log line zone_share_changed; metrics goldcrest_zone_share, goldcrest_other_zone_statements_total and goldcrest_other_zone_bytes_total.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -1,6 +1,8 @@
 #include "programs/goldcrestd/entry_service.h"
 
 #include <chrono>
+#include <cmath>
+#include <functional>
 #include <random>
 #include <utility>
 
@@ -27,6 +29,9 @@
 // connection is closed.
 constexpr milliseconds kCallerCloseTimeout{500};
 
+// Length of the CR LF after each line of an endpoint.
+constexpr std::size_t kLineEndBytes = 2;
+
 // Time in which the last messages to controllers are sent.
 constexpr Duration kControllerHandoverTime = milliseconds(50);
 
@@ -42,6 +47,8 @@
   options.max_configuration_age = settings.configuration_bound / 2;
   // New operations end with the lease of the rate shares as well.
   options.confirmation_lease = quota::kShareLease;
+  options.zone_salt = std::hash<std::string>()(settings.instance);
+  options.zone_byte_cost = settings.zone_byte_cost;
   return options;
 }
 
@@ -135,8 +142,13 @@
     if (it == endpoint_connections_.end())
       return;
     std::string bytes;
-    for (const statements::EndpointCommand& command : list)
+    for (const statements::EndpointCommand& command : list) {
       bytes += platform::EncodeCommand(command);
+      if (it->second.other_zone_statements != nullptr && !command.id.empty())
+        it->second.other_zone_statements->Add();
+    }
+    if (it->second.other_zone_bytes != nullptr)
+      it->second.other_zone_bytes->Add(bytes.size());
     it->second.socket->Write(bytes);
   };
   hooks.close = [this](ConnectionId id) {
@@ -163,6 +175,20 @@
         .GetHistogram("goldcrest_operation_seconds", {{"group", route.group}})
         .Observe(latency);
   };
+  hooks.shares_changed = [this](const routing::ShareChange& change) {
+    const auto set = [&](const std::string& zone, double share) {
+      counters_
+          .GetGauge("goldcrest_zone_share",
+                    {{"group", change.group},
+                     {"kind", routing::NameOf(change.kind)},
+                     {"zone", zone}})
+          .Set(std::lround(share * 100));
+    };
+    for (const auto& [zone, share] : change.before)
+      set(zone, 0);
+    for (const auto& [zone, share] : change.shares)
+      set(zone, share);
+  };
   return hooks;
 }
 
@@ -256,6 +282,13 @@
   EndpointConnection& link = endpoint_connections_[id];
   link.socket = std::make_shared<LineSocket>(context_, platform::kMaxLineBytes);
   const auto* entry = proxy_.directory().Find(target.endpoint);
+  if (entry != nullptr && entry->record.zone != settings_.zone) {
+    const Labels zone = {{"zone", entry->record.zone}};
+    link.other_zone_statements =
+        &counters_.GetCounter("goldcrest_other_zone_statements_total", zone);
+    link.other_zone_bytes =
+        &counters_.GetCounter("goldcrest_other_zone_bytes_total", zone);
+  }
   const platform::SocketAddress address =
       entry == nullptr ? platform::SocketAddress()
                        : platform::ParseAddress(entry->record.address);
@@ -273,6 +306,8 @@
   if (it == endpoint_connections_.end())
     return;
   EndpointConnection& link = it->second;
+  if (link.other_zone_bytes != nullptr)
+    link.other_zone_bytes->Add(line.size() + kLineEndBytes);
   switch (link.decoder.OnLine(line)) {
     case platform::AnswerDecoder::Step::kMore:
       return;
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -47,6 +47,9 @@
     std::shared_ptr<adapters::LineSocket> socket;
     platform::AnswerDecoder decoder;
     bool started = false;
+    // Null for an endpoint of the own zone.
+    adapters::Counter* other_zone_statements = nullptr;
+    adapters::Counter* other_zone_bytes = nullptr;
   };
   statements::ProxyHooks MakeHooks();
   statements::ControllerClientHooks MakeControllerHooks();
--- a/routing/include/goldcrest/routing/routing_table.h
+++ b/routing/include/goldcrest/routing/routing_table.h
@@ -19,6 +19,9 @@
   kReadYourWrites,    //!< Those of kBoundedStaleness and the session's own.
 };
 
+//! Short name for logs and metrics, such as "bounded_staleness".
+const char* NameOf(Consistency consistency);
+
 //! One database name that callers may connect to.
 struct Route {
   std::string name;
--- a/routing/include/goldcrest/routing/zone_balance.h
+++ b/routing/include/goldcrest/routing/zone_balance.h
@@ -17,6 +17,9 @@
 
 namespace goldcrest::routing {
 
+//! How long a read on `route` may take in its own zone before others leave.
+Duration ReadLimit(const Route& route);
+
 //! An endpoint that may get reads.
 struct ZoneMember {
   std::string zone;
@@ -28,10 +31,14 @@
 struct ShareChange {
   std::string group;
   Consistency kind = Consistency::kBoundedStaleness;
+  std::map<std::string, double> before;  //!< By zone; empty at first.
   std::map<std::string, double> shares;  //!< By zone.
   ShareInput input;
 };
 
+//! The change and the figures behind it, for the log.
+std::string Describe(const ShareChange& change);
+
 struct ZoneBalanceOptions {
   std::string zone;  //!< Of the entry.
   //! Entries with different salts adjust their shares at different times and
--- a/routing/src/routing_table.cc
+++ b/routing/src/routing_table.cc
@@ -2,6 +2,18 @@
 
 namespace goldcrest::routing {
 
+const char* NameOf(Consistency consistency) {
+  switch (consistency) {
+    case Consistency::kPrimary:
+      return "primary";
+    case Consistency::kBoundedStaleness:
+      return "bounded_staleness";
+    case Consistency::kReadYourWrites:
+      return "read_your_writes";
+  }
+  return "";
+}
+
 const Route* RoutingTable::FindRoute(const std::string& database) const {
   const auto it = routes.find(database);
   return it == routes.end() ? nullptr : &it->second;
--- a/routing/src/zone_balance.cc
+++ b/routing/src/zone_balance.cc
@@ -1,8 +1,10 @@
 #include "goldcrest/routing/zone_balance.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
+#include <cstdio>
 
 namespace goldcrest::routing {
 namespace {
@@ -82,8 +84,50 @@
   return last;
 }
 
+Duration TargetOf(const Route& route) {
+  return route.target_latency > Duration::zero() ? route.target_latency
+                                                 : route.statement_timeout;
+}
+
+std::string Milliseconds(Duration duration) {
+  std::array<char, 32> text{};
+  const double value =
+      std::chrono::duration<double, std::milli>(duration).count();
+  std::snprintf(text.data(), text.size(), "%.1f ms", value);
+  return text.data();
+}
+
+std::string Percent(double part) {
+  return std::to_string(std::lround(part * 100)) + "%";
+}
+
 }  // namespace
 
+Duration ReadLimit(const Route& route) {
+  return StatementLimit(TargetOf(route));
+}
+
+std::string Describe(const ShareChange& change) {
+  std::string text = std::string(NameOf(change.kind)) + ", limit " +
+                     Milliseconds(StatementLimit(change.input.target_latency)) +
+                     ", traffic " + Milliseconds(change.input.transfer_cost);
+  for (const ZoneFigures& figures : change.input.zones) {
+    const auto before = change.before.find(figures.zone);
+    const auto after = change.shares.find(figures.zone);
+    text += "; " + figures.zone + " from " +
+            Percent(before == change.before.end() ? 0 : before->second) +
+            " to " + Percent(after == change.shares.end() ? 0 : after->second) +
+            ": latency " + Milliseconds(figures.latency) + ", round trip " +
+            Milliseconds(figures.round_trip) + ", refused " +
+            Percent(figures.refused) + ", slots " +
+            std::to_string(figures.slots) +
+            (figures.primary_only ? " of the primary" : "") + ", age " +
+            (figures.age == Duration::max() ? "unknown"
+                                            : Milliseconds(figures.age));
+  }
+  return text;
+}
+
 ZoneBalance::ZoneBalance(ZoneBalanceOptions options)
     : options_(std::move(options)) {}
 
@@ -126,9 +170,9 @@
   const auto shares = SharesOf(kind.state, input);
   if (!Differs(kind.shares, shares, options_.zone))
     return;
-  kind.shares = shares;
+  const auto before = std::exchange(kind.shares, shares);
   if (options_.on_change)
-    options_.on_change({route.group, route.consistency, shares, input});
+    options_.on_change({route.group, route.consistency, before, shares, input});
 }
 
 ShareInput ZoneBalance::MakeInput(
@@ -137,9 +181,7 @@
     const std::vector<ZoneMember>& members) const {
   ShareInput input;
   input.own_zone = options_.zone;
-  input.target_latency = route.target_latency > Duration::zero()
-                             ? route.target_latency
-                             : route.statement_timeout;
+  input.target_latency = TargetOf(route);
   const auto bytes = statement_bytes_.find(route.group);
   if (bytes != statement_bytes_.end())
     input.transfer_cost = Duration(static_cast<Duration::rep>(
--- a/routing/src/zone_share.cc
+++ b/routing/src/zone_share.cc
@@ -36,7 +36,9 @@
 // falls: the last changes have taken effect already.
 constexpr double kTrendFactor = 1.05;
 
-// Headroom of other zones below which no more statements leave.
+// Headroom of other zones below which no more statements leave, and lead of a
+// primary over the replicas below which it gets no reads of other zones: its
+// figures are of fewer reads.
 constexpr double kMinHeadroom = 0.25;
 
 // Fraction of the difference to the desired split that one interval removes.
@@ -109,8 +111,8 @@
   return headroom;
 }
 
-// Divides by free slots. A primary counts for as much as it is better off than
-// the best replica.
+// Divides by free slots. A primary counts for as much as it is clearly better
+// off than the best replica.
 std::map<std::string, double> DesiredSplit(const ShareInput& input,
                                            Duration limit) {
   const Headroom headroom = FindHeadroom(input, limit);
@@ -121,7 +123,8 @@
       continue;
     double free = HeadroomOf(figures, limit);
     if (figures.primary_only && headroom.has_replicas)
-      free = std::max(0.0, free - std::max(0.0, headroom.replicas));
+      free =
+          std::max(0.0, free - std::max(0.0, headroom.replicas) - kMinHeadroom);
     else
       free = std::max(kMinFreePart, free);
     split[figures.zone] = free * std::max(1, figures.slots);
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -13,6 +13,7 @@
 #include "goldcrest/quota/holder.h"
 #include "goldcrest/routing/endpoint_directory.h"
 #include "goldcrest/routing/routing_table.h"
+#include "goldcrest/routing/zone_balance.h"
 #include "goldcrest/statements/connection_pool.h"
 #include "goldcrest/statements/position_history.h"
 #include "goldcrest/statements/primary_view.h"
@@ -46,6 +47,8 @@
   std::function<void(const Decision&)> log_decision;
   //! One operation has ended.
   std::function<void(const routing::Route&, Outcome, Duration)> completed;
+  //! The division of reads among the availability zones has changed.
+  std::function<void(const routing::ShareChange&)> shares_changed;
 };
 
 struct ProxyOptions {
@@ -58,6 +61,10 @@
   //! A transaction that depends on a key is rolled back when the configuration
   //! has not been confirmed as the newest one for this long.
   Duration confirmation_lease = Duration::max();
+  //! Differs between entries; see routing::ZoneBalanceOptions.
+  std::uint64_t zone_salt = 0;
+  //! What a byte between availability zones costs, as latency.
+  Duration zone_byte_cost = routing::ZoneBalanceOptions().byte_cost;
 };
 
 //! The callers' sessions of one entry: chooses for each statement an endpoint
@@ -129,6 +136,12 @@
   }
   std::int64_t Version() const { return table_ ? table_->version : 0; }
   quota::Holder& holder() { return holder_; }
+  //! The availability zone that the next read on `route` should go to when it
+  //! may run on any member of the route's group; the entry's own zone when the
+  //! group has no member that may get reads.
+  std::string ChooseZone(Time now, const routing::Route& route);
+  //! Takes the outcome of reads that were sent to other zones past the proxy.
+  routing::ZoneBalance& zones() { return zones_; }
   std::vector<messages::PrimaryContact> Contacts(Time now) const {
     return primaries_.Contacts(now);
   }
@@ -143,8 +156,10 @@
     bool token_taken = false;  // its operation has taken a token
     bool sent = false;         // it may have reached an endpoint
     int attempts = 0;
-    std::map<std::string, Time> avoided_until;     // by endpoint
-    ConnectionId awaited_connection = 0;           // until it becomes idle
+    std::map<std::string, Time> avoided_until;  // by endpoint
+    ConnectionId awaited_connection = 0;        // until it becomes idle
+    std::string zone;    // that a read was assigned to; may be empty
+    Time leave_zone_at;  // it may go to another zone from then on
     std::optional<LogPosition> required_position;  // sent with the statement
     Time retry_at;
     std::string last_cause = "no endpoint";
@@ -252,10 +267,30 @@
   enum class ConnectionPolicy { kMayOpen, kIdleOnly };
   void Dispatch(Time now, Session& session, ConnectionPolicy policy);
   void DispatchToPrimary(Time now, Session& session, ConnectionPolicy policy);
+  //! An endpoint that can serve a read.
+  struct Candidate {
+    Duration cost;
+    std::string endpoint;
+    std::string zone;
+  };
   void DispatchToAnyMember(Time now,
                            Session& session,
                            LogPosition required_position,
                            ConnectionPolicy policy);
+  std::vector<routing::ZoneMember> ZoneMembers(Time now,
+                                               const std::string& group) const;
+  //! Assigns the session's read to a zone if the group has members in several.
+  void AssignZone(Time now,
+                  Session& session,
+                  const std::vector<Candidate>& candidates);
+  void ObserveAnswer(Time now,
+                     const Connection& connection,
+                     const Connection::ExpectedAnswer& expected,
+                     const Answer& answer);
+  void ObserveRefusal(Time now,
+                      const std::string& group,
+                      const std::string& endpoint);
+  std::string ZoneOf(const std::string& endpoint) const;
   bool AcquireConnection(Time now,
                          Session& session,
                          const std::string& endpoint,
@@ -339,6 +374,7 @@
   PrimaryView primaries_{&directory_};
   ConnectionPool pool_;
   quota::Holder holder_;
+  routing::ZoneBalance zones_;
   std::map<std::string, PositionHistory> positions_;  // by group
   std::map<SessionId, Session> sessions_;
   std::map<std::string, std::vector<SessionId>> waiting_sessions_;  // by group
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -33,6 +33,9 @@
   if (connection == nullptr)
     return;
   const std::string group = connection->group;
+  // The handshake of the connection and the endpoint's greeting.
+  zones_.OnRoundTrip(now, ZoneOf(connection->endpoint),
+                     (now - connection->state_since) / 2);
   pool_.OnOpened(now, id);
   DispatchGroup(now, group);
 }
@@ -74,6 +77,7 @@
     pool_.OnPosition(connection->endpoint, *answer.position);
   if (expected.proves_primary && answer.outcome == Outcome::kDone)
     RecordPrimaryAnswer(now, *connection, answer, expected.sent_at);
+  ObserveAnswer(now, *connection, expected, answer);
   switch (expected.kind) {
     case Connection::ExpectedAnswer::Kind::kSetup:
       OnSetupAnswer(now, *connection, expected.command, answer);
@@ -268,6 +272,8 @@
     pool_.OnBehind(now, endpoint, *pending.required_position);
   if (outcome == Outcome::kBusy)
     pool_.OnBusy(now, endpoint);
+  if (!primary && (outcome == Outcome::kBehind || outcome == Outcome::kBusy))
+    ObserveRefusal(now, session.route->group, endpoint);
   Duration pause = kFailedEndpointDelay;
   if (outcome == Outcome::kBusy)
     pause = kBusyEndpointDelay;
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <tuple>
 
 #include "goldcrest/statements/statement_proxy.h"
 
@@ -11,9 +12,8 @@
 // Costs of a candidate endpoint that are added to its expected wait. A new
 // connection takes a slot of the endpoint for some 12 ms and two round trips.
 constexpr Duration kHandshakeCost = std::chrono::milliseconds(14);
-// Traffic between availability zones costs money and a round trip.
-constexpr Duration kOtherZoneCost = std::chrono::milliseconds(14);
-// Keeps reads off the primary in favour of statements that need it.
+// Keeps reads off the primary in favour of statements that need it, where its
+// availability zone has another endpoint.
 constexpr Duration kPrimaryCost = std::chrono::milliseconds(12);
 
 // While all of its connections to an endpoint are in use, an entry may open up
@@ -158,10 +158,6 @@
                                          Session& session,
                                          LogPosition required_position,
                                          ConnectionPolicy policy) {
-  struct Candidate {
-    Duration cost;
-    std::string endpoint;
-  };
   std::vector<Candidate> candidates;
   const std::string primary = primaries_.PrimaryOf(now, session.route->group);
   for (const auto* member : directory_.MembersOf(session.route->group)) {
@@ -176,20 +172,25 @@
     Duration cost = pool_.ExpectedWait(now, endpoint);
     if (!pool_.HasIdle(endpoint, session.customer))
       cost += kHandshakeCost;
-    if (member->record.zone != options_.zone)
-      cost += kOtherZoneCost;
     if (endpoint == primary)
       cost += kPrimaryCost;
-    candidates.push_back({cost, endpoint});
+    candidates.push_back({cost, endpoint, member->record.zone});
   }
   if (candidates.empty()) {
     session.pending->last_cause = "no endpoint can serve the read";
     // All replicas lag or fail; the primary has every commit.
     return DispatchToPrimary(now, session, policy);
   }
-  std::ranges::sort(candidates, {}, &Candidate::cost);
+  AssignZone(now, session, candidates);
+  const std::string& zone = session.pending->zone;
+  std::ranges::sort(candidates, {}, [&](const Candidate& candidate) {
+    return std::tuple(!zone.empty() && candidate.zone != zone, candidate.cost);
+  });
   session.pending->last_cause = "no free connection";
   for (const Candidate& candidate : candidates) {
+    if (!zone.empty() && candidate.zone != zone &&
+        now < session.pending->leave_zone_at)
+      return;
     if (!pool_.HasCapacity(now, candidate.endpoint))
       continue;
     if (!AcquireConnection(now, session, candidate.endpoint, policy)) {
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -57,7 +57,19 @@
 StatementProxy::StatementProxy(ProxyOptions options, ProxyHooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      pool_({hooks_.open, hooks_.close}) {}
+      pool_({hooks_.open, hooks_.close}),
+      zones_({options_.zone, options_.zone_salt, options_.zone_byte_cost,
+              [this](const routing::ShareChange& change) {
+                hooks_.log_decision({"zone_share_changed",
+                                     "",
+                                     change.group,
+                                     "",
+                                     routing::Describe(change),
+                                     {},
+                                     Version()});
+                if (hooks_.shares_changed)
+                  hooks_.shares_changed(change);
+              }}) {}
 
 void StatementProxy::OnSessionStart(Time now,
                                     SessionId id,
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -32,11 +32,13 @@
 }  // namespace
 
 ProxyFixture::ProxyFixture(Duration max_configuration_age,
-                           Duration confirmation_lease) {
+                           Duration confirmation_lease,
+                           std::uint64_t zone_salt) {
   options_.zone = "z1";
   options_.entry_count = 2;
   options_.max_configuration_age = max_configuration_age;
   options_.confirmation_lease = confirmation_lease;
+  options_.zone_salt = zone_salt;
   StartEntry();
 
   const auto add = [this](const std::string& database,
@@ -105,13 +107,20 @@
   record.endpoint = endpoint;
   record.group = "g";
   record.address = "10.0.0.1:1";
-  record.zone = "z1";
+  const auto zone = zones_.find(endpoint);
+  record.zone = zone == zones_.end() ? "z1" : zone->second;
   record.primary = primary;
   record.draining = draining;
   record.sequence = ++sequence_;
   proxy->OnEndpoint(now, record);
 }
 
+void ProxyFixture::SetZone(const std::string& endpoint,
+                           const std::string& zone) {
+  zones_[endpoint] = zone;
+  SetRole(endpoint, endpoint == "p");
+}
+
 void ProxyFixture::OpenSession(SessionId id,
                                const std::string& database,
                                const std::string& key) {
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -17,7 +17,8 @@
 class ProxyFixture {
  public:
   explicit ProxyFixture(Duration max_configuration_age = Duration::max(),
-                        Duration confirmation_lease = Duration::max());
+                        Duration confirmation_lease = Duration::max(),
+                        std::uint64_t zone_salt = 0);
 
   //! Replaces the proxy by a new one, which knows nothing yet.
   void StartEntry();
@@ -46,6 +47,8 @@
   void SetRole(const std::string& endpoint,
                bool primary,
                bool draining = false);
+  //! Places an endpoint in another availability zone than z1.
+  void SetZone(const std::string& endpoint, const std::string& zone);
   void ApplyTable(std::int64_t version);
   //! The leader says now that `version` is the newest one.
   void ConfirmVersion(std::int64_t version);
@@ -79,7 +82,8 @@
                   std::optional<LogPosition> position);
 
   std::map<ConnectionId, EndpointState> endpoint_states_;
-  std::set<std::string> commits_;  // ids of the statements
+  std::map<std::string, std::string> zones_;  // by endpoint
+  std::set<std::string> commits_;             // ids of the statements
   ProxyOptions options_;
   std::int64_t sequence_ = 0;
   int statements_ = 0;
