--- a/policy/include/goldcrest/policy/selector.h
+++ b/policy/include/goldcrest/policy/selector.h
@@ -55,6 +55,8 @@
   //! Returns a text that parses to an equal selector.
   std::string ToString() const;
 
+  const std::vector<Requirement>& Requirements() const { return requirements_; }
+
   bool operator==(const Selector&) const = default;
 
  private:
