Check a configuration before it is sent

Cause: `goldcrestctl check` knows only the settings of a daemon. Faults of an object file or of a platform document show when it is sent, its parts without effect not at all.

Change: `check FILE [--against=SOURCE] [--format=json]` reports errors, warnings and the differences from what is in force.

--- a/programs/goldcrestctl/internal/object_file.h
+++ b/programs/goldcrestctl/internal/object_file.h
@@ -24,6 +24,9 @@
 ObjectFile ReadObjectFile(const std::string& path,
                           std::vector<std::string>* errors);
 
+//! True if the file is TOML with a key of an object file at its top level.
+bool HasObjects(const std::string& path);
+
 //! The TOML text of an object file.
 std::string WriteObjectFile(const ObjectFile& file);
 
--- a/programs/goldcrestctl/src/commands.cc
+++ b/programs/goldcrestctl/src/commands.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <exception>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <optional>
@@ -21,6 +22,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/url/url.hpp>
 
+#include "check_command.h"
 #include "goldcrest/settings/daemon_settings.h"
 #include "goldcrest/settings/object_json.h"
 #include "goldcrest/types/digest.h"
@@ -29,6 +31,7 @@
 #include "object_file.h"
 #include "operator_client.h"
 #include "pretty_json.h"
+#include "usage.h"
 
 namespace goldcrest::ctl {
 namespace {
@@ -37,41 +40,6 @@
 
 using settings::HttpCall;
 
-constexpr const char* kVersion = "goldcrestctl 0.1.0";
-constexpr const char* kUsage =
-    R"(Operator's tool for a fleet of goldcrestd daemons.
-
-Usage:
-  goldcrestctl [options] apply FILE [--base-revision=N] [--change-id=ID]
-               [--dry-run] [--author=NAME] [--server=ADDRESS]...
-  goldcrestctl [options] get [KIND [NAME]] [--server=ADDRESS]...
-  goldcrestctl [options] diff FILE [--server=ADDRESS]...
-  goldcrestctl [options] keys issue CUSTOMER NAME [--server=ADDRESS]...
-  goldcrestctl [options] keys withdraw NAME [--server=ADDRESS]...
-  goldcrestctl [options] status [--server=ADDRESS]...
-  goldcrestctl [options] explain SUBJECT [--server=ADDRESS]...
-  goldcrestctl [options] journal [--server=ADDRESS]...
-  goldcrestctl [options] drain INSTANCE [--server=ADDRESS]...
-  goldcrestctl [options] members MEMBER... [--server=ADDRESS]...
-  goldcrestctl check FILE
-  goldcrestctl (-h | --help | --version)
-
-Options:
-  --server=ADDRESS   Operator listener of a daemon, HOST:PORT; repeat it to name
-                     others to try when one does not answer. Without it:
-                     127.0.0.1:8090.
-  --token-file=FILE  File with the operator token [default: operator.token].
-  --timeout-ms=MS    Time to wait for an answer [default: 10000].
-  --base-revision=N  Revision that the change is based on. Without it: that of
-                     the file, or else the current one.
-  --change-id=ID     Id of the change, to resend it after an unknown outcome.
-  --dry-run          Check the change without making it.
-  --author=NAME      Who makes the change; by default the user of this system.
-
-Exit code: 0 on success, 1 on refusal, 2 on wrong usage, 3 when no server
-answers.
-)";
-
 constexpr std::size_t kKeyBytes = 32;
 constexpr std::size_t kChangeIdBytes = 16;
 
@@ -191,6 +159,10 @@
     std::vector<settings::Address> servers;
     for (const std::string& server : arguments_.at("--server").asStringList())
       servers.push_back(ParseServer(server));
+    Connect(std::move(servers));
+  }
+
+  void Connect(std::vector<settings::Address> servers) {
     if (servers.empty())
       servers.push_back({"127.0.0.1", 8090});
     client_.emplace(std::move(servers),
@@ -199,10 +171,26 @@
   }
 
   int Check() {
-    const auto problems = settings::CheckSettings(StringArgument("FILE"));
-    for (const settings::Problem& problem : problems)
-      out_ << settings::ToString(problem) << "\n";
-    return problems.empty() ? kExitOk : kExitRefused;
+    CheckOptions options;
+    options.file = StringArgument("FILE");
+    options.format = StringArgument("--format");
+    options.timeout = std::chrono::milliseconds(NumberArgument("--timeout-ms"));
+    options.fetch_objects = [this](const settings::Address& server) {
+      Connect({server});
+      return FetchObjects({});
+    };
+    if (options.format != "text" && options.format != "json")
+      throw UsageError("--format is text or json");
+    if (!std::filesystem::is_regular_file(options.file))
+      throw UsageError("can't read " + options.file);
+    if (HasValue("--against")) {
+      const std::string source = StringArgument("--against");
+      if (std::filesystem::is_regular_file(source))
+        options.against_file = source;
+      else
+        options.against_server = ParseServer(source);
+    }
+    return RunCheck(options, out_, err_);
   }
 
   //! Sends `call` and returns the body of the answer. Without a valid answer,
--- a/programs/goldcrestctl/src/object_file.cc
+++ b/programs/goldcrestctl/src/object_file.cc
@@ -17,6 +17,15 @@
 
 constexpr std::string_view kBaseRevisionKey = "base_revision";
 
+bool IsKind(std::string_view name) {
+  for (int kind = messages::ObjectKind::CUSTOMER;
+       kind <= messages::ObjectKind::OBJECTIVE; ++kind) {
+    if (settings::ToText(static_cast<messages::ObjectKind::type>(kind)) == name)
+      return true;
+  }
+  return false;
+}
+
 class ObjectFileReader {
  public:
   ObjectFileReader(std::string path, std::vector<std::string>* errors)
@@ -62,16 +71,6 @@
     return file;
   }
 
-  static bool IsKind(std::string_view name) {
-    for (int kind = messages::ObjectKind::CUSTOMER;
-         kind <= messages::ObjectKind::OBJECTIVE; ++kind) {
-      if (settings::ToText(static_cast<messages::ObjectKind::type>(kind)) ==
-          name)
-        return true;
-    }
-    return false;
-  }
-
   void ReadObjects(std::string_view kind,
                    const toml::array& tables,
                    std::vector<messages::Object>& objects) {
@@ -133,6 +132,18 @@
   return ObjectFileReader(path, errors).Read();
 }
 
+bool HasObjects(const std::string& path) {
+  try {
+    for (const auto& [key, node] : toml::parse_file(path)) {
+      if (key.str() == kBaseRevisionKey || IsKind(key.str()))
+        return true;
+    }
+  } catch (const toml::parse_error&) {
+    return false;
+  }
+  return false;
+}
+
 std::string WriteObjectFile(const ObjectFile& file) {
   toml::table table;
   for (messages::Object object : file.objects) {
