--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -14,6 +14,7 @@
 #include "goldcrest/quota/holder.h"
 #include "goldcrest/routing/endpoint_directory.h"
 #include "goldcrest/routing/routing_table.h"
+#include "goldcrest/routing/zone_balance.h"
 #include "goldcrest/routing/zone_evacuations.h"
 #include "goldcrest/statements/connection_pool.h"
 #include "goldcrest/statements/position_history.h"
@@ -64,6 +65,8 @@
   std::function<void(std::string_view cause, Duration retry_after)> rejected;
   //! A statement was sent this long after its operation was admitted.
   std::function<void(int priority, Duration)> waited;
+  //! The division of reads among the availability zones has changed.
+  std::function<void(const routing::ShareChange&)> shares_changed;
 };
 
 struct ProxyOptions {
@@ -81,6 +84,10 @@
   //! Bound from the acknowledgement of a zone's evacuation to the last
   //! statement that is sent to it; absent where no bound is in effect.
   std::optional<Duration> evacuation_timeout;
+  //! Differs between entries; see routing::ZoneBalanceOptions.
+  std::uint64_t zone_salt = 0;
+  //! What a byte between availability zones costs, as latency.
+  Duration zone_byte_cost = routing::ZoneBalanceOptions().byte_cost;
 };
 
 //! The callers' sessions of one entry: chooses for each statement an endpoint
@@ -170,6 +177,12 @@
   }
   std::int64_t Version() const { return table_ ? table_->version : 0; }
   quota::Holder& holder() { return holder_; }
+  //! The availability zone that the next read on `route` should go to when it
+  //! may run on any member of the route's group; the entry's own zone when the
+  //! group has no member that may get reads.
+  std::string ChooseZone(Time now, const routing::Route& route);
+  //! Takes the outcome of reads that were sent to other zones past the proxy.
+  routing::ZoneBalance& zones() { return zones_; }
   std::vector<messages::PrimaryContact> Contacts(Time now) const {
     return primaries_.Contacts(now);
   }
@@ -187,8 +200,10 @@
     bool token_taken = false;  // its operation has taken a token
     bool sent = false;         // it may have reached an endpoint
     int attempts = 0;
-    std::map<std::string, Time> avoided_until;     // by endpoint
-    ConnectionId awaited_connection = 0;           // until it becomes idle
+    std::map<std::string, Time> avoided_until;  // by endpoint
+    ConnectionId awaited_connection = 0;        // until it becomes idle
+    std::string zone;    // that a read was assigned to; may be empty
+    Time leave_zone_at;  // it may go to another zone from then on
     std::optional<LogPosition> required_position;  // sent with the statement
     Time retry_at;
     std::string last_cause = "no endpoint";
@@ -231,6 +246,7 @@
     bool aborted = false;  // the transaction was rolled back; not yet reported
     ConnectionId connection = 0;
     std::string relay;  // runs the operation; empty: this entry
+    std::string relay_zone;
     std::int64_t relayed_operation = 0;
     std::optional<PendingStatement> pending;
     std::deque<Statement> queued_statements;
@@ -348,6 +364,9 @@
                                            const Statement& statement) const;
   enum class RelayEnd { kEndedThere, kAbandon };
   void LeaveRelay(Session& session, RelayEnd end);
+  void ObserveRelayAnswer(Time now,
+                          const Session& session,
+                          const messages::RelayAnswer& message);
   void RestartOperation(Time now, Session& session);
   void OnRelayLost(Time now,
                    const std::string& relay,
@@ -387,10 +406,32 @@
   enum class ConnectionPolicy { kMayOpen, kIdleOnly };
   void Dispatch(Time now, Session& session, ConnectionPolicy policy);
   void DispatchToPrimary(Time now, Session& session, ConnectionPolicy policy);
+  //! An endpoint that can serve a read.
+  struct Candidate {
+    Duration cost;
+    std::string endpoint;
+    std::string zone;
+  };
   void DispatchToAnyMember(Time now,
                            Session& session,
                            LogPosition required_position,
                            ConnectionPolicy policy);
+  std::vector<routing::ZoneMember> ZoneMembers(Time now,
+                                               const std::string& group) const;
+  //! Assigns the session's read to a zone if the group has members in several.
+  void AssignZone(Time now,
+                  Session& session,
+                  const std::vector<Candidate>& candidates);
+  void ObserveAnswer(Time now,
+                     const Connection& connection,
+                     const Connection::ExpectedAnswer& expected,
+                     const Answer& answer);
+  void ObserveRefusal(Time now,
+                      const std::string& group,
+                      const std::string& endpoint);
+  bool MayGetReads(Time now,
+                   const routing::EndpointDirectory::Entry& member) const;
+  std::string ZoneOf(const std::string& endpoint) const;
   bool AcquireConnection(Time now,
                          Session& session,
                          const std::string& endpoint,
@@ -485,6 +526,7 @@
   std::map<std::pair<std::string, std::int64_t>, SessionId> remote_sessions_;
   routing::ZoneEvacuations evacuations_;
   bool operations_held_ = false;  // until the evacuated zones are known
+  routing::ZoneBalance zones_;
   std::map<std::string, PositionHistory> positions_;  // by group
   std::map<SessionId, Session> sessions_;
   std::map<std::string, std::vector<SessionId>> waiting_sessions_;  // by group
--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -7,7 +7,6 @@
 #include <utility>
 #include <vector>
 
-#include "goldcrest/routing/endpoint_eligibility.h"
 #include "goldcrest/statements/statement_proxy.h"
 
 namespace goldcrest::statements {
@@ -58,22 +57,7 @@
     const auto* primary = directory_.Find(primaries_.PrimaryOf(now, group));
     return primary == nullptr ? "" : primary->record.zone;
   }
-  std::vector<std::string> zones;
-  for (const auto* member : directory_.MembersOf(group)) {
-    if (!routing::MayGetWork(now, member->record, evacuations_,
-                             routing::Work::kAnyMember) ||
-        pool_.IsAvoided(now, member->record.endpoint))
-      continue;
-    if (member->record.zone == options_.zone)
-      return options_.zone;
-    zones.push_back(member->record.zone);
-  }
-  if (zones.empty())
-    return "";
-  std::ranges::sort(zones);
-  const std::size_t hash =
-      std::hash<std::string>{}(session.customer + '\n' + group);
-  return zones[hash % zones.size()];
+  return ChooseZone(now, *session.route);
 }
 
 // Hands the operation that begins with `statement` to the customer's relay.
@@ -90,6 +74,7 @@
   if (relay.empty() || relay == options_.relay)
     return false;
   session.relay = relay;
+  session.relay_zone = zone;
   session.relayed_operation = next_relayed_operation_++;
   relayed_operations_[session.relayed_operation] = session.id;
   relays_.OnOperationStarted(now, relay);
@@ -230,6 +215,7 @@
   }
   if (message.unplaced_commit)
     session.unplaced_commit_at = now + std::chrono::microseconds(1);
+  ObserveRelayAnswer(now, session, message);
   Answer answer;
   answer.outcome = static_cast<Outcome>(message.outcome);
   answer.rows = message.rows;
@@ -250,6 +236,24 @@
   ContinueSession(now, id);
 }
 
+// The division of reads among the zones rests on their latency.
+void StatementProxy::ObserveRelayAnswer(Time now,
+                                        const Session& session,
+                                        const messages::RelayAnswer& message) {
+  const Statement& statement = session.pending->statement;
+  const Duration latency = now - session.pending->arrival;
+  zones_.OnRoundTrip(now, session.relay_zone, latency);
+  if (session.state != TransactionState::kIdle || Writes(session, statement) ||
+      session.route->consistency == routing::Consistency::kPrimary ||
+      static_cast<Outcome>(message.outcome) != Outcome::kDone)
+    return;
+  std::size_t bytes = statement.text.size() + message.signature.size();
+  for (const std::string& row : message.rows)
+    bytes += row.size();
+  zones_.OnAnswer(now, session.route->group, session.relay_zone, latency,
+                  bytes);
+}
+
 // Runs the operation elsewhere, of which nothing has taken effect. Its first
 // statement is pending.
 void StatementProxy::RestartOperation(Time now, Session& session) {
@@ -302,9 +306,9 @@
     return;
   // The caller may have seen the effect of a newer configuration.
   if (required_version_ > Version())
-    return Refuse(now, session, Outcome::kBusy,
-                  "a newer configuration is in force" +
-                      AdviseRetryForConfiguration(now));
+    return Refuse(
+        now, session, Outcome::kBusy,
+        "a newer configuration is in force" + AdviseRetryForConfiguration(now));
   if (statement.kind == StatementKind::kBegin ||
       statement.kind == StatementKind::kBeginReadOnly)
     return BeginTransaction(now, session, std::move(statement));
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -58,7 +58,19 @@
       hooks_(std::move(hooks)),
       pool_({hooks_.open, hooks_.close}),
       relays_(options_.relay),
-      evacuations_(options_.evacuation_timeout) {}
+      evacuations_(options_.evacuation_timeout),
+      zones_({options_.zone, options_.zone_salt, options_.zone_byte_cost,
+              [this](const routing::ShareChange& change) {
+                hooks_.log_decision({"zone_share_changed",
+                                     "",
+                                     change.group,
+                                     "",
+                                     routing::Describe(change),
+                                     {},
+                                     Version()});
+                if (hooks_.shares_changed)
+                  hooks_.shares_changed(change);
+              }}) {}
 
 void StatementProxy::OnSessionStart(Time now,
                                     SessionId id,
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -33,7 +33,8 @@
 
 ProxyFixture::ProxyFixture(Duration max_configuration_age,
                            Duration confirmation_lease,
-                           std::optional<Duration> evacuation_timeout) {
+                           std::optional<Duration> evacuation_timeout,
+                           std::uint64_t zone_salt) {
   options_.zone = "z1";
   options_.relay = "self:1";
   options_.offers_relay = true;
@@ -41,6 +42,7 @@
   options_.max_configuration_age = max_configuration_age;
   options_.confirmation_lease = confirmation_lease;
   options_.evacuation_timeout = evacuation_timeout;
+  options_.zone_salt = zone_salt;
   StartEntry();
 
   const auto add = [this](const std::string& database,
@@ -124,6 +126,12 @@
   proxy->OnEndpoint(now, record);
 }
 
+void ProxyFixture::SetZone(const std::string& endpoint,
+                           const std::string& zone) {
+  zones[endpoint] = zone;
+  SetRole(endpoint, endpoint == "p");
+}
+
 void ProxyFixture::OpenSession(SessionId id,
                                const std::string& database,
                                const std::string& key) {
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -18,7 +18,8 @@
  public:
   explicit ProxyFixture(Duration max_configuration_age = Duration::max(),
                         Duration confirmation_lease = Duration::max(),
-                        std::optional<Duration> evacuation_timeout = {});
+                        std::optional<Duration> evacuation_timeout = {},
+                        std::uint64_t zone_salt = 0);
 
   //! Replaces the proxy by a new one, which knows nothing yet.
   void StartEntry();
@@ -47,6 +48,8 @@
   void SetRole(const std::string& endpoint,
                bool primary,
                bool draining = false);
+  //! Places an endpoint in another availability zone than z1.
+  void SetZone(const std::string& endpoint, const std::string& zone);
   void ApplyTable(std::int64_t version);
   //! The leader says now that `version` is the newest one.
   void ConfirmVersion(std::int64_t version);
