Bound what callers make an entry hold

Cause: an entry queued every statement that a caller pipelined, kept session values, prepared names and whole answers without a bound, read at most 4 MiB of answers ahead of a caller and then closed it, copied a long line once for each part of it, and tried to accept without a pause when it had no descriptor left.

Change: CallerConnections stops reading from a caller whose statements, answers or share of memory exceed a bound, and goes on when there is room. Long answers are passed on in parts, and the endpoint is not read from while the caller's queue is long. A message that has begun has a deadline, a connection has one to open its session. Accepting stops before the descriptors run out. Values and prepared names of a session are bounded.

--- a/adapters/include/goldcrest/adapters/line_socket.h
+++ b/adapters/include/goldcrest/adapters/line_socket.h
@@ -24,6 +24,9 @@
     std::function<void(std::string_view)> line;
     //! Called once, with the cause for logs, unless Close() was called.
     std::function<void(const std::string&)> closed;
+    //! Optional. A part of a long line has arrived, or the peer has taken
+    //! queued bytes.
+    std::function<void()> buffers_changed = {};
   };
 
   LineSocket(boost::asio::io_context& context, std::size_t max_line_bytes);
@@ -39,10 +42,29 @@
                std::string greeting,
                Hooks hooks);
 
-  //! Queues bytes. A peer that leaves more than kMaxQueuedBytes unread is
-  //! disconnected.
+  //! Sends bytes, and queues what the peer does not take at once. A peer that
+  //! leaves more than kMaxQueuedBytes unread is disconnected.
   void Write(std::string_view bytes);
 
+  //! Stops reading and passing on lines, or goes on. What has been read already
+  //! is passed on from the event loop after SetReading(true).
+  void SetReading(bool reading);
+  bool IsReading() const { return reading_; }
+
+  //! An accepted connection is closed when a line is not complete this long
+  //! after its first byte, or after reading has gone on.
+  void SetLineTimeout(std::chrono::milliseconds timeout) {
+    line_timeout_ = timeout;
+  }
+
+  //! Bytes that were received but not passed on.
+  std::size_t HeldInput() const { return partial_line_.size(); }
+  //! Bytes that wait to be sent.
+  std::size_t HeldOutput() const { return send_buffer_.size(); }
+
+  //! A partial line of fewer bytes is not reported.
+  static constexpr std::size_t kMinReportedBytes = std::size_t{4} << 10U;
+
   //! True if the peer has sent bytes that were not passed on as lines yet: a
   //! part of a line, or bytes that have not been read.
   bool HasUnreadInput();
@@ -63,7 +85,12 @@
   void OnConnected();
   void WaitForReadable();
   void OnReadable();
-  void DeliverLines(std::string_view bytes);
+  //! Passes on the lines of the partial line and `bytes`, of which none ends
+  //! within the first `searched` bytes.
+  void DeliverLines(std::string_view bytes, std::size_t searched);
+  void KeepPartialLine(std::string text, std::size_t begin);
+  void ResumeReading();
+  void AwaitLineEnd();
   void OnReadableWhileClosing();
   void Flush();
   void AwaitPeerClose();
@@ -83,6 +110,12 @@
   bool open_ = false;
   bool connected_ = false;
   bool write_pending_ = false;
+  bool reading_ = true;
+  bool read_wait_pending_ = false;
+  bool may_hold_lines_ = false;  // partial_line_, since reading has stopped
+  bool line_timer_armed_ = false;
+  std::chrono::milliseconds line_timeout_{};
+  std::chrono::steady_clock::time_point line_deadline_;  // of partial_line_
   // After CloseAfterWrites().
   bool closing_ = false;
   std::chrono::milliseconds peer_close_timeout_{};
--- a/adapters/src/line_socket.cc
+++ b/adapters/src/line_socket.cc
@@ -30,6 +30,8 @@
 constexpr int kKeepaliveIntervalSeconds = 1;
 constexpr int kKeepaliveProbeCount = 3;
 
+constexpr std::chrono::steady_clock::time_point kNoLine{};
+
 void SetOption(tcp::socket& socket, int name, int value) {
   // Errors are ignored: without the option the socket works, but a lost peer is
   // detected later.
@@ -93,8 +95,10 @@
 }
 
 void LineSocket::WaitForReadable() {
+  read_wait_pending_ = true;
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](error_code error) {
+                       self->read_wait_pending_ = false;
                        if (!self->open_)
                          return;
                        if (error)
@@ -125,6 +129,8 @@
 void LineSocket::OnReadable() {
   if (closing_)
     return OnReadableWhileClosing();
+  if (!reading_)
+    return;
   // Shared by all sockets of the thread, since it holds no data between calls.
   thread_local std::array<char, kReadBufferBytes> buffer;
   error_code error;
@@ -134,20 +140,60 @@
   if (error)
     return Fail(error.message());
   const auto self = shared_from_this();
-  DeliverLines({buffer.data(), count});
-  if (open_)
+  // The line end may have been cut.
+  const std::size_t searched =
+      partial_line_.empty() || may_hold_lines_ ? 0 : partial_line_.size() - 1;
+  DeliverLines({buffer.data(), count}, searched);
+  if (open_ && reading_ && !read_wait_pending_)
     WaitForReadable();
 }
 
-void LineSocket::DeliverLines(std::string_view bytes) {
+void LineSocket::SetReading(bool reading) {
+  if (reading_ == reading)
+    return;
+  reading_ = reading;
+  if (!reading)
+    return;
+  if (!partial_line_.empty())
+    line_deadline_ = std::chrono::steady_clock::now() + line_timeout_;
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->ResumeReading(); });
+}
+
+void LineSocket::ResumeReading() {
+  if (!open_ || closing_ || !connected_ || !reading_)
+    return;
+  if (!partial_line_.empty())
+    DeliverLines({}, 0);
+  if (open_ && !closing_ && reading_ && !read_wait_pending_)
+    WaitForReadable();
+}
+
+void LineSocket::DeliverLines(std::string_view bytes, std::size_t searched) {
   // Passes lines from a copy, since a hook may run the read of another socket,
   // which overwrites the shared buffer.
   std::string text = std::exchange(partial_line_, {});
+  if (text.size() + bytes.size() > text.capacity() &&
+      text.size() >= kReadBufferBytes) {
+    // Grows once to the longest line instead of doubling: what is not used of
+    // so large a block takes no memory.
+    std::string grown;
+    grown.reserve(max_line_bytes_ + kLineEnd.size() + kReadBufferBytes);
+    grown.append(text);
+    text = std::move(grown);
+  }
   text.append(bytes);
   std::size_t begin = 0;
-  while (open_ && !closing_) {
-    const std::size_t end = text.find(kLineEnd, begin);
-    if (end == std::string::npos)
+  bool line_ended = true;
+  while (open_ && !closing_ && reading_) {
+    const std::size_t end = text.find(kLineEnd, std::max(begin, searched));
+    line_ended = end != std::string::npos;
+    const std::size_t length = (line_ended ? end : text.size()) - begin;
+    if (length > max_line_bytes_) {
+      undelivered_bytes_ = 0;
+      return Fail("a line is too long");
+    }
+    if (!line_ended)
       break;
     const std::string_view line(text.data() + begin, end - begin);
     begin = end + kLineEnd.size();
@@ -155,21 +201,62 @@
     hooks_.line(line);
   }
   undelivered_bytes_ = 0;
-  if (!open_)
+  may_hold_lines_ = line_ended;
+  if (open_)
+    KeepPartialLine(std::move(text), begin);
+}
+
+void LineSocket::KeepPartialLine(std::string text, std::size_t begin) {
+  const bool begun = begin > 0 || line_deadline_ == kNoLine;
+  partial_line_ = begin > 0 ? text.substr(begin) : std::move(text);
+  if (partial_line_.empty()) {
+    line_deadline_ = kNoLine;
     return;
-  partial_line_ = text.substr(begin);
-  if (partial_line_.size() > max_line_bytes_)
-    Fail("a line is too long");
+  }
+  if (line_timeout_.count() > 0 && !closing_) {
+    if (begun)
+      line_deadline_ = std::chrono::steady_clock::now() + line_timeout_;
+    if (!line_timer_armed_)
+      AwaitLineEnd();
+  }
+  if (hooks_.buffers_changed && partial_line_.size() >= kMinReportedBytes)
+    hooks_.buffers_changed();
+}
+
+void LineSocket::AwaitLineEnd() {
+  line_timer_armed_ = true;
+  timer_.expires_at(line_deadline_);
+  timer_.async_wait([self = shared_from_this()](error_code canceled) {
+    self->line_timer_armed_ = false;
+    if (canceled || !self->open_ || self->closing_ ||
+        self->partial_line_.empty())
+      return;
+    const auto now = std::chrono::steady_clock::now();
+    if (!self->reading_)
+      self->line_deadline_ = now + self->line_timeout_;
+    if (now >= self->line_deadline_)
+      return self->Fail("a line is not complete in time");
+    self->AwaitLineEnd();
+  });
 }
 
 void LineSocket::Write(std::string_view bytes) {
   if (!open_ || closing_)
     return;
+  if (connected_ && !write_pending_ && send_buffer_.empty()) {
+    error_code error;
+    const std::size_t count = socket_.write_some(asio::buffer(bytes), error);
+    if (error && error != asio::error::would_block)
+      return PostFailure(error.message());
+    bytes.remove_prefix(error ? 0 : count);
+    if (bytes.empty())
+      return;
+  }
   send_buffer_.append(bytes);
-  if (send_buffer_.size() > kMaxQueuedBytes)
-    return PostFailure("the peer does not read");
   if (connected_ && !write_pending_)
     Flush();
+  if (send_buffer_.size() > kMaxQueuedBytes)
+    PostFailure("the peer does not read");
 }
 
 void LineSocket::Flush() {
@@ -179,15 +266,17 @@
         socket_.write_some(asio::buffer(send_buffer_), error);
     if (error == asio::error::would_block) {
       write_pending_ = true;
-      socket_.async_wait(tcp::socket::wait_write,
-                         [self = shared_from_this()](error_code failed) {
-                           self->write_pending_ = false;
-                           if (!self->open_)
-                             return;
-                           if (failed)
-                             return self->Fail(failed.message());
-                           self->Flush();
-                         });
+      socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](
+                                                      error_code failed) {
+        self->write_pending_ = false;
+        if (!self->open_)
+          return;
+        if (failed)
+          return self->Fail(failed.message());
+        self->Flush();
+        if (self->open_ && !self->closing_ && self->hooks_.buffers_changed)
+          self->hooks_.buffers_changed();
+      });
       return;
     }
     if (error)
@@ -212,6 +301,9 @@
     Flush();
   if (!open_)
     return;
+  // Sees the close of the peer.
+  if (connected_ && !read_wait_pending_)
+    WaitForReadable();
   undelivered_output_ = UndeliveredOutput();
   progress_at_ = std::chrono::steady_clock::now();
   AwaitPeerClose();
--- a/adapters/tests/line_socket_test.cc
+++ b/adapters/tests/line_socket_test.cc
@@ -223,6 +223,51 @@
   CHECK(pair.close_causes.front() == "the peer does not read");
 }
 
+// Guards against lines that are passed on, lost or reordered while reading is
+// stopped.
+TEST_CASE("Lines wait while reading is stopped", "[adapters]") {
+  ConnectedPair pair;
+  pair.on_server_line = [&] { pair.server->SetReading(false); };
+  pair.client->Write("one\r\ntwo\r\nthr");
+  pair.RunUntil([&] { return pair.server_lines.size() == 2; });
+  pair.client->Write("ee\r\n");
+  pair.context.run_for(milliseconds(20));
+  CHECK(pair.server_lines.size() == 2);
+  CHECK(pair.server->HasUnreadInput());
+  for (const char* line : {"two", "three"}) {
+    const std::size_t before = pair.server_lines.size();
+    pair.server->SetReading(true);
+    pair.RunUntil([&] { return pair.server_lines.size() == before + 1; });
+    CHECK(pair.server_lines.back() == line);
+  }
+}
+
+// Guards against a peer that begins a message and keeps its buffer for good,
+// and against one that is closed because it is idle.
+TEST_CASE("A line that has begun must end in time", "[adapters]") {
+  ConnectedPair pair;
+  pair.server->SetLineTimeout(milliseconds(50));
+  pair.client->Write("one\r\n");
+  pair.context.run_for(milliseconds(150));
+  CHECK(pair.close_causes.empty());
+  pair.client->Write("tw");
+  pair.RunUntil([&] { return !pair.close_causes.empty(); });
+  CHECK(pair.close_causes.front() == "a line is not complete in time");
+}
+
+// Guards against an answer that is dropped by its length although its peer
+// reads it.
+TEST_CASE("A write of any length is sent to a peer that reads", "[adapters]") {
+  ConnectedPair pair(16U << 20U);
+  const std::string line(LineSocket::kMaxQueuedBytes - 2, 'x');
+  for (int i = 0; i < 2; ++i) {
+    pair.server->Write(line + "\r\n");
+    const std::size_t count = static_cast<std::size_t>(i) + 1;
+    pair.RunUntil([&] { return pair.client_lines.size() == count; });
+  }
+  CHECK(pair.close_causes.empty());
+}
+
 TEST_CASE("A failed connection attempt is reported", "[adapters]") {
   boost::asio::io_context context(1);
   auto socket = std::make_shared<LineSocket>(context, 64);
--- a/process_tests/internal/reserved_port.h
+++ b/process_tests/internal/reserved_port.h
@@ -11,7 +11,9 @@
 class ReservedPort {
  public:
   //! Throws std::system_error when no port can be bound.
-  ReservedPort();
+  ReservedPort() : ReservedPort(0) {}
+  //! Reserves this port; 0: any free one.
+  explicit ReservedPort(std::uint16_t number);
   ~ReservedPort();
   ReservedPort(const ReservedPort&) = delete;
   ReservedPort& operator=(const ReservedPort&) = delete;
--- a/process_tests/src/reserved_port.cc
+++ b/process_tests/src/reserved_port.cc
@@ -10,12 +10,13 @@
 
 namespace goldcrest::process_tests {
 
-ReservedPort::ReservedPort()
+ReservedPort::ReservedPort(std::uint16_t number)
     : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   const int enabled = 1;
   sockaddr_in address = {};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(number);
   socklen_t size = sizeof(address);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
   if (setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &enabled,
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -14,7 +14,6 @@
 
 using adapters::LineSocket;
 using adapters::SystemClock;
-using boost::asio::ip::tcp;
 using statements::ConnectionId;
 using statements::SessionId;
 using std::chrono::milliseconds;
@@ -23,9 +22,8 @@
 // packet delays it by a second.
 constexpr milliseconds kConnectTimeout{1'200};
 
-// Time after the last answer in which the caller may close its side; then the
-// connection is closed.
-constexpr milliseconds kCallerCloseTimeout{500};
+// Rows of an answer beyond this are passed on before the answer is complete.
+constexpr std::size_t kMaxHeldAnswerBytes = std::size_t{64} << 10U;
 
 // Time in which the last messages to controllers are sent.
 constexpr Duration kControllerHandoverTime = milliseconds(50);
@@ -42,6 +40,10 @@
   options.max_configuration_age = settings.configuration_bound / 2;
   // New operations end with the lease of the rate shares as well.
   options.confirmation_lease = quota::kShareLease;
+  const platform::ConnectionLimits& limits = settings.connection_limits;
+  options.max_value_bytes = limits.session_value_bytes;
+  options.max_prepared_bytes = limits.session_prepared_bytes;
+  options.max_names = limits.session_names;
   return options;
 }
 
@@ -60,8 +62,11 @@
       settings_(settings),
       log_(log),
       scheduler_(context),
-      acceptor_(context),
       proxy_(MakeProxyOptions(settings), MakeHooks()),
+      callers_(context,
+               settings.caller_listen,
+               settings.connection_limits,
+               MakeCallerHooks()),
       controllers_(SystemClock::Now(),
                    RandomProcessId(),
                    ControllerNames(settings_),
@@ -87,13 +92,6 @@
              const adapters::HttpServer::Respond& respond) {
         respond(HandleHttp(request));
       });
-  const tcp::endpoint address(
-      boost::asio::ip::make_address(settings_.caller_listen.host),
-      settings_.caller_listen.port);
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(address);
-  acceptor_.listen();
 }
 
 EntryService::~EntryService() = default;
@@ -102,28 +100,34 @@
   peers_->SetPeers(PeerAddresses(controllers_.KnownControllers()));
   peers_->Start();
   http_->Start();
-  AcceptNextCaller();
+  callers_.Start();
   Tick();
 }
 
 statements::ProxyHooks EntryService::MakeHooks() {
   statements::ProxyHooks hooks;
   hooks.answer = [this](SessionId id, const statements::Answer& answer) {
-    const auto it = callers_.find(id);
-    if (it == callers_.end())
+    if (!callers_.Contains(id))
       return;
-    const bool start = started_sessions_.insert(id).second;
-    if (!start)
-      it->second->Write(platform::EncodeAnswer(answer));
+    if (callers_.SetStarted(id))
+      callers_.Write(id, platform::EncodeAnswer(answer));
     else if (answer.outcome == statements::Outcome::kDone)
-      it->second->Write(platform::EncodeReady());
+      callers_.Write(id, platform::EncodeReady());
     else
-      it->second->Write(platform::EncodeRefusal(answer));
+      callers_.Write(id, platform::EncodeRefusal(answer));
+  };
+  hooks.rows = [this](SessionId id, const std::vector<std::string>& rows) {
+    callers_.Write(id, platform::EncodeRows(rows));
+  };
+  hooks.is_output_full = [this](SessionId id) {
+    return callers_.IsOutputFull(id);
+  };
+  hooks.close_session = [this](SessionId id) {
+    callers_.CloseAfterWrites(id);
+    ContinueEndpoint(id);
   };
-  hooks.close_session = [this](SessionId id) { CloseCaller(id); };
   hooks.has_unread_input = [this](SessionId id) {
-    const auto it = callers_.find(id);
-    return it != callers_.end() && it->second->HasUnreadInput();
+    return callers_.HasUnreadInput(id);
   };
   hooks.open = [this](ConnectionId id,
                       const statements::ConnectionTarget& target) {
@@ -193,36 +197,35 @@
   return hooks;
 }
 
-void EntryService::AcceptNextCaller() {
-  acceptor_.async_accept(
-      [this](boost::system::error_code error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-          return;
-        if (error)
-          log_.LogEvent("accept_failed", {{"cause", error.message()}});
-        else
-          OnCallerAccepted(std::move(socket));
-        AcceptNextCaller();
-      });
-}
-
-void EntryService::OnCallerAccepted(tcp::socket socket) {
-  const SessionId id = next_session_++;
-  auto caller = std::make_shared<LineSocket>(context_, platform::kMaxLineBytes);
-  callers_[id] = caller;
-  caller->Accept(std::move(socket),
-                 {[this, id](std::string_view line) { OnCallerLine(id, line); },
-                  [this, id](const std::string&) {
-                    proxy_.OnSessionClosed(SystemClock::Now(), id);
-                    callers_.erase(id);
-                    started_sessions_.erase(id);
-                  }});
+CallerConnections::Hooks EntryService::MakeCallerHooks() {
+  CallerConnections::Hooks hooks;
+  hooks.line = [this](SessionId id, std::string_view line) {
+    OnCallerLine(id, line);
+  };
+  hooks.closed = [this](SessionId id) {
+    proxy_.OnSessionClosed(SystemClock::Now(), id);
+    ContinueEndpoint(id);
+  };
+  hooks.memory = [this](SessionId id) { return proxy_.MemoryOf(id); };
+  hooks.output_room = [this](SessionId id) {
+    ContinueEndpoint(id);
+    proxy_.OnOutputRoom(SystemClock::Now(), id);
+  };
+  hooks.log_limit = [this](const char* event, const std::string& cause,
+                           std::size_t bytes) {
+    counters_
+        .GetCounter("goldcrest_connection_limits_total",
+                    {{"event", event}, {"cause", cause}})
+        .Add();
+    log_.LogEvent(event, {{"cause", cause}, {"bytes", bytes}});
+  };
+  return hooks;
 }
 
 void EntryService::OnCallerLine(SessionId id, std::string_view line) {
   const Time now = SystemClock::Now();
   platform::CallerLine decoded = platform::DecodeCallerLine(line);
-  const bool started = started_sessions_.count(id) > 0;
+  const bool started = callers_.IsStarted(id);
   if (auto* start = std::get_if<platform::SessionStart>(&decoded);
       start != nullptr && !started)
     return proxy_.OnSessionStart(now, id, start->database, start->key);
@@ -233,21 +236,11 @@
     statements::Answer answer;
     answer.outcome = statements::Outcome::kMalformed;
     answer.message = "the line can't be read";
-    callers_.at(id)->Write(platform::EncodeRefusal(answer));
+    callers_.Write(id, platform::EncodeRefusal(answer));
   }
   proxy_.OnSessionClosed(now, id);
-  CloseCaller(id);
-}
-
-void EntryService::CloseCaller(SessionId id) {
-  const auto it = callers_.find(id);
-  if (it == callers_.end())
-    return;
-  it->second->CloseAfterWrites(kCallerCloseTimeout);
-  if (drain_started_at_ != kNever)
-    closing_callers_.push_back(it->second);
-  callers_.erase(it);
-  started_sessions_.erase(id);
+  callers_.CloseAfterWrites(id);
+  ContinueEndpoint(id);
 }
 
 void EntryService::OpenEndpointConnection(
@@ -275,6 +268,8 @@
   EndpointConnection& link = it->second;
   switch (link.decoder.OnLine(line)) {
     case platform::AnswerDecoder::Step::kMore:
+      if (link.decoder.HeldBytes() >= kMaxHeldAnswerBytes)
+        PassRows(id, link);
       return;
     case platform::AnswerDecoder::Step::kMalformed:
       link.socket->Close();
@@ -290,6 +285,25 @@
   proxy_.OnOpened(now, id);
 }
 
+void EntryService::PassRows(ConnectionId id, EndpointConnection& link) {
+  const SessionId session =
+      proxy_.OnRows(SystemClock::Now(), id, link.decoder.TakeRows());
+  if (session == 0 || !callers_.IsOutputFull(session))
+    return;
+  link.socket->SetReading(false);
+  paused_endpoints_[session] = id;
+}
+
+void EntryService::ContinueEndpoint(SessionId session) {
+  const auto paused = paused_endpoints_.find(session);
+  if (paused == paused_endpoints_.end())
+    return;
+  const auto it = endpoint_connections_.find(paused->second);
+  if (it != endpoint_connections_.end())
+    it->second.socket->SetReading(true);
+  paused_endpoints_.erase(paused);
+}
+
 void EntryService::OnEndpointClosed(ConnectionId id, const std::string& cause) {
   const auto it = endpoint_connections_.find(id);
   if (it == endpoint_connections_.end())
@@ -310,6 +324,7 @@
 void EntryService::Tick() {
   const Time now = SystemClock::Now();
   proxy_.Tick(now);
+  callers_.Tick(now);
   controllers_.Tick(now);
   if (IsReady() != last_logged_readiness_) {
     last_logged_readiness_ = !last_logged_readiness_;
@@ -370,14 +385,11 @@
     sessions_ended_at_ = now;
     const std::size_t sessions = proxy_.SessionCount();
     const int unanswered = proxy_.EndSessions(now);
-    boost::system::error_code ignored;
-    acceptor_.close(ignored);
+    callers_.StopAccepting();
     log_.LogEvent("stopped",
                   {{"sessions", sessions}, {"unanswered", unanswered}});
   }
-  std::erase_if(closing_callers_,
-                [](const auto& caller) { return caller.expired(); });
-  if (!closing_callers_.empty() && elapsed < grace * 11 / 12)
+  if (callers_.HasClosing() && elapsed < grace * 11 / 12)
     return;
   controllers_.Stop();
   scheduler_.After(kControllerHandoverTime,
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -2,12 +2,10 @@
 #define GOLDCREST_PROGRAMS_GOLDCRESTD_ENTRY_SERVICE_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "goldcrest/adapters/counters.h"
@@ -19,6 +17,7 @@
 #include "goldcrest/platform/statement_codec.h"
 #include "goldcrest/statements/controller_client.h"
 #include "goldcrest/statements/statement_proxy.h"
+#include "programs/goldcrestd/caller_connections.h"
 #include "programs/goldcrestd/platform_log.h"
 
 namespace goldcrest {
@@ -50,13 +49,14 @@
   };
   statements::ProxyHooks MakeHooks();
   statements::ControllerClientHooks MakeControllerHooks();
-  void AcceptNextCaller();
-  void OnCallerAccepted(boost::asio::ip::tcp::socket socket);
+  CallerConnections::Hooks MakeCallerHooks();
   void OnCallerLine(statements::SessionId id, std::string_view line);
-  void CloseCaller(statements::SessionId id);
   void OpenEndpointConnection(statements::ConnectionId id,
                               const statements::ConnectionTarget& target);
   void OnEndpointLine(statements::ConnectionId id, std::string_view line);
+  //! Passes on the rows of an answer that is too long to be kept.
+  void PassRows(statements::ConnectionId id, EndpointConnection& link);
+  void ContinueEndpoint(statements::SessionId session);
   void OnEndpointClosed(statements::ConnectionId id, const std::string& cause);
   void Tick();
   void ContinueDrain(Time now);
@@ -68,19 +68,15 @@
   PlatformLog& log_;
   adapters::Counters counters_;
   adapters::Scheduler scheduler_;
-  boost::asio::ip::tcp::acceptor acceptor_;
   statements::StatementProxy proxy_;
-  std::uint64_t next_session_ = 1;
-  std::map<statements::SessionId, std::shared_ptr<adapters::LineSocket>>
-      callers_;
-  std::set<statements::SessionId> started_sessions_;
+  CallerConnections callers_;
+  // Connections that are not read from until the session's caller reads.
+  std::map<statements::SessionId, statements::ConnectionId> paused_endpoints_;
   std::map<statements::ConnectionId, EndpointConnection> endpoint_connections_;
   statements::ControllerClient controllers_;
   bool last_logged_readiness_ = false;
   Time drain_started_at_ = kNever;
   Time sessions_ended_at_ = kNever;  // by the planned stop
-  // Closed by the planned stop; expired once its connection has ended.
-  std::vector<std::weak_ptr<adapters::LineSocket>> closing_callers_;
   std::function<void()> on_drained_;
   std::unique_ptr<adapters::PeerTransport> peers_;
   std::unique_ptr<adapters::HttpServer> http_;
--- a/programs/goldcrestd/platform_main.cc
+++ b/programs/goldcrestd/platform_main.cc
@@ -1,6 +1,7 @@
 #include "programs/goldcrestd/platform_main.h"
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <sysexits.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -144,6 +145,13 @@
   return runner.Run();
 }
 
+// Buffers of long messages go back to the system once they are free. By default
+// the allocator keeps ever larger ones after the first are freed.
+void ReturnFreedBuffers() {
+  mallopt(M_MMAP_THRESHOLD, 128 << 10);
+  mallopt(M_TRIM_THRESHOLD, 1 << 20);
+}
+
 template <typename Function>
 int RunAndReportErrors(Function run) {
   return leaf::try_handle_all(
@@ -167,10 +175,12 @@
 }  // namespace
 
 int RunEntry() {
+  ReturnFreedBuffers();
   return RunAndReportErrors(TryEntry);
 }
 
 int RunController() {
+  ReturnFreedBuffers();
   return RunAndReportErrors(TryController);
 }
 
--- a/statements/include/goldcrest/statements/connection_pool.h
+++ b/statements/include/goldcrest/statements/connection_pool.h
@@ -47,6 +47,7 @@
   // Session values and prepared names that the endpoint has accepted.
   std::map<std::string, std::string> values;
   std::set<std::string> prepared;
+  std::size_t setup_bytes = 0;  //!< Of `values` and `prepared`.
   std::deque<ExpectedAnswer> expected_answers;
   Time state_since;
   bool awaited = false;  //!< A session waits until it becomes idle.
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,9 +34,20 @@
   std::string customer;  //!< Empty when it concerns no session.
 };
 
+//! What a session makes the process hold, in bytes.
+struct SessionMemory {
+  std::size_t queued_bytes = 0;  //!< Statements that wait for earlier ones.
+  std::size_t total_bytes = 0;   //!< Also those that run, values and names.
+};
+
 struct ProxyHooks {
   //! Answers the session's oldest unanswered statement.
   std::function<void(SessionId, const Answer&)> answer;
+  //! Passes on rows of the answer that follows; see OnRows().
+  std::function<void(SessionId, const std::vector<std::string>&)> rows;
+  //! True if the caller reads its answers too slowly to be given more. The
+  //! session's next statement then waits for OnOutputRoom(). Optional.
+  std::function<bool(SessionId)> is_output_full;
   //! Closes the session once the answers before it are sent.
   std::function<void(SessionId)> close_session;
   //! True if the caller has sent something that was not passed on yet.
@@ -58,6 +70,10 @@
   //! A transaction that depends on a key is rolled back when the configuration
   //! has not been confirmed as the newest one for this long.
   Duration confirmation_lease = Duration::max();
+  // Bounds of what a session keeps; what exceeds them is refused as too large.
+  std::size_t max_value_bytes = std::size_t{2} << 20U;     //!< Of SET.
+  std::size_t max_prepared_bytes = std::size_t{2} << 20U;  //!< Of PREPARE.
+  std::size_t max_names = 2'000;                           //!< Of each.
 };
 
 //! The callers' sessions of one entry: chooses for each statement an endpoint
@@ -75,11 +91,19 @@
                       const std::string& key);
   void OnStatement(Time now, SessionId session, Statement statement);
   void OnSessionClosed(Time now, SessionId session);
+  //! The caller has taken answers after the hook `is_output_full` was true.
+  void OnOutputRoom(Time now, SessionId session);
 
   // Events of the endpoint connections that the `open` hook has opened.
   void OnOpened(Time now, ConnectionId id);
   void OnOpenFailed(Time now, ConnectionId id, Outcome outcome);
   void OnAnswer(Time now, ConnectionId id, const Answer& answer);
+  //! The first rows of an answer that is too long to be kept. The rows are
+  //! passed on; the statement is not repeated after that, and its timeout
+  //! starts anew. Returns the session that gets the rows, 0 if it has left.
+  SessionId OnRows(Time now,
+                   ConnectionId id,
+                   const std::vector<std::string>& rows);
   void OnConnectionClosed(Time now, ConnectionId id);
 
   // Updates from controllers.
@@ -128,6 +152,8 @@
     return sessions_.size() + pending_session_starts_.size();
   }
   std::int64_t Version() const { return table_ ? table_->version : 0; }
+  //! Zeros for a session that is not open.
+  SessionMemory MemoryOf(SessionId session) const;
   quota::Holder& holder() { return holder_; }
   std::vector<messages::PrimaryContact> Contacts(Time now) const {
     return primaries_.Contacts(now);
@@ -142,6 +168,7 @@
     Time give_up_at;           // refused then if it has not been sent
     bool token_taken = false;  // its operation has taken a token
     bool sent = false;         // it may have reached an endpoint
+    bool rows_passed = false;  // the caller has a part of the answer
     int attempts = 0;
     std::map<std::string, Time> avoided_until;     // by endpoint
     ConnectionId awaited_connection = 0;           // until it becomes idle
@@ -179,7 +206,12 @@
     bool aborted = false;  // the transaction was rolled back; not yet reported
     ConnectionId connection = 0;
     std::optional<PendingStatement> pending;
-    std::deque<Statement> queued_statements;
+    // A list, since an empty one takes no memory.
+    std::list<Statement> queued_statements;
+    // Of queued_statements, values and prepared.
+    std::size_t queued_bytes = 0;
+    std::size_t value_bytes = 0;
+    std::size_t prepared_bytes = 0;
     // When the open transaction is rolled back unless a statement arrives.
     Time transaction_idle_deadline = kNever;
     Time answered_at;
@@ -199,7 +231,11 @@
   void HandleStatement(Time now, Session& session, Statement statement);
   void HandleBegin(Time now, Session& session, Statement statement);
   void HandleRollback(Time now, Session& session);
+  void HandleSet(Time now, Session& session, Statement statement);
   void HandlePrepare(Time now, Session& session, const Statement& statement);
+  void RefuseTooLarge(Time now, Session& session, const char* message);
+  static void Enqueue(Session& session, Statement statement);
+  static Statement Dequeue(Session& session);
   void HandleEndpointStatement(Time now, Session& session, Statement statement);
   bool StartOperation(Time now, Session& session);
   void SubmitStatement(Time now, Session& session, Statement statement);
--- a/statements/src/proxy_answers.cc
+++ b/statements/src/proxy_answers.cc
@@ -22,6 +22,10 @@
 // its oldest answer has been outstanding for this long: the answer was lost.
 constexpr Duration kLostAnswerTimeout = std::chrono::milliseconds(1500);
 
+// A connection with longer session values and prepared names is not kept for
+// other sessions.
+constexpr std::size_t kMaxIdleSetupBytes = std::size_t{32} << 10U;
+
 // A connection whose transaction the endpoint still refuses to roll back after
 // this time is closed, which rolls it back.
 constexpr Duration kMaxRollbackTime = std::chrono::milliseconds(400);
@@ -151,8 +155,8 @@
                                    const Answer& answer) {
   const bool accepted = answer.outcome == Outcome::kDone;
   if (command.kind == EndpointCommand::Kind::kPrepare) {
-    if (accepted)
-      connection.prepared.insert(command.name);
+    if (accepted && connection.prepared.insert(command.name).second)
+      connection.setup_bytes += command.name.size();
     return;
   }
   if (!accepted && !IsNotRun(answer.outcome)) {
@@ -165,8 +169,14 @@
   if (command.kind == EndpointCommand::Kind::kReset) {
     connection.values.clear();
     connection.prepared.clear();
+    connection.setup_bytes = 0;
   } else {
-    connection.values[command.name] = command.value;
+    std::string& value = connection.values[command.name];
+    connection.setup_bytes += command.name.size() + command.value.size();
+    connection.setup_bytes -=
+        std::min(connection.setup_bytes,
+                 value.empty() ? 0 : command.name.size() + value.size());
+    value = command.value;
   }
   if (!connection.expected_answers.empty())
     return;
@@ -260,7 +270,7 @@
                            Outcome outcome) {
   PendingStatement& pending = *session.pending;
   if (pending.attempts >= kMaxAttempts || now >= pending.give_up_at ||
-      IsKeyWithdrawn(session))
+      pending.rows_passed || IsKeyWithdrawn(session))
     return false;
   pending.last_cause = endpoint + ": " + NameOf(outcome);
   const bool primary = NeedsPrimary(session);
@@ -289,6 +299,8 @@
     connection.session = 0;  // Called again at the last answer.
     return;
   }
+  if (connection.setup_bytes > kMaxIdleSetupBytes)
+    return pool_.Close(connection.id);
   if (connection.transaction == TransactionState::kIdle)
     return pool_.Release(now, connection);
   pool_.BeginRollback(now, connection);
@@ -438,7 +450,8 @@
       AbortTransaction(now, session, "idle for too long");
       continue;
     }
-    if (session.pending->sent) {
+    // An endpoint that has sent rows may wait for the caller to take them.
+    if (session.pending->sent && !session.pending->rows_passed) {
       Connection* connection = pool_.Find(session.connection);
       if (connection != nullptr) {
         pool_.OnFailure(now, connection->endpoint);
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -124,7 +124,7 @@
     return;
   Session& session = it->second;
   if (session.pending || !session.queued_statements.empty()) {
-    session.queued_statements.push_back(std::move(statement));
+    Enqueue(session, std::move(statement));
     return;
   }
   HandleStatement(now, session, std::move(statement));
@@ -173,9 +173,9 @@
         CloseSession(now, id);
       return;
     }
-    Statement next = std::move(session.queued_statements.front());
-    session.queued_statements.pop_front();
-    HandleStatement(now, session, std::move(next));
+    if (hooks_.is_output_full && hooks_.is_output_full(id))
+      return;
+    HandleStatement(now, session, Dequeue(session));
   }
 }
 
@@ -210,8 +210,7 @@
     case StatementKind::kRollback:
       return HandleRollback(now, session);
     case StatementKind::kSet:
-      session.values[statement.name] = statement.value;
-      return ReplyLocally(now, session, Answer::Completed());
+      return HandleSet(now, session, std::move(statement));
     case StatementKind::kPrepare:
     case StatementKind::kDeallocate:
       return HandlePrepare(now, session, statement);
@@ -274,20 +273,6 @@
   return name;
 }
 
-void StatementProxy::HandlePrepare(Time now,
-                                   Session& session,
-                                   const Statement& statement) {
-  if (statement.kind == StatementKind::kPrepare) {
-    session.prepared[statement.name] = {statement.writes, statement.value};
-    return ReplyLocally(now, session, Answer::Completed());
-  }
-  if (session.prepared.erase(statement.name) > 0)
-    return ReplyLocally(now, session, Answer::Completed());
-  FailTransaction(session);
-  ReplyError(now, session, Outcome::kUnknownPrepared,
-             "no such prepared statement");
-}
-
 void StatementProxy::HandleEndpointStatement(Time now,
                                              Session& session,
                                              Statement statement) {
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -35,6 +35,9 @@
                            Duration confirmation_lease) {
   options_.zone = "z1";
   options_.entry_count = 2;
+  options_.max_value_bytes = 50'000;
+  options_.max_prepared_bytes = 50'000;
+  options_.max_names = 5;
   options_.max_configuration_age = max_configuration_age;
   options_.confirmation_lease = confirmation_lease;
   StartEntry();
@@ -71,6 +74,12 @@
   hooks.answer = [this](SessionId id, const Answer& answer) {
     answers[id].push_back(answer);
   };
+  hooks.rows = [this](SessionId id, const std::vector<std::string>& rows) {
+    passed_rows[id] += rows.size();
+  };
+  hooks.is_output_full = [this](SessionId id) {
+    return full_outputs.contains(id);
+  };
   hooks.close_session = [this](SessionId id) { closed_sessions.push_back(id); };
   hooks.has_unread_input = [this](SessionId id) {
     return unread_input.contains(id);
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -63,6 +63,8 @@
   std::vector<ConnectionId> closed;
   std::vector<SessionId> closed_sessions;
   std::set<SessionId> unread_input;
+  std::set<SessionId> full_outputs;
+  std::map<SessionId, std::size_t> passed_rows;
   std::map<SessionId, std::vector<Answer>> answers;
   std::unique_ptr<StatementProxy> proxy;
 
