Bound what HTTP clients and peers make a process hold

Cause: each HTTP request body and each frame of a peer had a bound of its own, and their number times that bound exceeds the memory of a machine. Links that peers had opened were not limited, nor were the descriptors of refused HTTP connections in proportion to those of the process. Bytes read in part from an endpoint did not count for the session that had asked for them.

Change: a MemoryGuard for each HTTP listener and for the links closes the connection that holds most. Links that peers open are limited in all and by name, HTTP connections by the descriptors, and an idle HTTP connection gives way to a new one.

--- a/adapters/include/goldcrest/adapters/http_server.h
+++ b/adapters/include/goldcrest/adapters/http_server.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,15 @@
   std::size_t max_body_bytes = 1 << 20;
   std::size_t max_header_bytes = 16 << 10;
   std::size_t max_connections = 10'000;
+  //! At max_connections, closes one that is between two requests to make room
+  //! for the next one.
+  bool replace_idle_connections = false;
+  //! Maximum of open connections beyond max_connections, which only get the
+  //! response that there are too many. Each uses a file descriptor.
+  std::size_t max_refused_connections = 256;
+  //! Of requests and responses that are held for all connections; beyond it,
+  //! the connection that holds most is closed.
+  std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
   //! From the first byte of a request to the end of its header.
   std::chrono::milliseconds header_timeout{5'000};
   //! From the end of the header to the end of the body.
--- a/adapters/include/goldcrest/adapters/peer_transport.h
+++ b/adapters/include/goldcrest/adapters/peer_transport.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,6 +31,12 @@
   std::size_t max_queued_bytes = 32 << 20;
   //! Maximum of incoming connections that have not yet sent a valid Hello.
   std::size_t max_unidentified_connections = 256;
+  //! Maximum of incoming connections, with those.
+  std::size_t max_incoming_connections =
+      std::numeric_limits<std::size_t>::max();
+  //! Of frames that all links hold, received in part or queued; beyond it, the
+  //! link that holds most is closed.
+  std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
   std::chrono::milliseconds ping_interval{250};
   //! A link without any received byte for this long is closed and replaced.
   std::chrono::milliseconds silence_timeout{1'000};
--- a/adapters/internal/http_connection.h
+++ b/adapters/internal/http_connection.h
@@ -11,17 +11,22 @@
 #include <string>
 
 #include "goldcrest/adapters/http_server.h"
+#include "memory_guard.h"
 #include "net.h"
 
 namespace goldcrest::adapters {
 
 //! State shared by all connections of one server. Outlives them.
 struct HttpServerShared {
+  explicit HttpServerShared(std::size_t max_held_bytes)
+      : memory(max_held_bytes) {}
+
   HttpServerOptions options;
   HttpServer::Handler handler;
   HttpServer::DisconnectHook on_disconnect;
   //! Removes a connection from the server's table.
   std::function<void(std::uint64_t connection)> remove_connection;
+  MemoryGuard memory;
   std::atomic<bool> draining = false;
   std::atomic<std::size_t> requests_in_flight = 0;
 };
@@ -41,6 +46,8 @@
   void Refuse(ResultCode code);
   void BeginDrain();
   void Abort();
+  //! True, once, if the connection is between two requests.
+  bool TakeIdle() { return idle_.exchange(false); }
 
  private:
   enum class State {
@@ -74,6 +81,8 @@
   void ArmTimer();
   void OnTimer();
   void OnDeadline();
+  //! Tells the server what the connection holds.
+  void RecordMemory();
   void ReportDisconnect();
   void EndRequest();
   void Close();
@@ -97,6 +106,9 @@
   bool request_counted_ = false;
   bool disconnect_reported_ = false;
   bool close_after_write_ = false;
+  bool memory_recorded_ = false;
+  std::size_t handled_bytes_ = 0;  // body of the request that is handled
+  std::atomic<bool> idle_ = false;
 };
 
 }  // namespace goldcrest::adapters
--- a/adapters/internal/peer_link.h
+++ b/adapters/internal/peer_link.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "goldcrest/adapters/peer_transport.h"
+#include "memory_guard.h"
 #include "net.h"
 
 namespace goldcrest::adapters {
@@ -21,12 +22,17 @@
 
 //! State shared by all links of one transport. Outlives them.
 struct PeerLinkShared {
+  explicit PeerLinkShared(std::size_t max_held_bytes)
+      : memory(max_held_bytes) {}
+
   PeerTransportOptions options;
   std::shared_ptr<Logger> logger;
   PeerTransport::MessageHandler on_message;
   std::function<void(const std::shared_ptr<PeerLink>&)> on_up;
   //! Called once for each link that was started.
   std::function<void(const std::shared_ptr<PeerLink>&)> on_closed;
+  MemoryGuard memory;
+  std::atomic<std::uint64_t> next_link = 1;
   std::atomic<std::uint64_t> dropped_messages = 0;
 };
 
@@ -61,6 +67,8 @@
   void ReadFrames();
   bool OnFrame(std::string_view bytes);
   bool OnHello(const messages::PeerMessage& message);
+  //! Tells the transport what the link holds.
+  void RecordMemory();
   void EnqueueFrame(std::string frame);
   void EnqueueMessage(const messages::PeerMessage& message);
   void SendIfQueueEmpty(const messages::PeerMessage& message);
@@ -75,6 +83,7 @@
   SteadyTimer timer_;
   const std::shared_ptr<PeerLinkShared> shared_;
   const std::string expected_peer_;
+  const std::uint64_t number_;
 
   // Accessed only on the strand.
   std::string peer_;
@@ -84,6 +93,7 @@
   SteadyClock::time_point last_received_;
   bool connected_ = false;
   bool closed_ = false;
+  bool memory_recorded_ = false;
   std::string close_cause_;
 
   std::mutex mutex_;
--- a/adapters/src/http_connection.cc
+++ b/adapters/src/http_connection.cc
@@ -113,6 +113,7 @@
 
 void HttpConnection::BeginRequest() {
   state_ = State::kIdle;
+  idle_ = true;
   parser_.emplace();
   parser_->body_limit(shared_->options.max_body_bytes);
   parser_->header_limit(
@@ -171,8 +172,11 @@
       return;
     case State::kReading:
       ParseRequest();
+      if (state_ == State::kReading)
+        RecordMemory();
       return;
     case State::kHandling:
+      RecordMemory();
       if (buffer_.size() < kMaxPipelinedBytes)
         WaitForReadable();
       return;
@@ -190,6 +194,7 @@
 void HttpConnection::ParseRequest() {
   if (state_ == State::kIdle) {
     state_ = State::kReading;
+    idle_ = false;
     request_counted_ = true;
     ++shared_->requests_in_flight;
     deadline_ = SteadyClock::now() + shared_->options.header_timeout;
@@ -240,6 +245,8 @@
   ++request_number_;
   close_after_write_ = !parser_->keep_alive();
   HttpRequest request = ToRequest(parser_->release());
+  handled_bytes_ = request.body.size();
+  RecordMemory();
   request.connection = id_;
   request.peer_address = peer_address_;
   const auto responder =
@@ -281,6 +288,8 @@
   response_.body() = std::move(response.body);
   response_.keep_alive(!close_after_write_);
   response_.prepare_payload();
+  handled_bytes_ = 0;
+  RecordMemory();
   SetDeadline(shared_->options.write_timeout);
   http::async_write(socket_, response_,
                     [self = shared_from_this()](error_code error, std::size_t) {
@@ -292,6 +301,8 @@
   if (state_ == State::kClosed)
     return;
   EndRequest();
+  response_ = {};
+  RecordMemory();
   if (error)
     Close();
   else if (close_after_write_)
@@ -348,6 +359,21 @@
   Reject(ResultCode::kIncompleteRequest, "the request did not arrive in time");
 }
 
+void HttpConnection::RecordMemory() {
+  std::size_t bytes = buffer_.size() + handled_bytes_ + response_.body().size();
+  if (state_ == State::kReading && parser_)
+    bytes += parser_->get().body().size();
+  if (state_ == State::kClosed || bytes < MemoryAccount::kMinBytes)
+    bytes = 0;
+  if (bytes == 0 && !memory_recorded_)
+    return;
+  memory_recorded_ = bytes > 0;
+  shared_->memory.Set(id_, bytes, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->Abort();
+  });
+}
+
 void HttpConnection::ReportDisconnect() {
   if (std::exchange(disconnect_reported_, true) || !shared_->on_disconnect)
     return;
@@ -363,6 +389,7 @@
   if (state_ == State::kClosed)
     return;
   state_ = State::kClosed;
+  RecordMemory();
   EndRequest();
   CloseSocket(socket_);
   timer_.cancel();
--- a/adapters/src/http_server.cc
+++ b/adapters/src/http_server.cc
@@ -9,13 +9,6 @@
 #include "listener.h"
 
 namespace goldcrest::adapters {
-namespace {
-
-// Limit of open refused connections, in addition to max_connections. Further
-// connections are closed without a response, since each uses a file descriptor.
-constexpr std::size_t kMaxOpenRefusedConnections = 256;
-
-}  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
  public:
@@ -25,7 +18,7 @@
        DisconnectHook on_disconnect)
       : listener_(
             std::make_shared<Listener>(context, options.host, options.port)),
-        shared_(std::make_shared<HttpServerShared>()) {
+        shared_(std::make_shared<HttpServerShared>(options.max_held_bytes)) {
     shared_->options = std::move(options);
     shared_->handler = std::move(handler);
     shared_->on_disconnect = std::move(on_disconnect);
@@ -76,17 +69,31 @@
     const std::uint64_t id = next_id_++;
     const std::size_t open = connections_.size();
     const std::size_t maximum = shared_->options.max_connections;
-    if (open >= maximum + kMaxOpenRefusedConnections)
+    if (open >= maximum + shared_->options.max_refused_connections)
       return;
+    const bool replaces = open >= maximum && AbortIdleConnection();
     auto connection =
         std::make_shared<HttpConnection>(id, std::move(socket), shared_);
     connections_.emplace(id, connection);
-    if (open < maximum)
+    if (open < maximum || replaces)
       connection->Start();
     else
       connection->Refuse(ResultCode::kTooManyConnections);
   }
 
+  // Requires mutex_.
+  bool AbortIdleConnection() {
+    if (!shared_->options.replace_idle_connections)
+      return false;
+    for (const auto& [id, connection] : connections_) {
+      if (!connection->TakeIdle())
+        continue;
+      connection->Abort();
+      return true;
+    }
+    return false;
+  }
+
   void RemoveConnection(std::uint64_t id) {
     const std::lock_guard lock(mutex_);
     connections_.erase(id);
--- a/adapters/src/peer_link.cc
+++ b/adapters/src/peer_link.cc
@@ -40,7 +40,8 @@
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       shared_(std::move(shared)),
-      expected_peer_(std::move(expected_peer)) {}
+      expected_peer_(std::move(expected_peer)),
+      number_(shared_->next_link++) {}
 
 void PeerLink::StartIncoming() {
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -151,6 +152,25 @@
                     });
 }
 
+void PeerLink::RecordMemory() {
+  std::size_t bytes = receive_buffer_.size();
+  for (const std::string& frame : frames_in_write_)
+    bytes += frame.size();
+  {
+    const std::lock_guard lock(mutex_);
+    bytes += queued_bytes_;
+  }
+  if (closed_ || bytes < MemoryAccount::kMinBytes)
+    bytes = 0;
+  if (bytes == 0 && !memory_recorded_)
+    return;
+  memory_recorded_ = bytes > 0;
+  shared_->memory.Set(number_, bytes, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->Close("holds most memory");
+  });
+}
+
 void PeerLink::OnWritten(error_code error) {
   if (closed_)
     return;
@@ -183,8 +203,10 @@
   last_received_ = SteadyClock::now();
   receive_buffer_.append(bytes.data(), size);
   ReadFrames();
-  if (!closed_)
-    WaitForReadable();
+  if (closed_)
+    return;
+  RecordMemory();
+  WaitForReadable();
 }
 
 void PeerLink::ReadFrames() {
@@ -308,6 +330,7 @@
       return;
     }
   }
+  RecordMemory();
   if (up_) {
     messages::PeerMessage ping;
     ping.__set_ping(ToMicros(SystemClock::Now()));
@@ -342,6 +365,7 @@
                               {"address", remote.address().to_string()},
                               {"cause", close_cause_}});
   }
+  RecordMemory();
   CloseSocket(socket_);
   timer_.cancel();
   shared_->on_closed(shared_from_this());
--- a/adapters/src/peer_transport.cc
+++ b/adapters/src/peer_transport.cc
@@ -12,6 +12,12 @@
 
 using Link = std::shared_ptr<PeerLink>;
 
+namespace {
+
+constexpr std::size_t kMaxLinksOfPeer = 4;
+
+}  // namespace
+
 // Lock order: mutex_ before PeerLink::mutex_. Hooks run without locks.
 class PeerTransport::Impl : public std::enable_shared_from_this<Impl> {
  public:
@@ -23,7 +29,7 @@
       : context_(context),
         listener_(
             std::make_shared<Listener>(context, options.host, options.port)),
-        shared_(std::make_shared<PeerLinkShared>()),
+        shared_(std::make_shared<PeerLinkShared>(options.max_held_bytes)),
         hook_strand_(asio::make_strand(context)),
         on_link_(std::move(on_link)) {
     shared_->options = std::move(options);
@@ -66,6 +72,7 @@
   bool closed_ = false;                           // guarded by mutex_
   std::map<std::string, OutgoingPeer> outgoing_;  // guarded by mutex_
   std::vector<Link> unidentified_;  // incoming, before a valid Hello
+  std::size_t incoming_up_ = 0;
   std::map<std::string, std::vector<Link>> up_links_;  // oldest first
 };
 
@@ -90,8 +97,9 @@
 
 void PeerTransport::Impl::OnAccepted(Socket socket) {
   const std::lock_guard lock(mutex_);
-  if (closed_ ||
-      unidentified_.size() >= shared_->options.max_unidentified_connections)
+  const PeerTransportOptions& options = shared_->options;
+  if (closed_ || unidentified_.size() >= options.max_unidentified_connections ||
+      unidentified_.size() + incoming_up_ >= options.max_incoming_connections)
     return;
   auto link = std::make_shared<PeerLink>(std::move(socket), shared_, "");
   unidentified_.push_back(link);
@@ -176,6 +184,11 @@
     found->second.last_logged_cause.clear();
   }
   std::vector<Link>& links = up_links_[name];
+  if (!link->IsOutgoing())
+    ++incoming_up_;
+  // A peer has a link in each direction, and each may be about to be replaced.
+  if (links.size() >= kMaxLinksOfPeer)
+    links.front()->Close("replaced by newer links");
   links.push_back(link);
   shared_->logger->Info(
       "peer_link_up",
@@ -195,6 +208,8 @@
                            {"cause", link->CloseCause()}});
     if (const auto found = up_links_.find(name); found != up_links_.end()) {
       const bool was_up = std::erase(found->second, link) > 0;
+      if (was_up && !link->IsOutgoing())
+        --incoming_up_;
       if (was_up && found->second.empty()) {
         up_links_.erase(found);
         PostHook(name, false);
--- a/programs/goldcrestd/caller_connections.cc
+++ b/programs/goldcrestd/caller_connections.cc
@@ -109,16 +109,18 @@
     hooks_.closed(id);
   };
   hooks.buffers_changed = [this, id] {
-    const Time now = SystemClock::Now();
-    Update(now, id);
+    OnSessionMemory(id);
     ReportOutputRoom(id);
-    CloseWhileShort(now);
   };
   caller->Accept(std::move(socket), std::move(hooks));
 }
 
 void CallerConnections::OnLine(SessionId id, std::string_view line) {
   hooks_.line(id, line);
+  OnSessionMemory(id);
+}
+
+void CallerConnections::OnSessionMemory(SessionId id) {
   const Time now = SystemClock::Now();
   Update(now, id);
   CloseWhileShort(now);
--- a/programs/goldcrestd/caller_connections.h
+++ b/programs/goldcrestd/caller_connections.h
@@ -64,6 +64,8 @@
   //! Returns whether the session was started before.
   bool SetStarted(statements::SessionId id);
   bool HasUnreadInput(statements::SessionId id) const;
+  //! What the session makes the process hold has changed.
+  void OnSessionMemory(statements::SessionId id);
 
   void Write(statements::SessionId id, std::string_view bytes);
   //! Whether the caller has left so much unread that nothing more should be
--- a/programs/goldcrestd/controller_service.cc
+++ b/programs/goldcrestd/controller_service.cc
@@ -34,8 +34,6 @@
 
 constexpr Duration kReopenInterval = milliseconds(300);
 
-constexpr std::size_t kMaxConfigurationBytes = std::size_t{8} << 20U;
-
 // Delay between the start of a planned stop and the exit of the process: a
 // successor is elected and pending answers are sent.
 constexpr Duration kLeadershipTransferTime = milliseconds(600);
@@ -91,10 +89,9 @@
         if (controller_ != nullptr)
           controller_->OnLink(peer, up);
       });
-  adapters::HttpServerOptions http;
-  http.host = settings_.controller_listen.host;
-  http.port = settings_.controller_listen.port;
-  http.max_body_bytes = kMaxConfigurationBytes;
+  adapters::HttpServerOptions http =
+      HttpOptions(settings_.controller_listen, settings_.connection_limits);
+  http.max_body_bytes = settings_.connection_limits.max_configuration_bytes;
   http_ = std::make_unique<adapters::HttpServer>(
       context_, http,
       [this](const adapters::HttpRequest& request,
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -22,6 +22,9 @@
 // packet delays it by a second.
 constexpr milliseconds kConnectTimeout{1'200};
 
+// No request to an entry has a body that matters.
+constexpr std::size_t kMaxReadinessBodyBytes = std::size_t{4} << 10U;
+
 // Rows of an answer beyond this are passed on before the answer is complete.
 constexpr std::size_t kMaxHeldAnswerBytes = std::size_t{64} << 10U;
 
@@ -83,9 +86,9 @@
       [this](const std::string& peer, bool up) {
         controllers_.OnLink(SystemClock::Now(), peer, up);
       });
-  adapters::HttpServerOptions http;
-  http.host = settings_.readiness_listen.host;
-  http.port = settings_.readiness_listen.port;
+  adapters::HttpServerOptions http =
+      HttpOptions(settings_.readiness_listen, settings_.connection_limits);
+  http.max_body_bytes = kMaxReadinessBodyBytes;
   http_ = std::make_unique<adapters::HttpServer>(
       context_, http,
       [this](const adapters::HttpRequest& request,
@@ -206,7 +209,7 @@
     proxy_.OnSessionClosed(SystemClock::Now(), id);
     ContinueEndpoint(id);
   };
-  hooks.memory = [this](SessionId id) { return proxy_.MemoryOf(id); };
+  hooks.memory = [this](SessionId id) { return MemoryOf(id); };
   hooks.output_room = [this](SessionId id) {
     ContinueEndpoint(id);
     proxy_.OnOutputRoom(SystemClock::Now(), id);
@@ -257,7 +260,8 @@
       platform::EncodeEndpointStart(target.group, target.customer,
                                     target.endpoint),
       {[this, id](std::string_view line) { OnEndpointLine(id, line); },
-       [this, id](const std::string& cause) { OnEndpointClosed(id, cause); }});
+       [this, id](const std::string& cause) { OnEndpointClosed(id, cause); },
+       [this, id] { callers_.OnSessionMemory(proxy_.SessionOf(id)); }});
   counters_.GetCounter("goldcrest_connections_opened_total").Add();
 }
 
@@ -285,6 +289,17 @@
   proxy_.OnOpened(now, id);
 }
 
+statements::SessionMemory EntryService::MemoryOf(SessionId session) const {
+  statements::SessionMemory memory = proxy_.MemoryOf(session);
+  const auto it = endpoint_connections_.find(memory.connection);
+  if (it == endpoint_connections_.end())
+    return memory;
+  const EndpointConnection& link = it->second;
+  memory.total_bytes += link.decoder.HeldBytes() + link.socket->HeldInput() +
+                        link.socket->HeldOutput();
+  return memory;
+}
+
 void EntryService::PassRows(ConnectionId id, EndpointConnection& link) {
   const SessionId session =
       proxy_.OnRows(SystemClock::Now(), id, link.decoder.TakeRows());
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -54,6 +54,8 @@
   void OpenEndpointConnection(statements::ConnectionId id,
                               const statements::ConnectionTarget& target);
   void OnEndpointLine(statements::ConnectionId id, std::string_view line);
+  //! With what its endpoint's connection holds.
+  statements::SessionMemory MemoryOf(statements::SessionId session) const;
   //! Passes on the rows of an answer that is too long to be kept.
   void PassRows(statements::ConnectionId id, EndpointConnection& link);
   void ContinueEndpoint(statements::SessionId session);
--- a/programs/goldcrestd/platform_peers.cc
+++ b/programs/goldcrestd/platform_peers.cc
@@ -1,5 +1,6 @@
 #include "programs/goldcrestd/platform_peers.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace goldcrest {
@@ -19,6 +20,8 @@
 // these links are up.
 constexpr std::chrono::milliseconds kMaxReconnectBackoff{150};
 
+constexpr std::size_t kMinUnidentified = 8;
+
 }  // namespace
 
 std::string PeerName(const platform::BootSettings& settings,
@@ -62,6 +65,30 @@
   options.silence_timeout = kSilenceTimeout;
   options.connect_timeout = kConnectTimeout;
   options.max_backoff = kMaxReconnectBackoff;
+  const platform::ConnectionLimits& limits = settings.connection_limits;
+  options.max_frame_bytes =
+      std::min(options.max_frame_bytes, limits.peer_memory_bytes / 2);
+  options.max_queued_bytes =
+      std::min(options.max_queued_bytes, limits.peer_memory_bytes / 2);
+  options.max_held_bytes = limits.peer_memory_bytes;
+  options.max_incoming_connections = limits.max_peer_connections;
+  options.max_unidentified_connections =
+      std::min(options.max_unidentified_connections,
+               std::max(kMinUnidentified, limits.max_peer_connections / 4));
+  return options;
+}
+
+adapters::HttpServerOptions HttpOptions(
+    const platform::SocketAddress& address,
+    const platform::ConnectionLimits& limits) {
+  adapters::HttpServerOptions options;
+  options.host = address.host;
+  options.port = address.port;
+  options.max_connections = limits.max_http_connections;
+  options.replace_idle_connections = true;
+  options.max_refused_connections = std::min(options.max_refused_connections,
+                                             limits.max_http_connections / 4);
+  options.max_held_bytes = limits.http_memory_bytes;
   return options;
 }
 
--- a/programs/goldcrestd/platform_peers.h
+++ b/programs/goldcrestd/platform_peers.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "goldcrest/adapters/http_server.h"
 #include "goldcrest/adapters/peer_transport.h"
 #include "goldcrest/platform/boot_settings.h"
 #include "goldcrest/quota/limit.h"
@@ -33,6 +34,11 @@
     const platform::BootSettings& settings,
     std::uint16_t offset);
 
+//! Options of the HTTP listener at this address.
+adapters::HttpServerOptions HttpOptions(
+    const platform::SocketAddress& address,
+    const platform::ConnectionLimits& limits);
+
 quota::LimitWindow LimitWindowOf(const platform::BootSettings& settings);
 
 }  // namespace goldcrest
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -38,6 +38,7 @@
 struct SessionMemory {
   std::size_t queued_bytes = 0;  //!< Statements that wait for earlier ones.
   std::size_t total_bytes = 0;   //!< Also those that run, values and names.
+  ConnectionId connection = 0;   //!< To the endpoint, 0 for none.
 };
 
 struct ProxyHooks {
@@ -154,6 +155,8 @@
   std::int64_t Version() const { return table_ ? table_->version : 0; }
   //! Zeros for a session that is not open.
   SessionMemory MemoryOf(SessionId session) const;
+  //! The session that uses the connection; 0 for none.
+  SessionId SessionOf(ConnectionId id);
   quota::Holder& holder() { return holder_; }
   std::vector<messages::PrimaryContact> Contacts(Time now) const {
     return primaries_.Contacts(now);
--- a/statements/src/proxy_limits.cc
+++ b/statements/src/proxy_limits.cc
@@ -88,6 +88,7 @@
     return memory;
   const Session& session = it->second;
   memory.queued_bytes = session.queued_bytes;
+  memory.connection = session.connection;
   // Values and names are also kept for the connection to the endpoint. A
   // running statement is copied when it is sent.
   memory.total_bytes =
@@ -97,6 +98,11 @@
   return memory;
 }
 
+SessionId StatementProxy::SessionOf(ConnectionId id) {
+  const Connection* connection = pool_.Find(id);
+  return connection == nullptr ? 0 : connection->session;
+}
+
 void StatementProxy::OnOutputRoom(Time now, SessionId id) {
   ContinueSession(now, id);
 }
