One promotion order for each decision

Cause: once probes had shown that a promoted endpoint leads, the planner looked at its record, which says "replica" until the next heartbeat, took the replaced endpoint for the primary again, since its record was as old, and began another survey.

Change: while the endpoint of the last order has been seen to lead and is present, its record does not matter; its probes tell when it leads no more.

--- a/fleet/src/failover_planner.cc
+++ b/fleet/src/failover_planner.cc
@@ -138,7 +138,12 @@
 
 void FailoverPlanner::Monitor(Time now, const std::string& name, Group& group) {
   const auto* known = directory_->Find(group.primary);
-  if (known == nullptr || known->record.gone || !known->record.primary) {
+  const bool present = known != nullptr && !known->record.gone;
+  // Its heartbeat tells of the promotion up to a second later, and so does that
+  // of the replaced primary. Its probes tell when it leads no more.
+  const bool promoted =
+      group.assigned && group.assigned->endpoint == group.primary;
+  if (!present || (!known->record.primary && !(promoted && group.has_led))) {
     const std::string found = FindPrimary(name, group);
     if (!found.empty() && found != group.primary)
       MonitorEndpoint(now, name, group, found);
--- a/fleet/tests/planners_test.cc
+++ b/fleet/tests/planners_test.cc
@@ -146,6 +146,41 @@
   CHECK(group.orders[0].order > 300'000);
 }
 
+// Guards against a second promotion some 30 ms after the first: the replaced
+// endpoint calls itself primary until its next heartbeat.
+TEST_CASE("A promotion in force is not followed by another order",
+          "[fleet][guarantee]") {
+  FailoverGroup group;
+  SECTION("The replaced primary drains") {
+    group.SetRole("p", true, true);
+    group.Advance(milliseconds(20));
+  }
+  SECTION("The replaced primary is lost") {
+    group.Answer("p", ProbeResult::Kind::kLeads);
+    group.FailFor(milliseconds(600));
+  }
+  group.Answer("r1", ProbeResult::Kind::kFollows, 9);
+  group.Answer("r2", ProbeResult::Kind::kFollows, 8);
+  REQUIRE(group.orders.size() == 1);
+  group.planner->OnPromotion(group.now, group.orders[0],
+                             PromotionResult::kAccepted);
+  // The heartbeats with the new roles come a second later.
+  for (int i = 0; i < 50; ++i) {
+    group.Advance(milliseconds(20));
+    for (const auto& [endpoint, purpose] : std::exchange(group.probes, {})) {
+      auto kind = ProbeResult::Kind::kFollows;
+      if (endpoint == "p")
+        kind = ProbeResult::Kind::kUnreachable;
+      else if (purpose == ProbePurpose::kLeadership)
+        kind = ProbeResult::Kind::kLeads;
+      group.planner->OnProbe(
+          group.now, "g", endpoint,
+          ProbeResult{kind, LogPosition{1, 9}, group.now, purpose});
+    }
+  }
+  CHECK(group.orders.size() == 1);
+}
+
 TEST_CASE("A primary that fails for a short time is not replaced", "[fleet]") {
   FailoverGroup group;
   group.Answer("p", ProbeResult::Kind::kUnreachable);
