Survive a SIGHUP during the start

Cause: entry and controller installed their handlers after they had read the settings, opened the log and bound the listeners. Until then SIGHUP ended the process.

Change: main() ignores SIGHUP for these roles before anything else; the handler that reloads the settings replaces that.

Result: "A SIGHUP during the start ends no process" failed for both roles before and passes for both now.

--- a/programs/goldcrestd/main.cc
+++ b/programs/goldcrestd/main.cc
@@ -1,10 +1,12 @@
 #include <sysexits.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <future>
 #include <iostream>
 #include <memory>
+#include <string_view>
 
 #include <docopt/docopt.h>
 #include <fmt/format.h>
@@ -150,6 +152,11 @@
 }  // namespace goldcrest
 
 int main(int argc, char** argv) {
+  // Until the handler that reloads the settings is installed, a SIGHUP would
+  // end the process.
+  const std::string_view role = argc > 1 ? argv[1] : "";
+  if (role == "entry" || role == "controller")
+    std::signal(SIGHUP, SIG_IGN);
   try {
     return goldcrest::Main(argc, argv);
   } catch (const std::exception& error) {
