Limit how long a draining primary gets new work

Cause: entries rely on the leader to replace a draining primary. While the platform that promotes is down, they sent it new work until it had ended.

Result: "A draining primary gets new work for a limited time" failed before (the write was done) and passes now.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -47,6 +47,8 @@
   options.max_value_bytes = limits.session_value_bytes;
   options.max_prepared_bytes = limits.session_prepared_bytes;
   options.max_names = limits.session_names;
+  // The platform ends a process this long after it has told it to stop.
+  options.draining_primary_timeout = settings.stop_grace;
   return options;
 }
 
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -71,6 +71,8 @@
   //! A transaction that depends on a key is rolled back when the configuration
   //! has not been confirmed as the newest one for this long.
   Duration confirmation_lease = Duration::max();
+  //! From when a primary is known to drain until it gets no new work.
+  Duration draining_primary_timeout = Duration::max();
   // Bounds of what a session keeps; what exceeds them is refused as too large.
   std::size_t max_value_bytes = std::size_t{2} << 20U;     //!< Of SET.
   std::size_t max_prepared_bytes = std::size_t{2} << 20U;  //!< Of PREPARE.
@@ -291,6 +293,7 @@
   enum class ConnectionPolicy { kMayOpen, kIdleOnly };
   void Dispatch(Time now, Session& session, ConnectionPolicy policy);
   void DispatchToPrimary(Time now, Session& session, ConnectionPolicy policy);
+  bool HasDrainedTooLong(Time now, const std::string& primary) const;
   void DispatchToAnyMember(Time now,
                            Session& session,
                            LogPosition required_position,
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -111,6 +111,10 @@
     session.pending->last_cause = "no primary known";
     return;
   }
+  if (HasDrainedTooLong(now, primary)) {
+    session.pending->last_cause = "primary " + primary + " drains";
+    return;
+  }
   if (!pool_.HasCapacity(now, primary)) {
     session.pending->last_cause = "primary " + primary + " is busy";
     return;
@@ -121,6 +125,15 @@
   StartStatement(now, session, *pool_.Find(session.connection), std::nullopt);
 }
 
+// A primary that drains is replaced, and serves until then. While nobody can
+// promote another one, it gets new work for a limited time only.
+bool StatementProxy::HasDrainedTooLong(Time now,
+                                       const std::string& primary) const {
+  const auto* entry = directory_.Find(primary);
+  return entry != nullptr && entry->record.draining &&
+         now - entry->changed_at >= options_.draining_primary_timeout;
+}
+
 // The position that an endpoint must have reached to serve the session's read;
 // nullopt when only the primary can serve it.
 std::optional<LogPosition> StatementProxy::RequiredReadPosition(
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -38,6 +38,7 @@
   options_.max_value_bytes = 50'000;
   options_.max_prepared_bytes = 50'000;
   options_.max_names = 5;
+  options_.draining_primary_timeout = std::chrono::seconds(6);
   options_.max_configuration_age = max_configuration_age;
   options_.confirmation_lease = confirmation_lease;
   StartEntry();
--- a/statements/tests/proxy_outcomes_test.cc
+++ b/statements/tests/proxy_outcomes_test.cc
@@ -53,6 +53,35 @@
   CHECK(fixture.LastAnswer(kCaller).outcome == Outcome::kDone);
 }
 
+// Guards against a primary that gets new work for as long as it drains, while
+// the platform that promotes another one is down.
+TEST_CASE("A draining primary gets new work for a limited time",
+          "[statements][guarantee]") {
+  ProxyFixture fixture;
+  fixture.SetRole("p", true, true);
+  fixture.OpenSession(kCaller, "strict");
+  fixture.Advance(milliseconds(5'900));
+  fixture.SendStatement(kCaller, StatementKind::kWrite, "WRITE a b");
+  fixture.Reply(fixture.AcceptConnection(), {1, 5});
+  CHECK(fixture.LastAnswer(kCaller).outcome == Outcome::kDone);
+  fixture.Advance(milliseconds(100));
+  fixture.SendStatement(kCaller, StatementKind::kWrite, "WRITE a b");
+  fixture.Advance(milliseconds(600));
+  CHECK(fixture.LastAnswer(kCaller).outcome == Outcome::kBusy);
+  CHECK(fixture.opening_connections.empty());
+
+  SECTION("Another one is promoted") {
+    fixture.SetRole("r1", true);
+    fixture.SetRole("p", false, true);
+  }
+  SECTION("It drains no more") {
+    fixture.SetRole("p", true);
+  }
+  fixture.SendStatement(kCaller, StatementKind::kWrite, "WRITE a b");
+  fixture.Reply(fixture.AcceptConnection(), {2, 6});
+  CHECK(fixture.LastAnswer(kCaller).outcome == Outcome::kDone);
+}
+
 // Guards against a group that is not served because an odd entry of another
 // writer calls itself primary as well, at an address where nothing answers.
 TEST_CASE("A write goes to the primary that can be reached",
