--- a/adapters/include/goldcrest/adapters/peer_transport.h
+++ b/adapters/include/goldcrest/adapters/peer_transport.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -28,8 +29,16 @@
   //! Bounds of each link's send queue; the oldest messages are dropped.
   std::size_t max_queued_messages = 4'096;
   std::size_t max_queued_bytes = 32 << 20;
+  //! A link whose send queue is full is closed instead.
+  bool close_when_full = false;
   //! Maximum of incoming connections that have not yet sent a valid Hello.
   std::size_t max_unidentified_connections = 256;
+  //! Maximum of incoming connections, with those.
+  std::size_t max_incoming_connections =
+      std::numeric_limits<std::size_t>::max();
+  //! Of frames that all links hold, received in part or queued; beyond it, the
+  //! link that holds most is closed.
+  std::size_t max_held_bytes = std::numeric_limits<std::size_t>::max();
   std::chrono::milliseconds ping_interval{250};
   //! A link without any received byte for this long is closed and replaced.
   std::chrono::milliseconds silence_timeout{1'000};
@@ -88,6 +97,8 @@
   bool Send(const std::string& to, const messages::PeerMessage& message);
 
   bool IsConnected(const std::string& instance) const;
+  //! Bytes that wait to be sent to the instance.
+  std::size_t QueuedBytes(const std::string& instance) const;
   std::vector<std::string> ConnectedPeers() const;
 
   //! Messages dropped by full queues or lost unsent with a link.
--- a/adapters/src/peer_link.cc
+++ b/adapters/src/peer_link.cc
@@ -40,7 +40,8 @@
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       shared_(std::move(shared)),
-      expected_peer_(std::move(expected_peer)) {}
+      expected_peer_(std::move(expected_peer)),
+      number_(shared_->next_link++) {}
 
 void PeerLink::StartIncoming() {
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -91,6 +92,12 @@
   if (!accepts_sends_)
     return false;
   const PeerTransportOptions& options = shared_->options;
+  if (options.close_when_full &&
+      queued_bytes_ + frame.size() > options.max_queued_bytes) {
+    accepts_sends_ = false;
+    Close("send queue is full");
+    return false;
+  }
   while (!queue_.empty() &&
          (queue_.size() >= options.max_queued_messages ||
           queued_bytes_ + frame.size() > options.max_queued_bytes)) {
@@ -102,6 +109,11 @@
   return true;
 }
 
+std::size_t PeerLink::QueuedBytes() {
+  const std::lock_guard lock(mutex_);
+  return queued_bytes_;
+}
+
 // Requires mutex_.
 void PeerLink::EnqueueFrame(std::string frame) {
   queued_bytes_ += frame.size();
@@ -151,6 +163,25 @@
                     });
 }
 
+void PeerLink::RecordMemory() {
+  std::size_t bytes = receive_buffer_.size();
+  for (const std::string& frame : frames_in_write_)
+    bytes += frame.size();
+  {
+    const std::lock_guard lock(mutex_);
+    bytes += queued_bytes_;
+  }
+  if (closed_ || bytes < MemoryAccount::kMinBytes)
+    bytes = 0;
+  if (bytes == 0 && !memory_recorded_)
+    return;
+  memory_recorded_ = bytes > 0;
+  shared_->memory.Set(number_, bytes, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->Close("holds most memory");
+  });
+}
+
 void PeerLink::OnWritten(error_code error) {
   if (closed_)
     return;
@@ -183,8 +214,10 @@
   last_received_ = SteadyClock::now();
   receive_buffer_.append(bytes.data(), size);
   ReadFrames();
-  if (!closed_)
-    WaitForReadable();
+  if (closed_)
+    return;
+  RecordMemory();
+  WaitForReadable();
 }
 
 void PeerLink::ReadFrames() {
@@ -308,6 +341,7 @@
       return;
     }
   }
+  RecordMemory();
   if (up_) {
     messages::PeerMessage ping;
     ping.__set_ping(ToMicros(SystemClock::Now()));
@@ -342,6 +376,7 @@
                               {"address", remote.address().to_string()},
                               {"cause", close_cause_}});
   }
+  RecordMemory();
   CloseSocket(socket_);
   timer_.cancel();
   shared_->on_closed(shared_from_this());
--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -11175,6 +11175,10 @@
 void RelayAnswer::__set_declined(const bool val) {
   this->declined = val;
 }
+
+void RelayAnswer::__set_more_rows(const bool val) {
+  this->more_rows = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj)
 {
   obj.printTo(out);
@@ -11335,6 +11339,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->more_rows);
+          this->__isset.more_rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11421,6 +11433,10 @@
   xfer += oprot->writeBool(this->declined);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("more_rows", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->more_rows);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11443,6 +11459,7 @@
   swap(a.unplaced_commit, b.unplaced_commit);
   swap(a.configuration_version, b.configuration_version);
   swap(a.declined, b.declined);
+  swap(a.more_rows, b.more_rows);
   swap(a.__isset, b.__isset);
 }
 
@@ -11462,6 +11479,7 @@
   unplaced_commit = other401.unplaced_commit;
   configuration_version = other401.configuration_version;
   declined = other401.declined;
+  more_rows = other401.more_rows;
   __isset = other401.__isset;
 }
 RelayAnswer::RelayAnswer(RelayAnswer&& other402) noexcept {
@@ -11480,6 +11498,7 @@
   unplaced_commit = other402.unplaced_commit;
   configuration_version = other402.configuration_version;
   declined = other402.declined;
+  more_rows = other402.more_rows;
   __isset = other402.__isset;
 }
 RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other403) {
@@ -11498,6 +11517,7 @@
   unplaced_commit = other403.unplaced_commit;
   configuration_version = other403.configuration_version;
   declined = other403.declined;
+  more_rows = other403.more_rows;
   __isset = other403.__isset;
   return *this;
 }
@@ -11517,6 +11537,7 @@
   unplaced_commit = other404.unplaced_commit;
   configuration_version = other404.configuration_version;
   declined = other404.declined;
+  more_rows = other404.more_rows;
   __isset = other404.__isset;
   return *this;
 }
@@ -11538,6 +11559,7 @@
   out << ", " << "unplaced_commit=" << to_string(unplaced_commit);
   out << ", " << "configuration_version=" << to_string(configuration_version);
   out << ", " << "declined=" << to_string(declined);
+  out << ", " << "more_rows=" << to_string(more_rows);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -4094,7 +4094,7 @@
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj);
 
 typedef struct _RelayAnswer__isset {
-  _RelayAnswer__isset() : operation(false), outcome(false), rows(false), signature(false), code(false), message(false), state(false), position_term(false), position_number(false), ended(false), last_commit_term(false), last_commit_number(false), unplaced_commit(false), configuration_version(false), declined(false) {}
+  _RelayAnswer__isset() : operation(false), outcome(false), rows(false), signature(false), code(false), message(false), state(false), position_term(false), position_number(false), ended(false), last_commit_term(false), last_commit_number(false), unplaced_commit(false), configuration_version(false), declined(false), more_rows(false) {}
   bool operation :1;
   bool outcome :1;
   bool rows :1;
@@ -4110,6 +4110,7 @@
   bool unplaced_commit :1;
   bool configuration_version :1;
   bool declined :1;
+  bool more_rows :1;
 } _RelayAnswer__isset;
 
 class RelayAnswer : public virtual ::apache::thrift::TBase {
@@ -4133,7 +4134,8 @@
                 last_commit_number(0),
                 unplaced_commit(0),
                 configuration_version(0),
-                declined(0) {
+                declined(0),
+                more_rows(0) {
   }
 
   virtual ~RelayAnswer() noexcept;
@@ -4152,6 +4154,7 @@
   bool unplaced_commit;
   int64_t configuration_version;
   bool declined;
+  bool more_rows;
 
   _RelayAnswer__isset __isset;
 
@@ -4185,6 +4188,8 @@
 
   void __set_declined(const bool val);
 
+  void __set_more_rows(const bool val);
+
   bool operator == (const RelayAnswer & rhs) const
   {
     if (!(operation == rhs.operation))
@@ -4219,6 +4224,8 @@
       return false;
     if (!(declined == rhs.declined))
       return false;
+    if (!(more_rows == rhs.more_rows))
+      return false;
     return true;
   }
   bool operator != (const RelayAnswer &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -529,6 +529,7 @@
   13: bool unplaced_commit,              // committed without a known position
   14: i64 configuration_version,         // that the operation has run on
   15: bool declined,                     // nothing was done; run it elsewhere
+  16: bool more_rows,                    // the answer goes on; only `rows` is set
 }
 
 // Controller to controller.
--- a/programs/goldcrestd/platform_peers.cc
+++ b/programs/goldcrestd/platform_peers.cc
@@ -1,5 +1,6 @@
 #include "programs/goldcrestd/platform_peers.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace goldcrest {
@@ -25,6 +26,11 @@
 constexpr std::chrono::seconds kRelaySilenceTimeout{75};
 constexpr std::chrono::milliseconds kMaxRelayReconnectBackoff{2'000};
 
+// An entry stops reading the rows of an answer long before the queue of a relay
+// link is full, so that it only fills when the other entry has stopped reading.
+constexpr std::size_t kMaxRelayQueueBytes = std::size_t{4} << 20U;
+constexpr std::size_t kMinUnidentified = 8;
+
 }  // namespace
 
 std::string PeerName(const platform::BootSettings& settings,
@@ -68,6 +74,30 @@
   options.silence_timeout = kSilenceTimeout;
   options.connect_timeout = kConnectTimeout;
   options.max_backoff = kMaxReconnectBackoff;
+  const platform::ConnectionLimits& limits = settings.connection_limits;
+  options.max_frame_bytes =
+      std::min(options.max_frame_bytes, limits.peer_memory_bytes / 2);
+  options.max_queued_bytes =
+      std::min(options.max_queued_bytes, limits.peer_memory_bytes / 2);
+  options.max_held_bytes = limits.peer_memory_bytes;
+  options.max_incoming_connections = limits.max_peer_connections;
+  options.max_unidentified_connections =
+      std::min(options.max_unidentified_connections,
+               std::max(kMinUnidentified, limits.max_peer_connections / 4));
+  return options;
+}
+
+adapters::HttpServerOptions HttpOptions(
+    const platform::SocketAddress& address,
+    const platform::ConnectionLimits& limits) {
+  adapters::HttpServerOptions options;
+  options.host = address.host;
+  options.port = address.port;
+  options.max_connections = limits.max_http_connections;
+  options.replace_idle_connections = true;
+  options.max_refused_connections = std::min(options.max_refused_connections,
+                                             limits.max_http_connections / 4);
+  options.max_held_bytes = limits.http_memory_bytes;
   return options;
 }
 
@@ -78,6 +108,9 @@
   options.ping_interval = kRelayPingInterval;
   options.silence_timeout = kRelaySilenceTimeout;
   options.max_backoff = kMaxRelayReconnectBackoff;
+  options.max_queued_bytes = kMaxRelayQueueBytes;
+  options.max_queued_messages = SIZE_MAX;
+  options.close_when_full = true;
   return options;
 }
 
--- a/programs/goldcrestd/platform_peers.h
+++ b/programs/goldcrestd/platform_peers.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "goldcrest/adapters/http_server.h"
 #include "goldcrest/adapters/peer_transport.h"
 #include "goldcrest/platform/boot_settings.h"
 #include "goldcrest/quota/limit.h"
@@ -38,6 +39,10 @@
 //! Options of the links between entries.
 adapters::PeerTransportOptions RelayLinkOptions(
     const platform::BootSettings& settings);
+//! Options of the HTTP listener at this address.
+adapters::HttpServerOptions HttpOptions(
+    const platform::SocketAddress& address,
+    const platform::ConnectionLimits& limits);
 
 quota::LimitWindow LimitWindowOf(const platform::BootSettings& settings);
 
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <string>
@@ -41,9 +42,21 @@
   std::string customer;  //!< Empty when it concerns no session.
 };
 
+//! What a session makes the process hold, in bytes.
+struct SessionMemory {
+  std::size_t queued_bytes = 0;  //!< Statements that wait for earlier ones.
+  std::size_t total_bytes = 0;   //!< Also those that run, values and names.
+  ConnectionId connection = 0;   //!< To the endpoint, 0 for none.
+};
+
 struct ProxyHooks {
   //! Answers the session's oldest unanswered statement.
   std::function<void(SessionId, const Answer&)> answer;
+  //! Passes on rows of the answer that follows; see OnRows().
+  std::function<void(SessionId, const std::vector<std::string>&)> rows;
+  //! True if the caller reads its answers too slowly to be given more. The
+  //! session's next statement then waits for OnOutputRoom(). Optional.
+  std::function<bool(SessionId)> is_output_full;
   //! Closes the session once the answers before it are sent.
   std::function<void(SessionId)> close_session;
   //! True if the caller has sent something that was not passed on yet.
@@ -88,6 +101,12 @@
   std::uint64_t zone_salt = 0;
   //! What a byte between availability zones costs, as latency.
   Duration zone_byte_cost = routing::ZoneBalanceOptions().byte_cost;
+  //! From when a primary is known to drain until it gets no new work.
+  Duration draining_primary_timeout = Duration::max();
+  // Bounds of what a session keeps; what exceeds them is refused as too large.
+  std::size_t max_value_bytes = std::size_t{2} << 20U;     //!< Of SET.
+  std::size_t max_prepared_bytes = std::size_t{2} << 20U;  //!< Of PREPARE.
+  std::size_t max_names = 2'000;                           //!< Of each.
 };
 
 //! The callers' sessions of one entry: chooses for each statement an endpoint
@@ -105,11 +124,19 @@
                       const std::string& key);
   void OnStatement(Time now, SessionId session, Statement statement);
   void OnSessionClosed(Time now, SessionId session);
+  //! The caller has taken answers after the hook `is_output_full` was true.
+  void OnOutputRoom(Time now, SessionId session);
 
   // Events of the endpoint connections that the `open` hook has opened.
   void OnOpened(Time now, ConnectionId id);
   void OnOpenFailed(Time now, ConnectionId id, Outcome outcome);
   void OnAnswer(Time now, ConnectionId id, const Answer& answer);
+  //! The first rows of an answer that is too long to be kept. The rows are
+  //! passed on; the statement is not repeated after that, and its timeout
+  //! starts anew. Returns the session that gets the rows, 0 if it has left.
+  SessionId OnRows(Time now,
+                   ConnectionId id,
+                   const std::vector<std::string>& rows);
   void OnConnectionClosed(Time now, ConnectionId id);
 
   // Updates from controllers.
@@ -176,6 +203,12 @@
     return sessions_.size() + pending_session_starts_.size();
   }
   std::int64_t Version() const { return table_ ? table_->version : 0; }
+  //! Zeros for a session that is not open.
+  SessionMemory MemoryOf(SessionId session) const;
+  //! The session that uses the connection; 0 for none.
+  SessionId SessionOf(ConnectionId id);
+  //! The entry for which this one runs the session; empty for one of its own.
+  std::string RemoteEntryOf(SessionId session) const;
   quota::Holder& holder() { return holder_; }
   //! The availability zone that the next read on `route` should go to when it
   //! may run on any member of the route's group; the entry's own zone when the
@@ -199,6 +232,7 @@
     bool promised = false;     // its caller has returned when it was told to
     bool token_taken = false;  // its operation has taken a token
     bool sent = false;         // it may have reached an endpoint
+    bool rows_passed = false;  // the caller has a part of the answer
     int attempts = 0;
     std::map<std::string, Time> avoided_until;  // by endpoint
     ConnectionId awaited_connection = 0;        // until it becomes idle
@@ -249,7 +283,12 @@
     std::string relay_zone;
     std::int64_t relayed_operation = 0;
     std::optional<PendingStatement> pending;
-    std::deque<Statement> queued_statements;
+    // A list, since an empty one takes no memory.
+    std::list<Statement> queued_statements;
+    // Of queued_statements, values and prepared.
+    std::size_t queued_bytes = 0;
+    std::size_t value_bytes = 0;
+    std::size_t prepared_bytes = 0;
     // When the open transaction is rolled back unless a statement arrives.
     Time transaction_idle_deadline = kNever;
     Time answered_at;
@@ -270,7 +309,14 @@
   void HandleStatement(Time now, Session& session, Statement statement);
   void HandleBegin(Time now, Session& session, Statement statement);
   void HandleRollback(Time now, Session& session);
+  bool StoreValue(Session& session, const Statement& statement);
+  bool StorePrepared(Session& session, const Statement& statement);
+  static bool ErasePrepared(Session& session, const std::string& name);
+  void HandleSet(Time now, Session& session, const Statement& statement);
   void HandlePrepare(Time now, Session& session, const Statement& statement);
+  void RefuseTooLarge(Time now, Session& session, const char* message);
+  static void Enqueue(Session& session, Statement statement);
+  static Statement Dequeue(Session& session);
   void HandleEndpointStatement(Time now, Session& session, Statement statement);
   bool StartOperation(Time now, Session& session);
   //! Runs an operation that has been started, here or on a relay.
@@ -377,6 +423,8 @@
                               const std::string& from,
                               const messages::RelayRequest& request);
   void SendRelayAnswer(const Session& session, const Answer& answer);
+  void SendRelayedRows(const Session& session,
+                       const std::vector<std::string>& rows);
   // Operations at endpoints of evacuated availability zones.
   //! True when the statement that is next on the connection may be sent.
   bool MaySend(Time now, const Connection& connection) const;
@@ -412,6 +460,7 @@
     std::string endpoint;
     std::string zone;
   };
+  bool HasDrainedTooLong(Time now, const std::string& primary) const;
   void DispatchToAnyMember(Time now,
                            Session& session,
                            LogPosition required_position,
--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -90,15 +90,16 @@
   const bool prepared = session.prepared.count(statement.name) > 0;
   switch (statement.kind) {
     case StatementKind::kSet:
-      session.values[statement.name] = statement.value;
+      if (!StoreValue(session, statement))
+        return false;
       break;
     case StatementKind::kPrepare:
-      session.prepared[statement.name] = {statement.writes, statement.value};
+      if (!StorePrepared(session, statement))
+        return false;
       break;
     case StatementKind::kDeallocate:
-      if (!prepared)
+      if (!ErasePrepared(session, statement.name))
         return false;
-      session.prepared.erase(statement.name);
       break;
     case StatementKind::kExecute:
       if (!prepared)
@@ -199,6 +200,12 @@
   if (session.relay != from || !session.pending || !IsValid(message))
     return;
   const SessionId id = session.id;
+  if (message.more_rows) {
+    session.pending->rows_passed = true;
+    session.pending->deadline =
+        now + session.route->statement_timeout + kRelayRoundTrip;
+    return hooks_.rows(id, message.rows);
+  }
   if (message.declined) {
     relays_.OnDeclined(now, from);
     LeaveRelay(session, RelayEnd::kEndedThere);
@@ -274,7 +281,7 @@
   for (const SessionId id : affected) {
     Session& session = sessions_.at(id);
     LeaveRelay(session, RelayEnd::kAbandon);
-    const bool restartable = session.pending &&
+    const bool restartable = session.pending && !session.pending->rows_passed &&
                              session.state == TransactionState::kIdle &&
                              !Writes(session, session.pending->statement) &&
                              now < session.pending->give_up_at;
@@ -392,9 +399,18 @@
   session.remote->operation = request.operation;
   session.database = request.session.database;
   session.key = request.session.key;
-  session.values = request.session.values;
-  for (const auto& [name, prepared] : request.session.prepared)
-    session.prepared[name] = {prepared.writes, prepared.shape};
+  Statement kept;
+  for (const auto& [name, value] : request.session.values) {
+    kept.name = name;
+    kept.value = value;
+    StoreValue(session, kept);
+  }
+  for (const auto& [name, prepared] : request.session.prepared) {
+    kept.name = name;
+    kept.value = prepared.shape;
+    kept.writes = prepared.writes;
+    StorePrepared(session, kept);
+  }
   session.last_commit = {request.session.last_commit_term,
                          request.session.last_commit_number};
   if (request.session.__isset.unplaced_commit_age_micros)
@@ -405,6 +421,15 @@
   return id;
 }
 
+void StatementProxy::SendRelayedRows(const Session& session,
+                                     const std::vector<std::string>& rows) {
+  messages::RelayAnswer message;
+  message.operation = session.remote->operation;
+  message.rows = rows;
+  message.more_rows = true;
+  hooks_.answer_relayed(session.remote->entry, message);
+}
+
 void StatementProxy::SendRelayAnswer(const Session& session,
                                      const Answer& answer) {
   messages::RelayAnswer message;
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -68,6 +68,8 @@
   std::vector<SessionId> closed_sessions;
   std::set<SessionId> unread_input;
   std::map<std::string, std::string> zones;  // by endpoint; "z1" if absent
+  std::set<SessionId> full_outputs;
+  std::map<SessionId, std::size_t> passed_rows;
   std::map<SessionId, std::vector<Answer>> answers;
   std::vector<std::pair<std::string, messages::RelayRequest>> relay_requests;
   std::vector<std::pair<std::string, messages::RelayAnswer>> relay_answers;
