--- a/routing/src/endpoint_directory.cc
+++ b/routing/src/endpoint_directory.cc
@@ -15,7 +15,8 @@
   return left.group == right.group && left.address == right.address &&
          left.zone == right.zone && left.draining == right.draining &&
          left.primary == right.primary && left.gone == right.gone &&
-         left.started_ms == right.started_ms && left.epoch == right.epoch;
+         left.started_ms == right.started_ms && left.epoch == right.epoch &&
+         left.slots == right.slots;
 }
 
 }  // namespace
--- a/routing/tests/endpoint_directory_test.cc
+++ b/routing/tests/endpoint_directory_test.cc
@@ -43,6 +43,12 @@
     again.sequence = 6;
     CHECK(directory.Apply(kStart, again) == MergeResult::kRefreshed);
   }
+  SECTION("A record with other slots is passed on") {
+    auto again = primary;
+    again.sequence = 6;
+    again.slots = 4;
+    CHECK(directory.Apply(kStart, again) == MergeResult::kChanged);
+  }
   SECTION("An old heartbeat does not restore an endpoint that is gone") {
     auto gone = Record(100, 6);
     gone.gone = true;
