Find a primary outside an evacuated zone without its order

Cause: an entry that missed the assignment of a new primary keeps the confirmed one until that refuses a statement. It sends nothing to a closed zone, so that it never asks again and refuses all work for the primary.

Change: PrimaryView::PrimaryOf() passes over endpoints of closed zones, so that the heartbeat of the new primary counts.

--- a/statements/include/goldcrest/statements/primary_view.h
+++ b/statements/include/goldcrest/statements/primary_view.h
@@ -1,6 +1,7 @@
 #ifndef GOLDCREST_STATEMENTS_PRIMARY_VIEW_H_
 #define GOLDCREST_STATEMENTS_PRIMARY_VIEW_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,8 +41,12 @@
                      const std::string& group,
                      const std::string& endpoint);
 
-  //! Empty while no primary is known.
-  std::string PrimaryOf(Time now, const std::string& group) const;
+  //! Empty while no primary is known. Passes over endpoints for which
+  //! `excluded`, if it is set, returns true.
+  std::string PrimaryOf(
+      Time now,
+      const std::string& group,
+      const std::function<bool(const std::string&)>& excluded = {}) const;
 
   //! Contacts with primaries, reported to the controllers for their decisions
   //! on promotions.
--- a/statements/src/primary_view.cc
+++ b/statements/src/primary_view.cc
@@ -81,12 +81,16 @@
   return now < it->second + kRefusalValidity;
 }
 
-std::string PrimaryView::PrimaryOf(Time now, const std::string& group) const {
+std::string PrimaryView::PrimaryOf(
+    Time now,
+    const std::string& group,
+    const std::function<bool(const std::string&)>& excluded) const {
   const auto it = states_.find(group);
   static const PrimaryState none;
   const PrimaryState& state = it == states_.end() ? none : it->second;
   const auto usable = [&](const std::string& endpoint) {
-    if (endpoint.empty() || HasRecentlyRefused(now, state, endpoint))
+    if (endpoint.empty() || HasRecentlyRefused(now, state, endpoint) ||
+        (excluded && excluded(endpoint)))
       return false;
     const auto* entry = directory_->Find(endpoint);
     return entry != nullptr && !entry->record.gone &&
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -111,14 +111,16 @@
 void StatementProxy::DispatchToPrimary(Time now,
                                        Session& session,
                                        ConnectionPolicy policy) {
-  const std::string primary = primaries_.PrimaryOf(now, session.route->group);
+  // One in an evacuated zone is not asked any more whether it still leads.
+  const std::string primary = primaries_.PrimaryOf(
+      now, session.route->group,
+      [&](const std::string& endpoint) { return IsClosedTo(now, endpoint); });
   if (primary.empty()) {
-    session.pending->last_cause = "no primary known";
-    return;
-  }
-  if (IsClosedTo(now, primary)) {
+    const std::string closed = primaries_.PrimaryOf(now, session.route->group);
     session.pending->last_cause =
-        "primary " + primary + " is in an evacuated availability zone";
+        closed.empty()
+            ? "no primary known"
+            : "primary " + closed + " is in an evacuated availability zone";
     return;
   }
   if (!pool_.HasCapacity(now, primary)) {
--- a/statements/tests/evacuation_test.cc
+++ b/statements/tests/evacuation_test.cc
@@ -144,6 +144,7 @@
 TEST_CASE("Work for a primary in an evacuated zone is refused as not run",
           "[statements][guarantee]") {
   EvacuationFixture fixture;
+  fixture.ConfirmPosition({1, 5});  // `p` has led.
   fixture.Evacuate(1, {"z1"});
   fixture.Run(kTimeout / 2);
   fixture.OpenSession(kCaller, "strict");
@@ -165,6 +166,10 @@
     fixture.proxy->OnAssignment(fixture.now, assignment);
     CHECK(fixture.endpoint_of.at(fixture.AcceptConnection()) == "r2");
   }
+  SECTION("One in another zone leads, but the order of it was missed") {
+    fixture.SetRole("r2", true);
+    CHECK(fixture.endpoint_of.at(fixture.AcceptConnection()) == "r2");
+  }
   SECTION("The evacuation ends") {
     fixture.Evacuate(2, {});
     fixture.Run(milliseconds(20));
