Check that a change of shares is reported with its inputs

Cause: the log line of a changed share is the only way to see why reads left a zone, and no test shows that it names the figures.

Change: the run without a network checks the text of the last change.

--- a/routing/tests/zone_balance_test.cc
+++ b/routing/tests/zone_balance_test.cc
@@ -121,7 +121,10 @@
       ZoneBalanceOptions options;
       options.zone = "a";
       options.salt = i * 7'919;
-      options.on_change = [this](const ShareChange&) { ++changes; };
+      options.on_change = [this](const ShareChange& change) {
+        ++changes;
+        last_change = Describe(change);
+      };
       balances.emplace_back(options);
     }
   }
@@ -148,6 +151,7 @@
   std::vector<ZoneMember> members;
   std::vector<ZoneBalance> balances;
   std::size_t changes = 0;
+  std::string last_change;
 };
 
 }  // namespace
@@ -179,6 +183,9 @@
   CHECK(high < needed + 0.06);
   // At most one change in five seconds for an entry.
   CHECK(entries.changes - changes_before < kEntries * 30 / 5);
+  CHECK_THAT(entries.last_change,
+             Catch::StartsWith("bounded_staleness, limit 150.0 ms, traffic ") &&
+                 Catch::Contains("; a from ") && Catch::Contains(", age "));
   entries.Run(seconds(90), 0.8, others_load);
   CHECK(entries.run.RangeOfAway() == std::pair(0.0, 0.0));
 }
