--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -4848,6 +4848,14 @@
 void ShareReport::__set_partial(const bool val) {
   this->partial = val;
 }
+
+void ShareReport::__set_contact_micros(const int64_t val) {
+  this->contact_micros = val;
+}
+
+void ShareReport::__set_since_contact_micros(const int64_t val) {
+  this->since_contact_micros = val;
+}
 std::ostream& operator<<(std::ostream& out, const ShareReport& obj)
 {
   obj.printTo(out);
@@ -4948,6 +4956,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contact_micros);
+          this->__isset.contact_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since_contact_micros);
+          this->__isset.since_contact_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5001,6 +5025,14 @@
   xfer += oprot->writeBool(this->partial);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("contact_micros", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->contact_micros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since_contact_micros", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->since_contact_micros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5017,6 +5049,8 @@
   swap(a.demand_micros, b.demand_micros);
   swap(a.wanted_micros, b.wanted_micros);
   swap(a.partial, b.partial);
+  swap(a.contact_micros, b.contact_micros);
+  swap(a.since_contact_micros, b.since_contact_micros);
   swap(a.__isset, b.__isset);
 }
 
@@ -5030,6 +5064,8 @@
   demand_micros = other133.demand_micros;
   wanted_micros = other133.wanted_micros;
   partial = other133.partial;
+  contact_micros = other133.contact_micros;
+  since_contact_micros = other133.since_contact_micros;
   __isset = other133.__isset;
 }
 ShareReport::ShareReport(ShareReport&& other134) noexcept {
@@ -5042,6 +5078,8 @@
   demand_micros = other134.demand_micros;
   wanted_micros = other134.wanted_micros;
   partial = other134.partial;
+  contact_micros = other134.contact_micros;
+  since_contact_micros = other134.since_contact_micros;
   __isset = other134.__isset;
 }
 ShareReport& ShareReport::operator=(const ShareReport& other135) {
@@ -5054,6 +5092,8 @@
   demand_micros = other135.demand_micros;
   wanted_micros = other135.wanted_micros;
   partial = other135.partial;
+  contact_micros = other135.contact_micros;
+  since_contact_micros = other135.since_contact_micros;
   __isset = other135.__isset;
   return *this;
 }
@@ -5067,6 +5107,8 @@
   demand_micros = other136.demand_micros;
   wanted_micros = other136.wanted_micros;
   partial = other136.partial;
+  contact_micros = other136.contact_micros;
+  since_contact_micros = other136.since_contact_micros;
   __isset = other136.__isset;
   return *this;
 }
@@ -5082,6 +5124,8 @@
   out << ", " << "demand_micros=" << to_string(demand_micros);
   out << ", " << "wanted_micros=" << to_string(wanted_micros);
   out << ", " << "partial=" << to_string(partial);
+  out << ", " << "contact_micros=" << to_string(contact_micros);
+  out << ", " << "since_contact_micros=" << to_string(since_contact_micros);
   out << ")";
 }
 
@@ -5117,6 +5161,14 @@
 void ShareUpdate::__set_lease_ms(const int64_t val) {
   this->lease_ms = val;
 }
+
+void ShareUpdate::__set_excess_lease_ms(const int64_t val) {
+  this->excess_lease_ms = val;
+}
+
+void ShareUpdate::__set_contact_micros(const int64_t val) {
+  this->contact_micros = val;
+}
 std::ostream& operator<<(std::ostream& out, const ShareUpdate& obj)
 {
   obj.printTo(out);
@@ -5201,6 +5253,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->excess_lease_ms);
+          this->__isset.excess_lease_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contact_micros);
+          this->__isset.contact_micros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5246,6 +5314,14 @@
   xfer += oprot->writeI64(this->lease_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("excess_lease_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->excess_lease_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("contact_micros", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->contact_micros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5260,6 +5336,8 @@
   swap(a.capacity_micros, b.capacity_micros);
   swap(a.added_micros, b.added_micros);
   swap(a.lease_ms, b.lease_ms);
+  swap(a.excess_lease_ms, b.excess_lease_ms);
+  swap(a.contact_micros, b.contact_micros);
   swap(a.__isset, b.__isset);
 }
 
@@ -5271,6 +5349,8 @@
   capacity_micros = other137.capacity_micros;
   added_micros = other137.added_micros;
   lease_ms = other137.lease_ms;
+  excess_lease_ms = other137.excess_lease_ms;
+  contact_micros = other137.contact_micros;
   __isset = other137.__isset;
 }
 ShareUpdate::ShareUpdate(ShareUpdate&& other138) noexcept {
@@ -5281,6 +5361,8 @@
   capacity_micros = other138.capacity_micros;
   added_micros = other138.added_micros;
   lease_ms = other138.lease_ms;
+  excess_lease_ms = other138.excess_lease_ms;
+  contact_micros = other138.contact_micros;
   __isset = other138.__isset;
 }
 ShareUpdate& ShareUpdate::operator=(const ShareUpdate& other139) {
@@ -5291,6 +5373,8 @@
   capacity_micros = other139.capacity_micros;
   added_micros = other139.added_micros;
   lease_ms = other139.lease_ms;
+  excess_lease_ms = other139.excess_lease_ms;
+  contact_micros = other139.contact_micros;
   __isset = other139.__isset;
   return *this;
 }
@@ -5302,6 +5386,8 @@
   capacity_micros = other140.capacity_micros;
   added_micros = other140.added_micros;
   lease_ms = other140.lease_ms;
+  excess_lease_ms = other140.excess_lease_ms;
+  contact_micros = other140.contact_micros;
   __isset = other140.__isset;
   return *this;
 }
@@ -5315,6 +5401,8 @@
   out << ", " << "capacity_micros=" << to_string(capacity_micros);
   out << ", " << "added_micros=" << to_string(added_micros);
   out << ", " << "lease_ms=" << to_string(lease_ms);
+  out << ", " << "excess_lease_ms=" << to_string(excess_lease_ms);
+  out << ", " << "contact_micros=" << to_string(contact_micros);
   out << ")";
 }
 
@@ -12349,6 +12437,131 @@
 }
 
 
+ShareBounds::~ShareBounds() noexcept {
+}
+
+
+void ShareBounds::__set_percents(const std::map<std::string, int32_t> & val) {
+  this->percents = val;
+}
+std::ostream& operator<<(std::ostream& out, const ShareBounds& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ShareBounds::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->percents.clear();
+            uint32_t _size443;
+            ::apache::thrift::protocol::TType _ktype444;
+            ::apache::thrift::protocol::TType _vtype445;
+            xfer += iprot->readMapBegin(_ktype444, _vtype445, _size443);
+            uint32_t _i447;
+            for (_i447 = 0; _i447 < _size443; ++_i447)
+            {
+              std::string _key448;
+              xfer += iprot->readString(_key448);
+              int32_t& _val449 = this->percents[_key448];
+              xfer += iprot->readI32(_val449);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.percents = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ShareBounds::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ShareBounds");
+
+  xfer += oprot->writeFieldBegin("percents", ::apache::thrift::protocol::T_MAP, 1);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->percents.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter450;
+    for (_iter450 = this->percents.begin(); _iter450 != this->percents.end(); ++_iter450)
+    {
+      xfer += oprot->writeString(_iter450->first);
+      xfer += oprot->writeI32(_iter450->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ShareBounds &a, ShareBounds &b) {
+  using ::std::swap;
+  swap(a.percents, b.percents);
+  swap(a.__isset, b.__isset);
+}
+
+ShareBounds::ShareBounds(const ShareBounds& other451) {
+  percents = other451.percents;
+  __isset = other451.__isset;
+}
+ShareBounds::ShareBounds(ShareBounds&& other452) noexcept {
+  percents = std::move(other452.percents);
+  __isset = other452.__isset;
+}
+ShareBounds& ShareBounds::operator=(const ShareBounds& other453) {
+  percents = other453.percents;
+  __isset = other453.__isset;
+  return *this;
+}
+ShareBounds& ShareBounds::operator=(ShareBounds&& other454) noexcept {
+  percents = std::move(other454.percents);
+  __isset = other454.__isset;
+  return *this;
+}
+void ShareBounds::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ShareBounds(";
+  out << "percents=" << to_string(percents);
+  out << ")";
+}
+
+
 FleetCommand::~FleetCommand() noexcept {
 }
 
@@ -12377,6 +12590,11 @@
   this->evacuation = val;
 __isset.evacuation = true;
 }
+
+void FleetCommand::__set_bounds(const ShareBounds& val) {
+  this->bounds = val;
+__isset.bounds = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj)
 {
   obj.printTo(out);
@@ -12445,6 +12663,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->bounds.read(iprot);
+          this->__isset.bounds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12487,6 +12713,11 @@
     xfer += this->evacuation.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.bounds) {
+    xfer += oprot->writeFieldBegin("bounds", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->bounds.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12499,41 +12730,46 @@
   swap(a.endpoint, b.endpoint);
   swap(a.reserve, b.reserve);
   swap(a.evacuation, b.evacuation);
+  swap(a.bounds, b.bounds);
   swap(a.__isset, b.__isset);
 }
 
-FleetCommand::FleetCommand(const FleetCommand& other443) {
-  put = other443.put;
-  holder = other443.holder;
-  endpoint = other443.endpoint;
-  reserve = other443.reserve;
-  evacuation = other443.evacuation;
-  __isset = other443.__isset;
-}
-FleetCommand::FleetCommand(FleetCommand&& other444) noexcept {
-  put = std::move(other444.put);
-  holder = std::move(other444.holder);
-  endpoint = std::move(other444.endpoint);
-  reserve = std::move(other444.reserve);
-  evacuation = std::move(other444.evacuation);
-  __isset = other444.__isset;
-}
-FleetCommand& FleetCommand::operator=(const FleetCommand& other445) {
-  put = other445.put;
-  holder = other445.holder;
-  endpoint = other445.endpoint;
-  reserve = other445.reserve;
-  evacuation = other445.evacuation;
-  __isset = other445.__isset;
+FleetCommand::FleetCommand(const FleetCommand& other455) {
+  put = other455.put;
+  holder = other455.holder;
+  endpoint = other455.endpoint;
+  reserve = other455.reserve;
+  evacuation = other455.evacuation;
+  bounds = other455.bounds;
+  __isset = other455.__isset;
+}
+FleetCommand::FleetCommand(FleetCommand&& other456) noexcept {
+  put = std::move(other456.put);
+  holder = std::move(other456.holder);
+  endpoint = std::move(other456.endpoint);
+  reserve = std::move(other456.reserve);
+  evacuation = std::move(other456.evacuation);
+  bounds = std::move(other456.bounds);
+  __isset = other456.__isset;
+}
+FleetCommand& FleetCommand::operator=(const FleetCommand& other457) {
+  put = other457.put;
+  holder = other457.holder;
+  endpoint = other457.endpoint;
+  reserve = other457.reserve;
+  evacuation = other457.evacuation;
+  bounds = other457.bounds;
+  __isset = other457.__isset;
   return *this;
 }
-FleetCommand& FleetCommand::operator=(FleetCommand&& other446) noexcept {
-  put = std::move(other446.put);
-  holder = std::move(other446.holder);
-  endpoint = std::move(other446.endpoint);
-  reserve = std::move(other446.reserve);
-  evacuation = std::move(other446.evacuation);
-  __isset = other446.__isset;
+FleetCommand& FleetCommand::operator=(FleetCommand&& other458) noexcept {
+  put = std::move(other458.put);
+  holder = std::move(other458.holder);
+  endpoint = std::move(other458.endpoint);
+  reserve = std::move(other458.reserve);
+  evacuation = std::move(other458.evacuation);
+  bounds = std::move(other458.bounds);
+  __isset = other458.__isset;
   return *this;
 }
 void FleetCommand::printTo(std::ostream& out) const {
@@ -12544,6 +12780,7 @@
   out << ", " << "endpoint="; (__isset.endpoint ? (out << to_string(endpoint)) : (out << "<null>"));
   out << ", " << "reserve="; (__isset.reserve ? (out << to_string(reserve)) : (out << "<null>"));
   out << ", " << "evacuation="; (__isset.evacuation ? (out << to_string(evacuation)) : (out << "<null>"));
+  out << ", " << "bounds="; (__isset.bounds ? (out << to_string(bounds)) : (out << "<null>"));
   out << ")";
 }
 
@@ -12575,6 +12812,10 @@
 void FleetSnapshot::__set_evacuations_index(const int64_t val) {
   this->evacuations_index = val;
 }
+
+void FleetSnapshot::__set_share_bounds(const std::map<std::string, int32_t> & val) {
+  this->share_bounds = val;
+}
 std::ostream& operator<<(std::ostream& out, const FleetSnapshot& obj)
 {
   obj.printTo(out);
@@ -12615,17 +12856,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->holders.clear();
-            uint32_t _size447;
-            ::apache::thrift::protocol::TType _ktype448;
-            ::apache::thrift::protocol::TType _vtype449;
-            xfer += iprot->readMapBegin(_ktype448, _vtype449, _size447);
-            uint32_t _i451;
-            for (_i451 = 0; _i451 < _size447; ++_i451)
+            uint32_t _size459;
+            ::apache::thrift::protocol::TType _ktype460;
+            ::apache::thrift::protocol::TType _vtype461;
+            xfer += iprot->readMapBegin(_ktype460, _vtype461, _size459);
+            uint32_t _i463;
+            for (_i463 = 0; _i463 < _size459; ++_i463)
             {
-              std::string _key452;
-              xfer += iprot->readString(_key452);
-              HolderState& _val453 = this->holders[_key452];
-              xfer += _val453.read(iprot);
+              std::string _key464;
+              xfer += iprot->readString(_key464);
+              HolderState& _val465 = this->holders[_key464];
+              xfer += _val465.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12638,17 +12879,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->endpoints.clear();
-            uint32_t _size454;
-            ::apache::thrift::protocol::TType _ktype455;
-            ::apache::thrift::protocol::TType _vtype456;
-            xfer += iprot->readMapBegin(_ktype455, _vtype456, _size454);
-            uint32_t _i458;
-            for (_i458 = 0; _i458 < _size454; ++_i458)
+            uint32_t _size466;
+            ::apache::thrift::protocol::TType _ktype467;
+            ::apache::thrift::protocol::TType _vtype468;
+            xfer += iprot->readMapBegin(_ktype467, _vtype468, _size466);
+            uint32_t _i470;
+            for (_i470 = 0; _i470 < _size466; ++_i470)
             {
-              std::string _key459;
-              xfer += iprot->readString(_key459);
-              EndpointRecord& _val460 = this->endpoints[_key459];
-              xfer += _val460.read(iprot);
+              std::string _key471;
+              xfer += iprot->readString(_key471);
+              EndpointRecord& _val472 = this->endpoints[_key471];
+              xfer += _val472.read(iprot);
             }
             xfer += iprot->readMapEnd();
           }
@@ -12669,15 +12910,15 @@
         if (ftype == ::apache::thrift::protocol::T_SET) {
           {
             this->evacuated_zones.clear();
-            uint32_t _size461;
-            ::apache::thrift::protocol::TType _etype464;
-            xfer += iprot->readSetBegin(_etype464, _size461);
-            uint32_t _i465;
-            for (_i465 = 0; _i465 < _size461; ++_i465)
+            uint32_t _size473;
+            ::apache::thrift::protocol::TType _etype476;
+            xfer += iprot->readSetBegin(_etype476, _size473);
+            uint32_t _i477;
+            for (_i477 = 0; _i477 < _size473; ++_i477)
             {
-              std::string _elem466;
-              xfer += iprot->readString(_elem466);
-              this->evacuated_zones.insert(_elem466);
+              std::string _elem478;
+              xfer += iprot->readString(_elem478);
+              this->evacuated_zones.insert(_elem478);
             }
             xfer += iprot->readSetEnd();
           }
@@ -12694,6 +12935,29 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->share_bounds.clear();
+            uint32_t _size479;
+            ::apache::thrift::protocol::TType _ktype480;
+            ::apache::thrift::protocol::TType _vtype481;
+            xfer += iprot->readMapBegin(_ktype480, _vtype481, _size479);
+            uint32_t _i483;
+            for (_i483 = 0; _i483 < _size479; ++_i483)
+            {
+              std::string _key484;
+              xfer += iprot->readString(_key484);
+              int32_t& _val485 = this->share_bounds[_key484];
+              xfer += iprot->readI32(_val485);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.share_bounds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -12718,11 +12982,11 @@
   xfer += oprot->writeFieldBegin("holders", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->holders.size()));
-    std::map<std::string, HolderState> ::const_iterator _iter467;
-    for (_iter467 = this->holders.begin(); _iter467 != this->holders.end(); ++_iter467)
+    std::map<std::string, HolderState> ::const_iterator _iter486;
+    for (_iter486 = this->holders.begin(); _iter486 != this->holders.end(); ++_iter486)
     {
-      xfer += oprot->writeString(_iter467->first);
-      xfer += _iter467->second.write(oprot);
+      xfer += oprot->writeString(_iter486->first);
+      xfer += _iter486->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -12731,11 +12995,11 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_MAP, 3);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::map<std::string, EndpointRecord> ::const_iterator _iter468;
-    for (_iter468 = this->endpoints.begin(); _iter468 != this->endpoints.end(); ++_iter468)
+    std::map<std::string, EndpointRecord> ::const_iterator _iter487;
+    for (_iter487 = this->endpoints.begin(); _iter487 != this->endpoints.end(); ++_iter487)
     {
-      xfer += oprot->writeString(_iter468->first);
-      xfer += _iter468->second.write(oprot);
+      xfer += oprot->writeString(_iter487->first);
+      xfer += _iter487->second.write(oprot);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -12748,10 +13012,10 @@
   xfer += oprot->writeFieldBegin("evacuated_zones", ::apache::thrift::protocol::T_SET, 5);
   {
     xfer += oprot->writeSetBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->evacuated_zones.size()));
-    std::set<std::string> ::const_iterator _iter469;
-    for (_iter469 = this->evacuated_zones.begin(); _iter469 != this->evacuated_zones.end(); ++_iter469)
+    std::set<std::string> ::const_iterator _iter488;
+    for (_iter488 = this->evacuated_zones.begin(); _iter488 != this->evacuated_zones.end(); ++_iter488)
     {
-      xfer += oprot->writeString((*_iter469));
+      xfer += oprot->writeString((*_iter488));
     }
     xfer += oprot->writeSetEnd();
   }
@@ -12761,6 +13025,19 @@
   xfer += oprot->writeI64(this->evacuations_index);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("share_bounds", ::apache::thrift::protocol::T_MAP, 7);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->share_bounds.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter489;
+    for (_iter489 = this->share_bounds.begin(); _iter489 != this->share_bounds.end(); ++_iter489)
+    {
+      xfer += oprot->writeString(_iter489->first);
+      xfer += oprot->writeI32(_iter489->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -12774,45 +13051,50 @@
   swap(a.reserve_used, b.reserve_used);
   swap(a.evacuated_zones, b.evacuated_zones);
   swap(a.evacuations_index, b.evacuations_index);
+  swap(a.share_bounds, b.share_bounds);
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshot::FleetSnapshot(const FleetSnapshot& other470) {
-  document = other470.document;
-  holders = other470.holders;
-  endpoints = other470.endpoints;
-  reserve_used = other470.reserve_used;
-  evacuated_zones = other470.evacuated_zones;
-  evacuations_index = other470.evacuations_index;
-  __isset = other470.__isset;
-}
-FleetSnapshot::FleetSnapshot(FleetSnapshot&& other471) noexcept {
-  document = std::move(other471.document);
-  holders = std::move(other471.holders);
-  endpoints = std::move(other471.endpoints);
-  reserve_used = other471.reserve_used;
-  evacuated_zones = std::move(other471.evacuated_zones);
-  evacuations_index = other471.evacuations_index;
-  __isset = other471.__isset;
-}
-FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other472) {
-  document = other472.document;
-  holders = other472.holders;
-  endpoints = other472.endpoints;
-  reserve_used = other472.reserve_used;
-  evacuated_zones = other472.evacuated_zones;
-  evacuations_index = other472.evacuations_index;
-  __isset = other472.__isset;
+FleetSnapshot::FleetSnapshot(const FleetSnapshot& other490) {
+  document = other490.document;
+  holders = other490.holders;
+  endpoints = other490.endpoints;
+  reserve_used = other490.reserve_used;
+  evacuated_zones = other490.evacuated_zones;
+  evacuations_index = other490.evacuations_index;
+  share_bounds = other490.share_bounds;
+  __isset = other490.__isset;
+}
+FleetSnapshot::FleetSnapshot(FleetSnapshot&& other491) noexcept {
+  document = std::move(other491.document);
+  holders = std::move(other491.holders);
+  endpoints = std::move(other491.endpoints);
+  reserve_used = other491.reserve_used;
+  evacuated_zones = std::move(other491.evacuated_zones);
+  evacuations_index = other491.evacuations_index;
+  share_bounds = std::move(other491.share_bounds);
+  __isset = other491.__isset;
+}
+FleetSnapshot& FleetSnapshot::operator=(const FleetSnapshot& other492) {
+  document = other492.document;
+  holders = other492.holders;
+  endpoints = other492.endpoints;
+  reserve_used = other492.reserve_used;
+  evacuated_zones = other492.evacuated_zones;
+  evacuations_index = other492.evacuations_index;
+  share_bounds = other492.share_bounds;
+  __isset = other492.__isset;
   return *this;
 }
-FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other473) noexcept {
-  document = std::move(other473.document);
-  holders = std::move(other473.holders);
-  endpoints = std::move(other473.endpoints);
-  reserve_used = other473.reserve_used;
-  evacuated_zones = std::move(other473.evacuated_zones);
-  evacuations_index = other473.evacuations_index;
-  __isset = other473.__isset;
+FleetSnapshot& FleetSnapshot::operator=(FleetSnapshot&& other493) noexcept {
+  document = std::move(other493.document);
+  holders = std::move(other493.holders);
+  endpoints = std::move(other493.endpoints);
+  reserve_used = other493.reserve_used;
+  evacuated_zones = std::move(other493.evacuated_zones);
+  evacuations_index = other493.evacuations_index;
+  share_bounds = std::move(other493.share_bounds);
+  __isset = other493.__isset;
   return *this;
 }
 void FleetSnapshot::printTo(std::ostream& out) const {
@@ -12824,6 +13106,7 @@
   out << ", " << "reserve_used=" << to_string(reserve_used);
   out << ", " << "evacuated_zones=" << to_string(evacuated_zones);
   out << ", " << "evacuations_index=" << to_string(evacuations_index);
+  out << ", " << "share_bounds=" << to_string(share_bounds);
   out << ")";
 }
 
@@ -13228,90 +13511,90 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other474) {
-  hello = other474.hello;
-  ping = other474.ping;
-  pong = other474.pong;
-  consensus = other474.consensus;
-  report = other474.report;
-  update = other474.update;
-  forward = other474.forward;
-  forward_response = other474.forward_response;
-  propose = other474.propose;
-  propose_response = other474.propose_response;
-  query = other474.query;
-  query_response = other474.query_response;
-  drain = other474.drain;
-  proxy_report = other474.proxy_report;
-  proxy_update = other474.proxy_update;
-  controller_notice = other474.controller_notice;
-  relay_request = other474.relay_request;
-  relay_answer = other474.relay_answer;
-  __isset = other474.__isset;
-}
-PeerMessage::PeerMessage(PeerMessage&& other475) noexcept {
-  hello = std::move(other475.hello);
-  ping = other475.ping;
-  pong = other475.pong;
-  consensus = std::move(other475.consensus);
-  report = std::move(other475.report);
-  update = std::move(other475.update);
-  forward = std::move(other475.forward);
-  forward_response = std::move(other475.forward_response);
-  propose = std::move(other475.propose);
-  propose_response = std::move(other475.propose_response);
-  query = std::move(other475.query);
-  query_response = std::move(other475.query_response);
-  drain = other475.drain;
-  proxy_report = std::move(other475.proxy_report);
-  proxy_update = std::move(other475.proxy_update);
-  controller_notice = std::move(other475.controller_notice);
-  relay_request = std::move(other475.relay_request);
-  relay_answer = std::move(other475.relay_answer);
-  __isset = other475.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other476) {
-  hello = other476.hello;
-  ping = other476.ping;
-  pong = other476.pong;
-  consensus = other476.consensus;
-  report = other476.report;
-  update = other476.update;
-  forward = other476.forward;
-  forward_response = other476.forward_response;
-  propose = other476.propose;
-  propose_response = other476.propose_response;
-  query = other476.query;
-  query_response = other476.query_response;
-  drain = other476.drain;
-  proxy_report = other476.proxy_report;
-  proxy_update = other476.proxy_update;
-  controller_notice = other476.controller_notice;
-  relay_request = other476.relay_request;
-  relay_answer = other476.relay_answer;
-  __isset = other476.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other494) {
+  hello = other494.hello;
+  ping = other494.ping;
+  pong = other494.pong;
+  consensus = other494.consensus;
+  report = other494.report;
+  update = other494.update;
+  forward = other494.forward;
+  forward_response = other494.forward_response;
+  propose = other494.propose;
+  propose_response = other494.propose_response;
+  query = other494.query;
+  query_response = other494.query_response;
+  drain = other494.drain;
+  proxy_report = other494.proxy_report;
+  proxy_update = other494.proxy_update;
+  controller_notice = other494.controller_notice;
+  relay_request = other494.relay_request;
+  relay_answer = other494.relay_answer;
+  __isset = other494.__isset;
+}
+PeerMessage::PeerMessage(PeerMessage&& other495) noexcept {
+  hello = std::move(other495.hello);
+  ping = other495.ping;
+  pong = other495.pong;
+  consensus = std::move(other495.consensus);
+  report = std::move(other495.report);
+  update = std::move(other495.update);
+  forward = std::move(other495.forward);
+  forward_response = std::move(other495.forward_response);
+  propose = std::move(other495.propose);
+  propose_response = std::move(other495.propose_response);
+  query = std::move(other495.query);
+  query_response = std::move(other495.query_response);
+  drain = other495.drain;
+  proxy_report = std::move(other495.proxy_report);
+  proxy_update = std::move(other495.proxy_update);
+  controller_notice = std::move(other495.controller_notice);
+  relay_request = std::move(other495.relay_request);
+  relay_answer = std::move(other495.relay_answer);
+  __isset = other495.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other496) {
+  hello = other496.hello;
+  ping = other496.ping;
+  pong = other496.pong;
+  consensus = other496.consensus;
+  report = other496.report;
+  update = other496.update;
+  forward = other496.forward;
+  forward_response = other496.forward_response;
+  propose = other496.propose;
+  propose_response = other496.propose_response;
+  query = other496.query;
+  query_response = other496.query_response;
+  drain = other496.drain;
+  proxy_report = other496.proxy_report;
+  proxy_update = other496.proxy_update;
+  controller_notice = other496.controller_notice;
+  relay_request = other496.relay_request;
+  relay_answer = other496.relay_answer;
+  __isset = other496.__isset;
   return *this;
 }
-PeerMessage& PeerMessage::operator=(PeerMessage&& other477) noexcept {
-  hello = std::move(other477.hello);
-  ping = other477.ping;
-  pong = other477.pong;
-  consensus = std::move(other477.consensus);
-  report = std::move(other477.report);
-  update = std::move(other477.update);
-  forward = std::move(other477.forward);
-  forward_response = std::move(other477.forward_response);
-  propose = std::move(other477.propose);
-  propose_response = std::move(other477.propose_response);
-  query = std::move(other477.query);
-  query_response = std::move(other477.query_response);
-  drain = other477.drain;
-  proxy_report = std::move(other477.proxy_report);
-  proxy_update = std::move(other477.proxy_update);
-  controller_notice = std::move(other477.controller_notice);
-  relay_request = std::move(other477.relay_request);
-  relay_answer = std::move(other477.relay_answer);
-  __isset = other477.__isset;
+PeerMessage& PeerMessage::operator=(PeerMessage&& other497) noexcept {
+  hello = std::move(other497.hello);
+  ping = other497.ping;
+  pong = other497.pong;
+  consensus = std::move(other497.consensus);
+  report = std::move(other497.report);
+  update = std::move(other497.update);
+  forward = std::move(other497.forward);
+  forward_response = std::move(other497.forward_response);
+  propose = std::move(other497.propose);
+  propose_response = std::move(other497.propose_response);
+  query = std::move(other497.query);
+  query_response = std::move(other497.query_response);
+  drain = other497.drain;
+  proxy_report = std::move(other497.proxy_report);
+  proxy_update = std::move(other497.proxy_update);
+  controller_notice = std::move(other497.controller_notice);
+  relay_request = std::move(other497.relay_request);
+  relay_answer = std::move(other497.relay_answer);
+  __isset = other497.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -13448,30 +13731,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AppliedChange::AppliedChange(const AppliedChange& other478) {
-  change_id = other478.change_id;
-  fingerprint = other478.fingerprint;
-  result = other478.result;
-  __isset = other478.__isset;
+AppliedChange::AppliedChange(const AppliedChange& other498) {
+  change_id = other498.change_id;
+  fingerprint = other498.fingerprint;
+  result = other498.result;
+  __isset = other498.__isset;
 }
-AppliedChange::AppliedChange(AppliedChange&& other479) noexcept {
-  change_id = std::move(other479.change_id);
-  fingerprint = std::move(other479.fingerprint);
-  result = std::move(other479.result);
-  __isset = other479.__isset;
+AppliedChange::AppliedChange(AppliedChange&& other499) noexcept {
+  change_id = std::move(other499.change_id);
+  fingerprint = std::move(other499.fingerprint);
+  result = std::move(other499.result);
+  __isset = other499.__isset;
 }
-AppliedChange& AppliedChange::operator=(const AppliedChange& other480) {
-  change_id = other480.change_id;
-  fingerprint = other480.fingerprint;
-  result = other480.result;
-  __isset = other480.__isset;
+AppliedChange& AppliedChange::operator=(const AppliedChange& other500) {
+  change_id = other500.change_id;
+  fingerprint = other500.fingerprint;
+  result = other500.result;
+  __isset = other500.__isset;
   return *this;
 }
-AppliedChange& AppliedChange::operator=(AppliedChange&& other481) noexcept {
-  change_id = std::move(other481.change_id);
-  fingerprint = std::move(other481.fingerprint);
-  result = std::move(other481.result);
-  __isset = other481.__isset;
+AppliedChange& AppliedChange::operator=(AppliedChange&& other501) noexcept {
+  change_id = std::move(other501.change_id);
+  fingerprint = std::move(other501.fingerprint);
+  result = std::move(other501.result);
+  __isset = other501.__isset;
   return *this;
 }
 void AppliedChange::printTo(std::ostream& out) const {
@@ -13563,14 +13846,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size482;
-            ::apache::thrift::protocol::TType _etype485;
-            xfer += iprot->readListBegin(_etype485, _size482);
-            this->objects.resize(_size482);
-            uint32_t _i486;
-            for (_i486 = 0; _i486 < _size482; ++_i486)
+            uint32_t _size502;
+            ::apache::thrift::protocol::TType _etype505;
+            xfer += iprot->readListBegin(_etype505, _size502);
+            this->objects.resize(_size502);
+            uint32_t _i506;
+            for (_i506 = 0; _i506 < _size502; ++_i506)
             {
-              xfer += this->objects[_i486].read(iprot);
+              xfer += this->objects[_i506].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13583,14 +13866,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size487;
-            ::apache::thrift::protocol::TType _etype490;
-            xfer += iprot->readListBegin(_etype490, _size487);
-            this->changes.resize(_size487);
-            uint32_t _i491;
-            for (_i491 = 0; _i491 < _size487; ++_i491)
+            uint32_t _size507;
+            ::apache::thrift::protocol::TType _etype510;
+            xfer += iprot->readListBegin(_etype510, _size507);
+            this->changes.resize(_size507);
+            uint32_t _i511;
+            for (_i511 = 0; _i511 < _size507; ++_i511)
             {
-              xfer += this->changes[_i491].read(iprot);
+              xfer += this->changes[_i511].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13611,14 +13894,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->groups.clear();
-            uint32_t _size492;
-            ::apache::thrift::protocol::TType _etype495;
-            xfer += iprot->readListBegin(_etype495, _size492);
-            this->groups.resize(_size492);
-            uint32_t _i496;
-            for (_i496 = 0; _i496 < _size492; ++_i496)
+            uint32_t _size512;
+            ::apache::thrift::protocol::TType _etype515;
+            xfer += iprot->readListBegin(_etype515, _size512);
+            this->groups.resize(_size512);
+            uint32_t _i516;
+            for (_i516 = 0; _i516 < _size512; ++_i516)
             {
-              xfer += this->groups[_i496].read(iprot);
+              xfer += this->groups[_i516].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13631,14 +13914,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size497;
-            ::apache::thrift::protocol::TType _etype500;
-            xfer += iprot->readListBegin(_etype500, _size497);
-            this->endpoints.resize(_size497);
-            uint32_t _i501;
-            for (_i501 = 0; _i501 < _size497; ++_i501)
+            uint32_t _size517;
+            ::apache::thrift::protocol::TType _etype520;
+            xfer += iprot->readListBegin(_etype520, _size517);
+            this->endpoints.resize(_size517);
+            uint32_t _i521;
+            for (_i521 = 0; _i521 < _size517; ++_i521)
             {
-              xfer += this->endpoints[_i501].read(iprot);
+              xfer += this->endpoints[_i521].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13651,14 +13934,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size502;
-            ::apache::thrift::protocol::TType _etype505;
-            xfer += iprot->readListBegin(_etype505, _size502);
-            this->instances.resize(_size502);
-            uint32_t _i506;
-            for (_i506 = 0; _i506 < _size502; ++_i506)
+            uint32_t _size522;
+            ::apache::thrift::protocol::TType _etype525;
+            xfer += iprot->readListBegin(_etype525, _size522);
+            this->instances.resize(_size522);
+            uint32_t _i526;
+            for (_i526 = 0; _i526 < _size522; ++_i526)
             {
-              xfer += this->instances[_i506].read(iprot);
+              xfer += this->instances[_i526].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13671,14 +13954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->journal.clear();
-            uint32_t _size507;
-            ::apache::thrift::protocol::TType _etype510;
-            xfer += iprot->readListBegin(_etype510, _size507);
-            this->journal.resize(_size507);
-            uint32_t _i511;
-            for (_i511 = 0; _i511 < _size507; ++_i511)
+            uint32_t _size527;
+            ::apache::thrift::protocol::TType _etype530;
+            xfer += iprot->readListBegin(_etype530, _size527);
+            this->journal.resize(_size527);
+            uint32_t _i531;
+            for (_i531 = 0; _i531 < _size527; ++_i531)
             {
-              xfer += this->journal[_i511].read(iprot);
+              xfer += this->journal[_i531].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -13719,10 +14002,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<Object> ::const_iterator _iter512;
-    for (_iter512 = this->objects.begin(); _iter512 != this->objects.end(); ++_iter512)
+    std::vector<Object> ::const_iterator _iter532;
+    for (_iter532 = this->objects.begin(); _iter532 != this->objects.end(); ++_iter532)
     {
-      xfer += (*_iter512).write(oprot);
+      xfer += (*_iter532).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13731,10 +14014,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<AppliedChange> ::const_iterator _iter513;
-    for (_iter513 = this->changes.begin(); _iter513 != this->changes.end(); ++_iter513)
+    std::vector<AppliedChange> ::const_iterator _iter533;
+    for (_iter533 = this->changes.begin(); _iter533 != this->changes.end(); ++_iter533)
     {
-      xfer += (*_iter513).write(oprot);
+      xfer += (*_iter533).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13747,10 +14030,10 @@
   xfer += oprot->writeFieldBegin("groups", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->groups.size()));
-    std::vector<GroupState> ::const_iterator _iter514;
-    for (_iter514 = this->groups.begin(); _iter514 != this->groups.end(); ++_iter514)
+    std::vector<GroupState> ::const_iterator _iter534;
+    for (_iter534 = this->groups.begin(); _iter534 != this->groups.end(); ++_iter534)
     {
-      xfer += (*_iter514).write(oprot);
+      xfer += (*_iter534).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13759,10 +14042,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointInfo> ::const_iterator _iter515;
-    for (_iter515 = this->endpoints.begin(); _iter515 != this->endpoints.end(); ++_iter515)
+    std::vector<EndpointInfo> ::const_iterator _iter535;
+    for (_iter535 = this->endpoints.begin(); _iter535 != this->endpoints.end(); ++_iter535)
     {
-      xfer += (*_iter515).write(oprot);
+      xfer += (*_iter535).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13771,10 +14054,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<InstanceInfo> ::const_iterator _iter516;
-    for (_iter516 = this->instances.begin(); _iter516 != this->instances.end(); ++_iter516)
+    std::vector<InstanceInfo> ::const_iterator _iter536;
+    for (_iter536 = this->instances.begin(); _iter536 != this->instances.end(); ++_iter536)
     {
-      xfer += (*_iter516).write(oprot);
+      xfer += (*_iter536).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13783,10 +14066,10 @@
   xfer += oprot->writeFieldBegin("journal", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->journal.size()));
-    std::vector<JournalEntry> ::const_iterator _iter517;
-    for (_iter517 = this->journal.begin(); _iter517 != this->journal.end(); ++_iter517)
+    std::vector<JournalEntry> ::const_iterator _iter537;
+    for (_iter537 = this->journal.begin(); _iter537 != this->journal.end(); ++_iter537)
     {
-      xfer += (*_iter517).write(oprot);
+      xfer += (*_iter537).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -13815,54 +14098,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other518) {
-  revision = other518.revision;
-  objects = other518.objects;
-  changes = other518.changes;
-  groups_revision = other518.groups_revision;
-  groups = other518.groups;
-  endpoints = other518.endpoints;
-  instances = other518.instances;
-  journal = other518.journal;
-  session_secret = other518.session_secret;
-  __isset = other518.__isset;
-}
-ControlSnapshot::ControlSnapshot(ControlSnapshot&& other519) noexcept {
-  revision = other519.revision;
-  objects = std::move(other519.objects);
-  changes = std::move(other519.changes);
-  groups_revision = other519.groups_revision;
-  groups = std::move(other519.groups);
-  endpoints = std::move(other519.endpoints);
-  instances = std::move(other519.instances);
-  journal = std::move(other519.journal);
-  session_secret = std::move(other519.session_secret);
-  __isset = other519.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other520) {
-  revision = other520.revision;
-  objects = other520.objects;
-  changes = other520.changes;
-  groups_revision = other520.groups_revision;
-  groups = other520.groups;
-  endpoints = other520.endpoints;
-  instances = other520.instances;
-  journal = other520.journal;
-  session_secret = other520.session_secret;
-  __isset = other520.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other538) {
+  revision = other538.revision;
+  objects = other538.objects;
+  changes = other538.changes;
+  groups_revision = other538.groups_revision;
+  groups = other538.groups;
+  endpoints = other538.endpoints;
+  instances = other538.instances;
+  journal = other538.journal;
+  session_secret = other538.session_secret;
+  __isset = other538.__isset;
+}
+ControlSnapshot::ControlSnapshot(ControlSnapshot&& other539) noexcept {
+  revision = other539.revision;
+  objects = std::move(other539.objects);
+  changes = std::move(other539.changes);
+  groups_revision = other539.groups_revision;
+  groups = std::move(other539.groups);
+  endpoints = std::move(other539.endpoints);
+  instances = std::move(other539.instances);
+  journal = std::move(other539.journal);
+  session_secret = std::move(other539.session_secret);
+  __isset = other539.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other540) {
+  revision = other540.revision;
+  objects = other540.objects;
+  changes = other540.changes;
+  groups_revision = other540.groups_revision;
+  groups = other540.groups;
+  endpoints = other540.endpoints;
+  instances = other540.instances;
+  journal = other540.journal;
+  session_secret = other540.session_secret;
+  __isset = other540.__isset;
   return *this;
 }
-ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other521) noexcept {
-  revision = other521.revision;
-  objects = std::move(other521.objects);
-  changes = std::move(other521.changes);
-  groups_revision = other521.groups_revision;
-  groups = std::move(other521.groups);
-  endpoints = std::move(other521.endpoints);
-  instances = std::move(other521.instances);
-  journal = std::move(other521.journal);
-  session_secret = std::move(other521.session_secret);
-  __isset = other521.__isset;
+ControlSnapshot& ControlSnapshot::operator=(ControlSnapshot&& other541) noexcept {
+  revision = other541.revision;
+  objects = std::move(other541.objects);
+  changes = std::move(other541.changes);
+  groups_revision = other541.groups_revision;
+  groups = std::move(other541.groups);
+  endpoints = std::move(other541.endpoints);
+  instances = std::move(other541.instances);
+  journal = std::move(other541.journal);
+  session_secret = std::move(other541.session_secret);
+  __isset = other541.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -186,6 +186,8 @@
 
 class PutDocument;
 
+class ShareBounds;
+
 class FleetCommand;
 
 class FleetSnapshot;
@@ -1933,7 +1935,7 @@
 std::ostream& operator<<(std::ostream& out, const ConsensusMessage& obj);
 
 typedef struct _ShareReport__isset {
-  _ShareReport__isset() : customer(false), share_sequence(false), owner_term(false), rate_micros(false), capacity_micros(false), level_micros(false), demand_micros(false), wanted_micros(false), partial(false) {}
+  _ShareReport__isset() : customer(false), share_sequence(false), owner_term(false), rate_micros(false), capacity_micros(false), level_micros(false), demand_micros(false), wanted_micros(false), partial(false), contact_micros(false), since_contact_micros(false) {}
   bool customer :1;
   bool share_sequence :1;
   bool owner_term :1;
@@ -1943,6 +1945,8 @@
   bool demand_micros :1;
   bool wanted_micros :1;
   bool partial :1;
+  bool contact_micros :1;
+  bool since_contact_micros :1;
 } _ShareReport__isset;
 
 class ShareReport : public virtual ::apache::thrift::TBase {
@@ -1961,7 +1965,9 @@
                 level_micros(0),
                 demand_micros(0),
                 wanted_micros(0),
-                partial(0) {
+                partial(0),
+                contact_micros(0),
+                since_contact_micros(0) {
   }
 
   virtual ~ShareReport() noexcept;
@@ -1974,6 +1980,8 @@
   int64_t demand_micros;
   int64_t wanted_micros;
   bool partial;
+  int64_t contact_micros;
+  int64_t since_contact_micros;
 
   _ShareReport__isset __isset;
 
@@ -1995,6 +2003,10 @@
 
   void __set_partial(const bool val);
 
+  void __set_contact_micros(const int64_t val);
+
+  void __set_since_contact_micros(const int64_t val);
+
   bool operator == (const ShareReport & rhs) const
   {
     if (!(customer == rhs.customer))
@@ -2015,6 +2027,10 @@
       return false;
     if (!(partial == rhs.partial))
       return false;
+    if (!(contact_micros == rhs.contact_micros))
+      return false;
+    if (!(since_contact_micros == rhs.since_contact_micros))
+      return false;
     return true;
   }
   bool operator != (const ShareReport &rhs) const {
@@ -2034,7 +2050,7 @@
 std::ostream& operator<<(std::ostream& out, const ShareReport& obj);
 
 typedef struct _ShareUpdate__isset {
-  _ShareUpdate__isset() : customer(false), share_sequence(false), owner_term(false), rate_micros(false), capacity_micros(false), added_micros(false), lease_ms(false) {}
+  _ShareUpdate__isset() : customer(false), share_sequence(false), owner_term(false), rate_micros(false), capacity_micros(false), added_micros(false), lease_ms(false), excess_lease_ms(false), contact_micros(false) {}
   bool customer :1;
   bool share_sequence :1;
   bool owner_term :1;
@@ -2042,6 +2058,8 @@
   bool capacity_micros :1;
   bool added_micros :1;
   bool lease_ms :1;
+  bool excess_lease_ms :1;
+  bool contact_micros :1;
 } _ShareUpdate__isset;
 
 class ShareUpdate : public virtual ::apache::thrift::TBase {
@@ -2058,7 +2076,9 @@
                 rate_micros(0),
                 capacity_micros(0),
                 added_micros(0),
-                lease_ms(0) {
+                lease_ms(0),
+                excess_lease_ms(0),
+                contact_micros(0) {
   }
 
   virtual ~ShareUpdate() noexcept;
@@ -2069,6 +2089,8 @@
   int64_t capacity_micros;
   int64_t added_micros;
   int64_t lease_ms;
+  int64_t excess_lease_ms;
+  int64_t contact_micros;
 
   _ShareUpdate__isset __isset;
 
@@ -2086,6 +2108,10 @@
 
   void __set_lease_ms(const int64_t val);
 
+  void __set_excess_lease_ms(const int64_t val);
+
+  void __set_contact_micros(const int64_t val);
+
   bool operator == (const ShareUpdate & rhs) const
   {
     if (!(customer == rhs.customer))
@@ -2102,6 +2128,10 @@
       return false;
     if (!(lease_ms == rhs.lease_ms))
       return false;
+    if (!(excess_lease_ms == rhs.excess_lease_ms))
+      return false;
+    if (!(contact_micros == rhs.contact_micros))
+      return false;
     return true;
   }
   bool operator != (const ShareUpdate &rhs) const {
@@ -4537,13 +4567,58 @@
 
 std::ostream& operator<<(std::ostream& out, const PutDocument& obj);
 
+typedef struct _ShareBounds__isset {
+  _ShareBounds__isset() : percents(false) {}
+  bool percents :1;
+} _ShareBounds__isset;
+
+class ShareBounds : public virtual ::apache::thrift::TBase {
+ public:
+
+  ShareBounds(const ShareBounds&);
+  ShareBounds(ShareBounds&&) noexcept;
+  ShareBounds& operator=(const ShareBounds&);
+  ShareBounds& operator=(ShareBounds&&) noexcept;
+  ShareBounds() noexcept {
+  }
+
+  virtual ~ShareBounds() noexcept;
+  std::map<std::string, int32_t>  percents;
+
+  _ShareBounds__isset __isset;
+
+  void __set_percents(const std::map<std::string, int32_t> & val);
+
+  bool operator == (const ShareBounds & rhs) const
+  {
+    if (!(percents == rhs.percents))
+      return false;
+    return true;
+  }
+  bool operator != (const ShareBounds &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ShareBounds & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ShareBounds &a, ShareBounds &b);
+
+std::ostream& operator<<(std::ostream& out, const ShareBounds& obj);
+
 typedef struct _FleetCommand__isset {
-  _FleetCommand__isset() : put(false), holder(false), endpoint(false), reserve(false), evacuation(false) {}
+  _FleetCommand__isset() : put(false), holder(false), endpoint(false), reserve(false), evacuation(false), bounds(false) {}
   bool put :1;
   bool holder :1;
   bool endpoint :1;
   bool reserve :1;
   bool evacuation :1;
+  bool bounds :1;
 } _FleetCommand__isset;
 
 class FleetCommand : public virtual ::apache::thrift::TBase {
@@ -4562,6 +4637,7 @@
   EndpointRecord endpoint;
   ReserveUse reserve;
   ZoneEvacuation evacuation;
+  ShareBounds bounds;
 
   _FleetCommand__isset __isset;
 
@@ -4575,6 +4651,8 @@
 
   void __set_evacuation(const ZoneEvacuation& val);
 
+  void __set_bounds(const ShareBounds& val);
+
   bool operator == (const FleetCommand & rhs) const
   {
     if (__isset.put != rhs.__isset.put)
@@ -4597,6 +4675,10 @@
       return false;
     else if (__isset.evacuation && !(evacuation == rhs.evacuation))
       return false;
+    if (__isset.bounds != rhs.__isset.bounds)
+      return false;
+    else if (__isset.bounds && !(bounds == rhs.bounds))
+      return false;
     return true;
   }
   bool operator != (const FleetCommand &rhs) const {
@@ -4616,13 +4698,14 @@
 std::ostream& operator<<(std::ostream& out, const FleetCommand& obj);
 
 typedef struct _FleetSnapshot__isset {
-  _FleetSnapshot__isset() : document(false), holders(false), endpoints(false), reserve_used(false), evacuated_zones(false), evacuations_index(false) {}
+  _FleetSnapshot__isset() : document(false), holders(false), endpoints(false), reserve_used(false), evacuated_zones(false), evacuations_index(false), share_bounds(false) {}
   bool document :1;
   bool holders :1;
   bool endpoints :1;
   bool reserve_used :1;
   bool evacuated_zones :1;
   bool evacuations_index :1;
+  bool share_bounds :1;
 } _FleetSnapshot__isset;
 
 class FleetSnapshot : public virtual ::apache::thrift::TBase {
@@ -4644,6 +4727,7 @@
   bool reserve_used;
   std::set<std::string>  evacuated_zones;
   int64_t evacuations_index;
+  std::map<std::string, int32_t>  share_bounds;
 
   _FleetSnapshot__isset __isset;
 
@@ -4659,6 +4743,8 @@
 
   void __set_evacuations_index(const int64_t val);
 
+  void __set_share_bounds(const std::map<std::string, int32_t> & val);
+
   bool operator == (const FleetSnapshot & rhs) const
   {
     if (!(document == rhs.document))
@@ -4673,6 +4759,8 @@
       return false;
     if (!(evacuations_index == rhs.evacuations_index))
       return false;
+    if (!(share_bounds == rhs.share_bounds))
+      return false;
     return true;
   }
   bool operator != (const FleetSnapshot &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -239,6 +239,11 @@
   8: i64 wanted_micros,                  // tokens that waiting requests need now
   9: bool partial,                       // first element: shares without news
                                          // are left out
+  10: i64 contact_micros,                // first element: owner's clock, of
+                                         // the newest contact; -1: none yet,
+                                         // 0: shares are always refilled
+  11: i64 since_contact_micros,          // first element: since any owner
+                                         // gave a share, or the start
 }
 
 // What the owner says of it. Rate and capacity are absolute.
@@ -250,6 +255,9 @@
   5: i64 capacity_micros,
   6: i64 added_micros,                   // tokens that come with the update
   7: i64 lease_ms,                       // counted from the report's sent time
+  8: i64 excess_lease_ms,                // the same for tokens above the
+                                         // capacity; 0: as lease_ms
+  9: i64 contact_micros,                 // not 0: only tells the owner's clock
 }
 
 // ---- entry and control ---------------------------------------------------
@@ -566,6 +574,12 @@
   2: binary text,
 }
 
+// Upper bounds of what the leases of entries hold of customers' limits, by
+// customer, in hundredths of the limit. A bound of 100 is not kept.
+struct ShareBounds {
+  1: map<string, i32> percents,
+}
+
 // A command in the controllers' log; one field is set.
 struct FleetCommand {
   1: optional PutDocument put,
@@ -573,6 +587,7 @@
   3: optional EndpointRecord endpoint,   // as it was when it last changed
   4: optional ReserveUse reserve,
   5: optional ZoneEvacuation evacuation,
+  6: optional ShareBounds bounds,        // those that change
 }
 
 struct FleetSnapshot {
@@ -582,6 +597,7 @@
   4: bool reserve_used,
   5: set<string> evacuated_zones,
   6: i64 evacuations_index,              // of their last change in the log
+  7: map<string, i32> share_bounds,      // see ShareBounds
 }
 
 struct PeerMessage {
--- a/quota/include/goldcrest/quota/holder.h
+++ b/quota/include/goldcrest/quota/holder.h
@@ -59,6 +59,14 @@
   //! the answer repeats.
   std::vector<messages::ShareReport> Report(Time now);
 
+  //! Requests of customers with a limit, since the start of the process.
+  struct Counts {
+    std::int64_t served_at_once = 0;
+    std::int64_t served_after_wait = 0;
+    std::int64_t gave_up = 0;  // without a token
+  };
+  const Counts& counts() const { return counts_; }
+
   //! How long ago the last token was taken; `now - started` if none was.
   Duration TimeSinceLastTake(Time now, Time started) const;
 
@@ -90,6 +98,7 @@
     std::int64_t surplus_micros = 0;  // tokens to return with the next report
     Time refilled_at;
     Time lease_end;
+    Time excess_end;    // of tokens above the capacity
     double demand = 0;  // requests per second
     Time demand_at;
     std::int64_t waiting = 0;
@@ -98,20 +107,25 @@
     double reported_demand = 0;
   };
 
-  static void Advance(Share& share, Time now);
+  void Advance(Share& share, Time now) const;
+  void OnContact(Time now, std::int64_t contact_micros);
   static void DecayDemand(Share& share, Time now);
   static bool IsIdle(const Share& share);
   static bool NeedsReport(const Share& share, Time now);
   bool Take(Share& share, Time now);
   void Apply(Share& share,
              Time now,
-             Time lease_end,
+             Time report_sent,
              const messages::ShareUpdate& update);
   void RequestReport(Time at);
 
   std::map<std::string, Share> shares_;
+  Counts counts_;
   std::optional<Time> last_taken_;
   std::int64_t newest_term_ = 0;
+  std::int64_t contact_micros_ = -1;  // newest of this term; -1: none
+  Time last_contact_;
+  Time refilled_from_;  // the rates of shares yield tokens from then on
   bool full_report_due_ = true;  // the owner may not know all shares yet
   Time first_report_ = kNever;
   Time last_report_;
--- a/quota/include/goldcrest/quota/limit.h
+++ b/quota/include/goldcrest/quota/limit.h
@@ -20,6 +20,21 @@
 //! lease and a margin of 10% for clocks that run at different speeds.
 inline constexpr Duration kShareExpiry = kShareLease + kShareLease / 10;
 
+//! How long an entry may use tokens above the capacity of its share, from the
+//! time at which it sent the report that was answered. They are meant for
+//! requests that wait, so that a longer lease would only make a new owner wait
+//! longer until it knows that they are used or void.
+inline constexpr Duration kExcessLease = std::chrono::milliseconds(400);
+
+//! How long the owner counts such tokens as held; see kShareExpiry.
+inline constexpr Duration kExcessExpiry = kExcessLease + kExcessLease / 10;
+
+//! The rate of a share yields tokens only while its entry has had no contact
+//! with the owner for this long. Until then the owner makes the tokens of this
+//! rate and gives them to the entries that need them. Several times the report
+//! interval, so that a lost report does not end the contact.
+inline constexpr Duration kContactTimeout = std::chrono::milliseconds(850);
+
 //! Interval of reports when nothing makes one due earlier.
 inline constexpr Duration kReportInterval = std::chrono::milliseconds(250);
 
--- a/quota/src/holder.cc
+++ b/quota/src/holder.cc
@@ -47,7 +47,10 @@
   Share& share = found->second;
   DecayDemand(share, now);
   share.demand += 1 / kDemandTimeConstant.count();
-  return share.waiting == 0 && Take(share, now);
+  if (share.waiting > 0 || !Take(share, now))
+    return false;
+  ++counts_.served_at_once;
+  return true;
 }
 
 void Holder::StartWaiting(Time now, const std::string& customer) {
@@ -60,13 +63,15 @@
   if (share.limit && !Take(share, now)) {
     return false;
   }
-  StopWaiting(customer);
+  share.waiting = std::max<std::int64_t>(share.waiting - 1, 0);
+  ++counts_.served_after_wait;
   return true;
 }
 
 void Holder::StopWaiting(const std::string& customer) {
   Share& share = shares_[customer];
   share.waiting = std::max<std::int64_t>(share.waiting - 1, 0);
+  ++counts_.gave_up;
 }
 
 Time Holder::NextTokenAt(Time now, const std::string& customer) {
@@ -95,6 +100,7 @@
   std::vector<messages::ShareReport> reports(1);
   reports.front().owner_term = newest_term_;
   reports.front().partial = !full_report_due_;
+  reports.front().contact_micros = contact_micros_;
   bool waiting = false;
   for (auto& [customer, share] : shares_) {
     Advance(share, now);
@@ -126,6 +132,8 @@
     waiting = waiting || share.waiting > 0;
     reports.push_back(std::move(report));
   }
+  reports.front().since_contact_micros =
+      (now - std::max(last_contact_, std::min(first_report_, now))).count();
   full_report_due_ = false;
   first_report_ = std::min(first_report_, now);
   last_report_ = now;
@@ -144,19 +152,38 @@
     if (update.owner_term < newest_term_) {
       continue;
     }
+    const bool contact = update.customer.empty() && update.contact_micros != 0;
     // The owner is new, or has not received a full report yet.
-    if (update.owner_term > newest_term_ || update.customer.empty()) {
+    if (update.owner_term > newest_term_ ||
+        (update.customer.empty() && !contact)) {
+      if (update.owner_term > newest_term_)
+        contact_micros_ = -1;
       newest_term_ = update.owner_term;
       full_report_due_ = true;
       RequestReport(now);
     }
-    const Time lease_end =
-        report_sent + std::chrono::milliseconds(update.lease_ms);
-    if (update.customer.empty() || lease_end <= now) {
+    if (contact)
+      OnContact(now, update.contact_micros);
+    if (update.customer.empty() ||
+        report_sent + std::chrono::milliseconds(update.lease_ms) <= now) {
       continue;
     }
-    Apply(shares_[update.customer], now, lease_end, update);
+    last_contact_ = now;
+    Apply(shares_[update.customer], now, report_sent, update);
+  }
+}
+
+void Holder::OnContact(Time now, std::int64_t contact_micros) {
+  for (auto& [customer, share] : shares_) {
+    if (share.rate_micros > 0)
+      Advance(share, now);
   }
+  // The owner counts the rates as used until it knows of the first contact.
+  if (contact_micros_ < 0)
+    RequestReport(now);
+  last_contact_ = now;
+  refilled_from_ = now + kContactTimeout;
+  contact_micros_ = std::max(contact_micros_, contact_micros);
 }
 
 Duration Holder::TimeSinceLastTake(Time now, Time started) const {
@@ -176,7 +203,7 @@
   }
 }
 
-void Holder::Advance(Share& share, Time now) {
+void Holder::Advance(Share& share, Time now) const {
   if (now >= share.lease_end) {
     // The sequence is kept, so that a duplicate of the last update does not add
     // its tokens again.
@@ -189,12 +216,19 @@
     share.surplus_micros = 0;
     share.remainder = 0;
   }
+  if (now >= share.excess_end) {
+    // The owner may have given the room of these tokens to another entry.
+    share.level_micros = std::min(share.level_micros, share.capacity_micros);
+    share.surplus_micros = 0;
+  }
   if (now <= share.refilled_at) {
     return;
   }
-  Refill(share.rate_micros, share.capacity_micros, now - share.refilled_at,
-         share.level_micros, share.remainder);
+  const Time from = std::max(share.refilled_at, refilled_from_);
   share.refilled_at = now;
+  if (now > from)
+    Refill(share.rate_micros, share.capacity_micros, now - from,
+           share.level_micros, share.remainder);
 }
 
 void Holder::DecayDemand(Share& share, Time now) {
@@ -234,15 +268,23 @@
     RequestReport(now);
   }
   share.level_micros -= kRequestMicros;
+  // The owner can add a token before the next request comes.
+  if (share.level_micros < kRequestMicros &&
+      share.capacity_micros >= kRequestMicros) {
+    share.changed = true;
+    RequestReport(now);
+  }
   last_taken_ = now;
   return true;
 }
 
 void Holder::Apply(Share& share,
                    Time now,
-                   Time lease_end,
+                   Time report_sent,
                    const messages::ShareUpdate& update) {
   Advance(share, now);
+  const Time lease_end =
+      report_sent + std::chrono::milliseconds(update.lease_ms);
   const auto applied = std::pair(share.term, share.sequence);
   const auto offered = std::pair(update.owner_term, update.share_sequence);
   if (offered < applied) {
@@ -263,7 +305,12 @@
   share.level_micros = std::min(tokens, share.ceiling_micros);
   share.surplus_micros = tokens - share.level_micros;
   share.lease_end = lease_end;
+  share.excess_end =
+      update.excess_lease_ms > 0
+          ? report_sent + std::chrono::milliseconds(update.excess_lease_ms)
+          : lease_end;
   share.changed = true;
+  Advance(share, now);
   if (share.surplus_micros > 0 || share.waiting > 0) {
     RequestReport(now);
   }
