Controllers keep the bounds of rate shares in their log

Cause: the next leader has to know what entries that it can't reach may hold of each limit.

Change: the leader proposes changed bounds, at most one command in 200 ms, and uses a higher bound once it is committed. The state holds bounds below 100. shares_unknown and shares_known tell the part of the rates that the owner withholds and the tokens that it has given out.

--- a/fleet/include/goldcrest/fleet/controller.h
+++ b/fleet/include/goldcrest/fleet/controller.h
@@ -164,6 +164,7 @@
     Time last_reserve_grant;               // the takeover if there was none
     bool reserve_change_proposed = false;  // not committed yet
     bool addition_refused = false;         // of a member, the last time
+    Time next_bounds_check;                // of standing shares
     Time next_takeover_log;                // kNever once the owner is ready
   };
 
@@ -179,6 +180,8 @@
   void ProposeReserveUse(Time now, bool used);
   void OnReserveUse(Time now, const messages::ReserveUse& reserve);
   void ProposeReserveReset(Time now);
+  void ProposeShareBounds(Time now);
+  void OnShareBounds(Time now, const messages::ShareBounds& bounds);
   void LoadEndpoints(Time now);
   void ReleaseSilentHolders(Time now);
   void ReleaseHolder(Time now, const std::string& instance);
--- a/fleet/include/goldcrest/fleet/fleet_state.h
+++ b/fleet/include/goldcrest/fleet/fleet_state.h
@@ -35,6 +35,11 @@
   //! True if a leader has granted the reserves of limits, and they may not be
   //! granted again yet.
   bool reserve_used() const { return state_.reserve_used; }
+  //! Bounds of the standing shares, by customer; see quota::Owner. Customers
+  //! without one have a bound of 100.
+  const std::map<std::string, std::int32_t>& share_bounds() const {
+    return state_.share_bounds;
+  }
 
  private:
   messages::FleetSnapshot state_;
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -86,6 +86,7 @@
     PlanMembership(now);
     ReleaseSilentHolders(now);
     ProposeReserveReset(now);
+    ProposeShareBounds(now);
   }
   FailLostPuts();
   if (now >= next_notice_) {
@@ -196,6 +197,8 @@
     MergeEndpoint(now, command->endpoint);
   if (command->__isset.reserve)
     OnReserveUse(now, command->reserve);
+  if (command->__isset.bounds)
+    OnShareBounds(now, command->bounds);
   if (command->__isset.holder && leadership_ != nullptr) {
     leadership_->pending_registrations.erase(command->holder.instance);
     const auto it = state_.holders().find(command->holder.instance);
--- a/fleet/src/controller_leadership.cc
+++ b/fleet/src/controller_leadership.cc
@@ -15,6 +15,9 @@
 // shares expire, is no longer registered as a holder of shares.
 constexpr Duration kHolderExpiry = 2 * quota::kShareExpiry;
 
+// The bounds of standing shares change in the log at most this often.
+constexpr Duration kBoundsInterval = std::chrono::milliseconds(200);
+
 constexpr Duration kTakeoverLogInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -49,6 +52,8 @@
   }
   leadership_->owner =
       std::make_unique<quota::Owner>(leadership_->term, now, registered);
+  for (const auto& [customer, percent] : state_.share_bounds())
+    leadership_->owner->OnBoundRecorded(now, customer, percent);
   FailoverHooks failover;
   failover.probe = hooks_.probe;
   failover.fence = hooks_.fence;
@@ -117,6 +122,30 @@
     ProposeReserveUse(now, false);
 }
 
+// The next leader finds the bounds in the log: what entries that it can't reach
+// may hold is within them.
+void Controller::ProposeShareBounds(Time now) {
+  if (now < leadership_->next_bounds_check)
+    return;
+  leadership_->next_bounds_check = now + kBoundsInterval;
+  const std::map<std::string, int> bounds =
+      leadership_->owner->BoundsToRecord(now);
+  if (bounds.empty())
+    return;
+  messages::ShareBounds change;
+  change.percents.insert(bounds.begin(), bounds.end());
+  messages::FleetCommand command;
+  command.__set_bounds(change);
+  Propose(now, command);
+}
+
+void Controller::OnShareBounds(Time now, const messages::ShareBounds& bounds) {
+  if (leadership_ == nullptr)
+    return;
+  for (const auto& [customer, percent] : bounds.percents)
+    leadership_->owner->OnBoundRecorded(now, customer, percent);
+}
+
 void Controller::SetLimits(Time now) {
   if (state_.text().empty() || leadership_->version == state_.version())
     return;
@@ -143,7 +172,10 @@
   const quota::Owner& owner = *leadership_->owner;
   const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
       now - leadership_->won_at);
-  const std::string age = std::to_string(taken.count()) + " ms after takeover";
+  const std::string age =
+      std::to_string(taken.count()) + " ms after takeover, withholds " +
+      std::to_string(owner.WithheldPercent()) + "% of the rates, gave " +
+      std::to_string(owner.TokensGiven()) + " tokens";
   if (leadership_->owner->Ready(now)) {
     leadership_->next_takeover_log = kNever;
     hooks_.log_decision("shares_known", std::to_string(leadership_->term), age);
--- a/fleet/src/fleet_state.cc
+++ b/fleet/src/fleet_state.cc
@@ -33,6 +33,14 @@
   }
   if (command.__isset.reserve)
     state_.reserve_used = command.reserve.used;
+  if (command.__isset.bounds) {
+    for (const auto& [customer, percent] : command.bounds.percents) {
+      if (percent < 100)
+        state_.share_bounds[customer] = percent;
+      else
+        state_.share_bounds.erase(customer);
+    }
+  }
   if (!command.__isset.holder)
     return;
   messages::HolderState& holder = state_.holders[command.holder.instance];
--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -334,6 +334,24 @@
   CHECK(cluster.decisions["reserve_given_out"] == 2);
 }
 
+// Guards against a new leader that has to assume that entries which it can't
+// reach hold all of each limit.
+TEST_CASE("All controllers know what entries may hold of a limit", "[fleet]") {
+  Cluster cluster(3);
+  cluster.Run(seconds(1));
+  REQUIRE(cluster.Put(cluster.Leader(), 5).kind == Kind::kDone);
+  cluster.Run(seconds(6));
+  for (const auto& [name, node] : cluster.nodes)
+    CHECK(node->state().share_bounds().at("customer") == 0);
+  messages::FleetCommand command;
+  messages::ShareBounds bounds;
+  bounds.percents["customer"] = 100;
+  command.__set_bounds(bounds);
+  FleetState state;
+  state.Apply(command);
+  CHECK(state.share_bounds().empty());
+}
+
 // Guards against entries that learn of a new leader only by their next report,
 // up to two seconds later, and can't admit requests until then.
 TEST_CASE("A new leader asks all entries for a report", "[fleet]") {
