Metrics of tokens taken at once, tokens waited for and waits that ended

Cause: no metric told whether operations wait for tokens of the rate.

Change: goldcrest_rate_tokens_total{taken} and goldcrest_rate_waits_ended_total, counted by the holder of the shares and published with the other metrics.

Measured: goldcrestd builds; no test reads the new metrics.

--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -333,6 +333,7 @@
     response.status = IsReady() ? 200 : 503;
   } else if (call && call->kind == platform::HttpRequestKind::kMetrics) {
     response.content_type = adapters::Counters::kContentType;
+    PublishRateCounts();
     response.body = counters_.Render();
   } else {
     response.status = 404;
@@ -340,6 +341,20 @@
   return response;
 }
 
+void EntryService::PublishRateCounts() {
+  const quota::Holder::Counts& counts = proxy_.holder().counts();
+  const auto publish = [this](std::string_view name, const Labels& labels,
+                              std::int64_t value) {
+    adapters::Counter& counter = counters_.GetCounter(name, labels);
+    counter.Add(static_cast<std::uint64_t>(value) - counter.Value());
+  };
+  publish("goldcrest_rate_tokens_total", {{"taken", "at_once"}},
+          counts.served_at_once);
+  publish("goldcrest_rate_tokens_total", {{"taken", "after_wait"}},
+          counts.served_after_wait);
+  publish("goldcrest_rate_waits_ended_total", {}, counts.gave_up);
+}
+
 void EntryService::BeginDrain(std::function<void()> done) {
   if (drain_started_at_ != kNever)
     return;
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -61,6 +61,7 @@
   void Tick();
   void ContinueDrain(Time now);
   bool IsReady() const;
+  void PublishRateCounts();
   adapters::HttpResponse HandleHttp(const adapters::HttpRequest& request);
 
   boost::asio::io_context& context_;
