--- a/fleet/include/goldcrest/fleet/fleet_state.h
+++ b/fleet/include/goldcrest/fleet/fleet_state.h
@@ -42,6 +42,11 @@
   //! Index in the log of the last change of the evacuated zones; 0 if there was
   //! none.
   std::int64_t evacuations_index() const { return state_.evacuations_index; }
+  //! Bounds of the standing shares, by customer; see quota::Owner. Customers
+  //! without one have a bound of 100.
+  const std::map<std::string, std::int32_t>& share_bounds() const {
+    return state_.share_bounds;
+  }
 
  private:
   void ApplyEvacuation(const messages::ZoneEvacuation& evacuation,
--- a/fleet/src/controller.cc
+++ b/fleet/src/controller.cc
@@ -87,6 +87,7 @@
     PlanMembership(now);
     ReleaseSilentHolders(now);
     ProposeReserveReset(now);
+    ProposeShareBounds(now);
   }
   FailLostPuts();
   FailLostEvacuations();
@@ -199,6 +200,8 @@
     MergeEndpoint(now, command->endpoint);
   if (command->__isset.reserve)
     OnReserveUse(now, command->reserve);
+  if (command->__isset.bounds)
+    OnShareBounds(now, command->bounds);
   if (command->__isset.holder && leadership_ != nullptr) {
     leadership_->pending_registrations.erase(command->holder.instance);
     const auto it = state_.holders().find(command->holder.instance);
