--- a/quota/src/owner.cc
+++ b/quota/src/owner.cc
@@ -154,8 +154,8 @@
   Totals held{share.confirmed.rate_micros, 0,
               std::max(share.confirmed.capacity_micros, share.level_bound),
               share.confirmed.capacity_micros, share.demand_micros};
+  held.refilled_micros = share.refilled ? held.rate_micros : 0;
   if (!share.sent) {
-    held.refilled_micros = share.refilled ? held.rate_micros : 0;
     return held;
   }
   // An unconfirmed update may or may not have been applied: its tokens count in
--- a/quota/tests/failover_test.cc
+++ b/quota/tests/failover_test.cc
@@ -339,7 +339,7 @@
           if (*rc::gen::inRange(0, 3) == 0)
             fleet.ChangeLimit(
                 *rc::gen::inRange<std::int64_t>(1, options.rate + 1));
-          fleet.Run(milliseconds(*rc::gen::inRange(1, 12000)));
+          fleet.Run(milliseconds(*rc::gen::inRange(1, 25000)));
           if (*rc::gen::inRange(0, 2) == 0)
             fleet.CutOff(0);
         }
