--- a/fleet/tests/controller_test.cc
+++ b/fleet/tests/controller_test.cc
@@ -348,7 +348,7 @@
   bounds.percents["customer"] = 100;
   command.__set_bounds(bounds);
   FleetState state;
-  state.Apply(command);
+  state.Apply(command, 1);
   CHECK(state.share_bounds().empty());
 }
 
