Keep the order of messages between entries, without gaps

Cause: two links to one entry, or a full queue, could reorder or drop a part of an answer that is passed on in parts; a relay left statements of a transaction that it does not know without an answer. Change: links between entries use the oldest link and close together; a relay answers that the transaction was rolled back. The memory of peers is divided between the two kinds of links of an entry. Result: tests of statements and adapters, run with the whole suite.

--- a/adapters/include/goldcrest/adapters/peer_transport.h
+++ b/adapters/include/goldcrest/adapters/peer_transport.h
@@ -29,8 +29,10 @@
   //! Bounds of each link's send queue; the oldest messages are dropped.
   std::size_t max_queued_messages = 4'096;
   std::size_t max_queued_bytes = 32 << 20;
-  //! A link whose send queue is full is closed instead.
-  bool close_when_full = false;
+  //! Messages to a peer arrive in order and without gaps while it is linked:
+  //! they use the oldest link, and when a link closes or its send queue is
+  //! full, all links to the peer are closed.
+  bool ordered = false;
   //! Maximum of incoming connections that have not yet sent a valid Hello.
   std::size_t max_unidentified_connections = 256;
   //! Maximum of incoming connections, with those.
--- a/adapters/src/peer_link.cc
+++ b/adapters/src/peer_link.cc
@@ -92,7 +92,7 @@
   if (!accepts_sends_)
     return false;
   const PeerTransportOptions& options = shared_->options;
-  if (options.close_when_full &&
+  if (options.ordered &&
       queued_bytes_ + frame.size() > options.max_queued_bytes) {
     accepts_sends_ = false;
     Close("send queue is full");
--- a/adapters/src/peer_transport.cc
+++ b/adapters/src/peer_transport.cc
@@ -211,6 +211,10 @@
       const bool was_up = std::erase(found->second, link) > 0;
       if (was_up && !link->IsOutgoing())
         --incoming_up_;
+      if (shared_->options.ordered) {
+        for (const Link& other : found->second)
+          other->Close("another link to the peer has closed");
+      }
       if (was_up && found->second.empty()) {
         up_links_.erase(found);
         PostHook(name, false);
@@ -246,6 +250,8 @@
                            {{"peer", to}, {"bytes", frame.size()}});
     return false;
   }
+  if (shared_->options.ordered)
+    return links.front()->Send(std::move(frame));
   // The newest link is the least likely to be broken without detection.
   return std::any_of(links.rbegin(), links.rend(),
                      [&frame](const Link& link) { return link->Send(frame); });
--- a/adapters/tests/peer_transport_test.cc
+++ b/adapters/tests/peer_transport_test.cc
@@ -257,6 +257,20 @@
   CHECK(peer.ReadUntil("newest").find("newest") != std::string::npos);
 }
 
+// Guards against a gap in the rows of an answer that is sent in parts.
+TEST_CASE("An ordered link closes rather than drop a message", "[adapters]") {
+  PeerTransportOptions options;
+  options.max_queued_bytes = 100;
+  options.ordered = true;
+  Node a("a", options);
+  Node b("b");
+  a.SetPeer("b", b.Transport().Port());
+  REQUIRE(WaitFor([&] { return a.Received("b up"); }));
+  CHECK_FALSE(a.Send("b", std::string(200, 'x')));
+  CHECK(WaitFor([&] { return a.Received("b down"); }));
+  CHECK(a.Transport().DroppedMessages() == 0);
+}
+
 TEST_CASE("A message larger than a frame is refused", "[adapters]") {
   Node a("a", {.max_frame_bytes = 1'000});
   const RawSocket peer = RawSocket::Connect(a.Transport().Port());
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -95,6 +95,8 @@
                    MakeControllerHooks()) {
   adapters::PeerTransportOptions peers =
       PeerOptions(settings_, kEntryPortOffset);
+  // The links to other entries have the other half.
+  peers.max_held_bytes /= 2;
   peers_ = std::make_unique<adapters::PeerTransport>(
       context_, peers, log_.logger(),
       [this](const std::string& from, const messages::PeerMessage& message) {
--- a/programs/goldcrestd/platform_peers.cc
+++ b/programs/goldcrestd/platform_peers.cc
@@ -108,9 +108,12 @@
   options.ping_interval = kRelayPingInterval;
   options.silence_timeout = kRelaySilenceTimeout;
   options.max_backoff = kMaxRelayReconnectBackoff;
-  options.max_queued_bytes = kMaxRelayQueueBytes;
+  options.max_queued_bytes =
+      std::min(kMaxRelayQueueBytes, options.max_queued_bytes);
+  // An entry's links to controllers have the other half.
+  options.max_held_bytes /= 2;
   options.max_queued_messages = SIZE_MAX;
-  options.close_when_full = true;
+  options.ordered = true;
   return options;
 }
 
--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -374,7 +374,16 @@
     }
     id = OpenRemoteSession(now, from, request);
   } else {
-    return;  // The operation has ended here, for example by its idle timeout.
+    // The transaction has ended here, for example by its idle timeout.
+    const bool commit =
+        request.statement.kind == static_cast<int>(StatementKind::kCommit);
+    answer.outcome = static_cast<std::int32_t>(Outcome::kAborted);
+    answer.message = "the transaction was rolled back";
+    answer.state = static_cast<std::int32_t>(
+        commit ? TransactionState::kIdle : TransactionState::kFailed);
+    answer.ended = commit;
+    answer.configuration_version = Version();
+    return hooks_.answer_relayed(from, answer);
   }
   Statement statement;
   statement.kind = static_cast<StatementKind>(request.statement.kind);
--- a/statements/tests/proxy_relay_test.cc
+++ b/statements/tests/proxy_relay_test.cc
@@ -206,6 +206,13 @@
     CHECK(fixture.SentCommands(id).back().kind ==
           EndpointCommand::Kind::kRollback);
   }
+  SECTION("It aborts a transaction that it does not know") {
+    fixture.ReceiveStatement(StatementKind::kCommit, "COMMIT", false);
+    REQUIRE(fixture.relay_answers.size() == 1);
+    CHECK(fixture.relay_answers.back().second.outcome ==
+          static_cast<std::int32_t>(Outcome::kAborted));
+    CHECK(fixture.relay_answers.back().second.ended);
+  }
   SECTION("A statement of an unknown kind has no effect") {
     messages::RelayRequest request;
     request.operation = 8;
