Count the operations that wait already when a token is forecast

Cause: with standing shares an entry forecasts its own next token, and every operation of a customer above its limit waited for that one token. Change: the forecast is for a request behind those that wait.

--- a/quota/include/goldcrest/quota/holder.h
+++ b/quota/include/goldcrest/quota/holder.h
@@ -46,6 +46,9 @@
   //! has one already, kNever if its rate or capacity is too small for one.
   Time NextTokenAt(Time now, const std::string& customer);
 
+  //! The same for a request that would wait behind those that wait now.
+  Time NextFreeTokenAt(Time now, const std::string& customer);
+
   //! True when a report should be sent now.
   bool ReportDue(Time now) const;
 
@@ -107,6 +110,7 @@
     double reported_demand = 0;
   };
 
+  Time TokenAt(Time now, Share& share, std::int64_t wanted_micros);
   void Advance(Share& share, Time now) const;
   void OnContact(Time now, std::int64_t contact_micros);
   static void DecayDemand(Share& share, Time now);
--- a/quota/src/holder.cc
+++ b/quota/src/holder.cc
@@ -75,16 +75,25 @@
 }
 
 Time Holder::NextTokenAt(Time now, const std::string& customer) {
+  return TokenAt(now, shares_[customer], kRequestMicros);
+}
+
+Time Holder::NextFreeTokenAt(Time now, const std::string& customer) {
   Share& share = shares_[customer];
+  return TokenAt(now, share, (share.waiting + 1) * kRequestMicros);
+}
+
+// When the share's own rate has yielded `wanted_micros`.
+Time Holder::TokenAt(Time now, Share& share, std::int64_t wanted_micros) {
   Advance(share, now);
-  if (!share.limit || share.level_micros >= kRequestMicros) {
+  if (!share.limit || share.level_micros >= wanted_micros) {
     return now;
   }
   if (share.rate_micros <= 0 || share.capacity_micros < kRequestMicros) {
     return kNever;
   }
   const std::int64_t missing =
-      (kRequestMicros - share.level_micros) * kRequestMicros - share.remainder;
+      (wanted_micros - share.level_micros) * kRequestMicros - share.remainder;
   return now + Duration((missing + share.rate_micros - 1) / share.rate_micros);
 }
 
--- a/statements/src/proxy_queue.cc
+++ b/statements/src/proxy_queue.cc
@@ -211,7 +211,7 @@
 }
 
 bool StatementProxy::RejectWithoutToken(Time now, Session& session) {
-  const Time token_at = holder_.NextTokenAt(now, session.customer);
+  const Time token_at = holder_.NextFreeTokenAt(now, session.customer);
   if (token_forecast_.MayWait(now, session.customer, token_at,
                               session.pending->give_up_at))
     return false;
