--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -153,12 +153,18 @@
   };
   hooks.send_to_relay = [this](const std::string& relay,
                                const messages::RelayRequest& request) {
+    if (request.__isset.session)
+      CountRelayed("handed_over");
     messages::PeerMessage message;
     message.__set_relay_request(request);
     relay_links_->Send(relay, message);
   };
   hooks.answer_relayed = [this](const std::string& entry,
                                 const messages::RelayAnswer& answer) {
+    if (answer.declined)
+      CountRelayed("declined");
+    else if (answer.ended)
+      CountRelayed("run");
     messages::PeerMessage message;
     message.__set_relay_answer(answer);
     relay_links_->Send(entry, message);
@@ -284,6 +290,11 @@
       });
 }
 
+void EntryService::CountRelayed(const char* event) {
+  counters_.GetCounter("goldcrest_relayed_operations_total", {{"event", event}})
+      .Add();
+}
+
 void EntryService::ConnectWantedRelays() {
   if (proxy_.WantedRelays() == connected_relays_)
     return;
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -53,6 +53,7 @@
   statements::ProxyHooks MakeHooks();
   statements::ControllerClientHooks MakeControllerHooks();
   std::unique_ptr<adapters::PeerTransport> MakeRelayLinks();
+  void CountRelayed(const char* event);
   void ConnectWantedRelays();
   CallerConnections::Hooks MakeCallerHooks();
   void OnCallerLine(statements::SessionId id, std::string_view line);
--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -278,6 +278,15 @@
     if (sessions_.at(id).relay == relay)
       affected.push_back(id);
   }
+  if (!affected.empty())
+    hooks_.log_decision(
+        {"relay_lost",
+         "",
+         "",
+         relay,
+         cause + ", " + std::to_string(affected.size()) + " operations",
+         {},
+         Version()});
   for (const SessionId id : affected) {
     Session& session = sessions_.at(id);
     LeaveRelay(session, RelayEnd::kAbandon);
