--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -233,7 +233,7 @@
     case StatementKind::kRollback:
       return HandleRollback(now, session);
     case StatementKind::kSet:
-      return HandleSet(now, session, std::move(statement));
+      return HandleSet(now, session, statement);
     case StatementKind::kPrepare:
     case StatementKind::kDeallocate:
       return HandlePrepare(now, session, statement);
--- a/statements/src/relay_directory.cc
+++ b/statements/src/relay_directory.cc
@@ -72,10 +72,12 @@
   for (const auto& [name, relay] : relays_) {
     if (!relay.available || relay.zone != zone)
       continue;
-    std::pair candidate(std::hash<std::string>{}(customer + '\n' + name), name);
+    std::string key = customer;
+    key.append("\n").append(name);
+    const std::pair candidate(std::hash<std::string>{}(key), name);
     preferred = std::max(preferred, candidate);
     if (name == self_ || IsUsable(now, relay))
-      usable = std::max(usable, std::move(candidate));
+      usable = std::max(usable, candidate);
   }
   if (!preferred.second.empty() && preferred.second != self_ &&
       !relays_.at(preferred.second).linked)
