Mend the last lint findings in the relay code

Cause: the linter does not accept optional::emplace() of a nested struct. Change: the struct is assigned.

--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -300,7 +300,9 @@
     } else {
       if (session.pending)
         session.pending->give_up_at = now;  // Prevents a retry.
-      OnConnectionLost(now, session, cause + " " + relay);
+      std::string lost = cause;
+      lost.append(" ").append(relay);
+      OnConnectionLost(now, session, lost);
     }
     ContinueSession(now, id);
   }
@@ -412,9 +414,10 @@
   remote_sessions_[{from, request.operation}] = id;
   Session& session = sessions_[id];
   session.id = id;
-  session.remote.emplace();
-  session.remote->entry = from;
-  session.remote->operation = request.operation;
+  RemoteOperation remote;
+  remote.entry = from;
+  remote.operation = request.operation;
+  session.remote = std::move(remote);
   session.database = request.session.database;
   session.key = request.session.key;
   Statement kept;
