Run the load tests of processes apart from the guarantee tests

Cause: with sanitizers both together come near CTest's limit of 300 s. Change: the load tests have the tag [load] instead of [guarantee], and run in the test process_tests, which has a limit of its own. No check has changed.

--- a/process_tests/tests/caller_load_test.cc
+++ b/process_tests/tests/caller_load_test.cc
@@ -54,7 +54,7 @@
 // Guards against statements that are queued without a bound: 8 clients drove an
 // entry to 160 MB within 2.4 s.
 TEST_CASE("Statements pipelined without reading stay within the memory",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   SECTION("8 clients, 1 MiB each, behind one that is not answered") {
     const Crowd crowd(instance.caller_port(), 8);
@@ -77,7 +77,7 @@
 // Guards against a read buffer for each connection that begins a message and
 // stops, and against reading on behind the longest line.
 TEST_CASE("Messages that do not end stay within the memory",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   SECTION("Just below the limit, from 120 clients") {
     const Crowd crowd(instance.caller_port(), 120);
@@ -94,7 +94,7 @@
 
 // Guards against session values and prepared statement names without a bound.
 TEST_CASE("Values and prepared names of sessions stay within the memory",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   const Crowd crowd(instance.caller_port(), 8);
   crowd.Send(PlatformInstance::kSessionStart);
@@ -107,7 +107,7 @@
 
 // Guards against answers that are kept for callers that do not read.
 TEST_CASE("Answers that are not read stay within the memory",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   const Crowd crowd(instance.caller_port(), 50);
   crowd.Send(PlatformInstance::kSessionStart);
@@ -118,7 +118,7 @@
 // Guards against an answer of more than 4 MiB that closes the connection, and
 // against one that is kept whole.
 TEST_CASE("An answer of 64 MB passes alongside 50 small ones",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   constexpr int rows = 1'024;
   std::size_t received = 0;
@@ -143,7 +143,7 @@
 // Guards against a process that runs out of descriptors and then tries to
 // accept without a pause.
 TEST_CASE("More connections than descriptors leave an entry serving",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   constexpr std::size_t descriptors = 100;
   PlatformInstance instance(
       fmt::format(R"("limits":{{"file-descriptors":{}}},)", descriptors));
@@ -160,7 +160,7 @@
 
 // Guards against connections without a session that keep others out for good.
 TEST_CASE("Connections without a session do not keep callers out",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(R"("limits":{"file-descriptors":100},)");
   instance.LimitDescriptors(Role::kEntry, 100);
   const Crowd crowd(instance.caller_port(), 110);
--- a/process_tests/tests/listener_load_test.cc
+++ b/process_tests/tests/listener_load_test.cc
@@ -67,7 +67,7 @@
 
 // Guards against request bodies that are kept for all clients at once.
 TEST_CASE("Half-sent requests stay within a controller's memory",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   const auto half_sent = [](std::size_t size, std::size_t sent) {
     return fmt::format(
@@ -89,7 +89,7 @@
 
 // Guards against bodies and responses of the readiness listener without bound.
 TEST_CASE("Clients of the readiness listener stay within an entry's memory",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   const Crowd crowd(instance.readiness_port(), 200);
   SECTION("Half-sent bodies") {
@@ -110,7 +110,7 @@
 // Guards against frames of peers that are kept in part without a bound, for
 // both processes.
 TEST_CASE("Half-sent frames of peers stay within the memory",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(kLimits);
   const Role role = GENERATE(Role::kEntry, Role::kController);
   std::vector<std::unique_ptr<Crowd>> peers;
@@ -128,7 +128,7 @@
 
 // Guards against peers that are introduced and hold descriptors for good.
 TEST_CASE("Many introduced peers leave descriptors for others",
-          "[process_tests][guarantee]") {
+          "[process_tests][load]") {
   PlatformInstance instance(R"("limits":{"file-descriptors":200},)");
   const Role role = GENERATE(Role::kEntry, Role::kController);
   instance.LimitDescriptors(role, 200);
