Identify relayed operations by the entry's process

Callers saw no answer, and their statements ran inside the open transaction of another caller, with that one's customer and group, when entries that hand operations to each other lost power in quick succession.

Cause: a relay knew an operation by the name of the entry and a number that begins at 1 in each process. The relay still had the transactions of the earlier process, whose link stays open until something is sent on it, and took the first statements of the next process for their continuation. Answers to the earlier process could reach callers of the next one in the same way.

Change: requests and answers name the entry's process, the one of its rate shares, and the statement's number within the operation. A relay rolls back what an earlier process left open, runs an operation only if it is newer than all others of its process, and each statement once. An entry takes an answer only to the statement that is outstanding, of this process.

The test endpoint's signatures name their statements now, and a COMMIT is recognised by its text, since a relay's fixture has not sent it itself.

--- a/messages/gen/goldcrest_types.cpp
+++ b/messages/gen/goldcrest_types.cpp
@@ -11049,6 +11049,14 @@
 void RelayRequest::__set_abandoned(const bool val) {
   this->abandoned = val;
 }
+
+void RelayRequest::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void RelayRequest::__set_number(const int32_t val) {
+  this->number = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj)
 {
   obj.printTo(out);
@@ -11109,6 +11117,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11144,6 +11168,14 @@
   xfer += oprot->writeBool(this->abandoned);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->number);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11155,6 +11187,8 @@
   swap(a.session, b.session);
   swap(a.statement, b.statement);
   swap(a.abandoned, b.abandoned);
+  swap(a.process, b.process);
+  swap(a.number, b.number);
   swap(a.__isset, b.__isset);
 }
 
@@ -11163,6 +11197,8 @@
   session = other391.session;
   statement = other391.statement;
   abandoned = other391.abandoned;
+  process = other391.process;
+  number = other391.number;
   __isset = other391.__isset;
 }
 RelayRequest::RelayRequest(RelayRequest&& other392) noexcept {
@@ -11170,6 +11206,8 @@
   session = std::move(other392.session);
   statement = std::move(other392.statement);
   abandoned = other392.abandoned;
+  process = other392.process;
+  number = other392.number;
   __isset = other392.__isset;
 }
 RelayRequest& RelayRequest::operator=(const RelayRequest& other393) {
@@ -11177,6 +11215,8 @@
   session = other393.session;
   statement = other393.statement;
   abandoned = other393.abandoned;
+  process = other393.process;
+  number = other393.number;
   __isset = other393.__isset;
   return *this;
 }
@@ -11185,6 +11225,8 @@
   session = std::move(other394.session);
   statement = std::move(other394.statement);
   abandoned = other394.abandoned;
+  process = other394.process;
+  number = other394.number;
   __isset = other394.__isset;
   return *this;
 }
@@ -11195,6 +11237,8 @@
   out << ", " << "session="; (__isset.session ? (out << to_string(session)) : (out << "<null>"));
   out << ", " << "statement="; (__isset.statement ? (out << to_string(statement)) : (out << "<null>"));
   out << ", " << "abandoned=" << to_string(abandoned);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "number=" << to_string(number);
   out << ")";
 }
 
@@ -11267,6 +11311,14 @@
 void RelayAnswer::__set_more_rows(const bool val) {
   this->more_rows = val;
 }
+
+void RelayAnswer::__set_process(const int64_t val) {
+  this->process = val;
+}
+
+void RelayAnswer::__set_number(const int32_t val) {
+  this->number = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayAnswer& obj)
 {
   obj.printTo(out);
@@ -11435,6 +11487,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -11525,6 +11593,14 @@
   xfer += oprot->writeBool(this->more_rows);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I64, 17);
+  xfer += oprot->writeI64(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 18);
+  xfer += oprot->writeI32(this->number);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -11548,6 +11624,8 @@
   swap(a.configuration_version, b.configuration_version);
   swap(a.declined, b.declined);
   swap(a.more_rows, b.more_rows);
+  swap(a.process, b.process);
+  swap(a.number, b.number);
   swap(a.__isset, b.__isset);
 }
 
@@ -11568,6 +11646,8 @@
   configuration_version = other401.configuration_version;
   declined = other401.declined;
   more_rows = other401.more_rows;
+  process = other401.process;
+  number = other401.number;
   __isset = other401.__isset;
 }
 RelayAnswer::RelayAnswer(RelayAnswer&& other402) noexcept {
@@ -11587,6 +11667,8 @@
   configuration_version = other402.configuration_version;
   declined = other402.declined;
   more_rows = other402.more_rows;
+  process = other402.process;
+  number = other402.number;
   __isset = other402.__isset;
 }
 RelayAnswer& RelayAnswer::operator=(const RelayAnswer& other403) {
@@ -11606,6 +11688,8 @@
   configuration_version = other403.configuration_version;
   declined = other403.declined;
   more_rows = other403.more_rows;
+  process = other403.process;
+  number = other403.number;
   __isset = other403.__isset;
   return *this;
 }
@@ -11626,6 +11710,8 @@
   configuration_version = other404.configuration_version;
   declined = other404.declined;
   more_rows = other404.more_rows;
+  process = other404.process;
+  number = other404.number;
   __isset = other404.__isset;
   return *this;
 }
@@ -11648,6 +11734,8 @@
   out << ", " << "configuration_version=" << to_string(configuration_version);
   out << ", " << "declined=" << to_string(declined);
   out << ", " << "more_rows=" << to_string(more_rows);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "number=" << to_string(number);
   out << ")";
 }
 
--- a/messages/gen/goldcrest_types.h
+++ b/messages/gen/goldcrest_types.h
@@ -4056,11 +4056,13 @@
 std::ostream& operator<<(std::ostream& out, const RelayedStatement& obj);
 
 typedef struct _RelayRequest__isset {
-  _RelayRequest__isset() : operation(false), session(false), statement(false), abandoned(false) {}
+  _RelayRequest__isset() : operation(false), session(false), statement(false), abandoned(false), process(false), number(false) {}
   bool operation :1;
   bool session :1;
   bool statement :1;
   bool abandoned :1;
+  bool process :1;
+  bool number :1;
 } _RelayRequest__isset;
 
 class RelayRequest : public virtual ::apache::thrift::TBase {
@@ -4072,7 +4074,9 @@
   RelayRequest& operator=(RelayRequest&&) noexcept;
   RelayRequest() noexcept
                : operation(0),
-                 abandoned(0) {
+                 abandoned(0),
+                 process(0),
+                 number(0) {
   }
 
   virtual ~RelayRequest() noexcept;
@@ -4080,6 +4084,8 @@
   RelayedSession session;
   RelayedStatement statement;
   bool abandoned;
+  int64_t process;
+  int32_t number;
 
   _RelayRequest__isset __isset;
 
@@ -4091,6 +4097,10 @@
 
   void __set_abandoned(const bool val);
 
+  void __set_process(const int64_t val);
+
+  void __set_number(const int32_t val);
+
   bool operator == (const RelayRequest & rhs) const
   {
     if (!(operation == rhs.operation))
@@ -4105,6 +4115,10 @@
       return false;
     if (!(abandoned == rhs.abandoned))
       return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const RelayRequest &rhs) const {
@@ -4124,7 +4138,7 @@
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj);
 
 typedef struct _RelayAnswer__isset {
-  _RelayAnswer__isset() : operation(false), outcome(false), rows(false), signature(false), code(false), message(false), state(false), position_term(false), position_number(false), ended(false), last_commit_term(false), last_commit_number(false), unplaced_commit(false), configuration_version(false), declined(false), more_rows(false) {}
+  _RelayAnswer__isset() : operation(false), outcome(false), rows(false), signature(false), code(false), message(false), state(false), position_term(false), position_number(false), ended(false), last_commit_term(false), last_commit_number(false), unplaced_commit(false), configuration_version(false), declined(false), more_rows(false), process(false), number(false) {}
   bool operation :1;
   bool outcome :1;
   bool rows :1;
@@ -4141,6 +4155,8 @@
   bool configuration_version :1;
   bool declined :1;
   bool more_rows :1;
+  bool process :1;
+  bool number :1;
 } _RelayAnswer__isset;
 
 class RelayAnswer : public virtual ::apache::thrift::TBase {
@@ -4165,7 +4181,9 @@
                 unplaced_commit(0),
                 configuration_version(0),
                 declined(0),
-                more_rows(0) {
+                more_rows(0),
+                process(0),
+                number(0) {
   }
 
   virtual ~RelayAnswer() noexcept;
@@ -4185,6 +4203,8 @@
   int64_t configuration_version;
   bool declined;
   bool more_rows;
+  int64_t process;
+  int32_t number;
 
   _RelayAnswer__isset __isset;
 
@@ -4220,6 +4240,10 @@
 
   void __set_more_rows(const bool val);
 
+  void __set_process(const int64_t val);
+
+  void __set_number(const int32_t val);
+
   bool operator == (const RelayAnswer & rhs) const
   {
     if (!(operation == rhs.operation))
@@ -4256,6 +4280,10 @@
       return false;
     if (!(more_rows == rhs.more_rows))
       return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(number == rhs.number))
+      return false;
     return true;
   }
   bool operator != (const RelayAnswer &rhs) const {
--- a/messages/goldcrest.thrift
+++ b/messages/goldcrest.thrift
@@ -513,12 +513,16 @@
   6: bool writes,
 }
 
-// Entry to entry: a statement of an operation, or its end.
+// Entry to entry: a statement of an operation, or its end. An operation is
+// identified by the sender's name, process and number, a statement by its number
+// within the operation.
 struct RelayRequest {
-  1: i64 operation,                      // number given by the sender
+  1: i64 operation,                      // grows within a process; 0: a probe
   2: optional RelayedSession session,    // with the first statement
   3: optional RelayedStatement statement,
   4: bool abandoned,                     // the caller has left
+  5: i64 process,                        // of the sender; see ProxyReport
+  6: i32 number,                         // of the statement, from 1
 }
 
 struct RelayAnswer {
@@ -537,7 +541,10 @@
   13: bool unplaced_commit,              // committed without a known position
   14: i64 configuration_version,         // that the operation has run on
   15: bool declined,                     // nothing was done; run it elsewhere
-  16: bool more_rows,                    // the answer goes on; only `rows` is set
+  16: bool more_rows,                    // the answer goes on; only the rows and
+                                         // what identifies the request are set
+  17: i64 process,                       // as in the request
+  18: i32 number,                        // as in the request
 }
 
 // Controller to controller.
--- a/programs/goldcrestd/entry_service.cc
+++ b/programs/goldcrestd/entry_service.cc
@@ -43,13 +43,15 @@
 constexpr Duration kReadinessWithdrawalDelay = milliseconds(2'300);
 
 statements::ProxyOptions MakeProxyOptions(
-    const platform::BootSettings& settings) {
+    const platform::BootSettings& settings,
+    std::int64_t process) {
   statements::ProxyOptions options;
   options.zone = settings.zone;
   options.relay = PeerName(settings, kRelayPortOffset);
   // Controllers run on the instances with a disk. Such an instance is restarted
   // and cut off together with its controller.
   options.offers_relay = settings.data_folder.empty();
+  options.process = process;
   options.limit_window = LimitWindowOf(settings);
   options.max_configuration_age = settings.configuration_bound / 2;
   // New operations end with the lease of the rate shares as well.
@@ -81,13 +83,14 @@
       settings_(settings),
       log_(log),
       scheduler_(context),
-      proxy_(MakeProxyOptions(settings), MakeHooks()),
+      process_(RandomProcessId()),
+      proxy_(MakeProxyOptions(settings, process_), MakeHooks()),
       callers_(context,
                settings.caller_listen,
                settings.connection_limits,
                MakeCallerHooks()),
       controllers_(SystemClock::Now(),
-                   RandomProcessId(),
+                   process_,
                    ControllerNames(settings_),
                    proxy_,
                    MakeControllerHooks()) {
--- a/programs/goldcrestd/entry_service.h
+++ b/programs/goldcrestd/entry_service.h
@@ -79,6 +79,7 @@
   PlatformLog& log_;
   adapters::Counters counters_;
   adapters::Scheduler scheduler_;
+  const std::int64_t process_;  // random, differs after a restart
   statements::StatementProxy proxy_;
   CallerConnections callers_;
   // Connections that are not read from until the session's caller reads.
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -1,6 +1,7 @@
 #ifndef GOLDCREST_STATEMENTS_STATEMENT_PROXY_H_
 #define GOLDCREST_STATEMENTS_STATEMENT_PROXY_H_
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -86,6 +87,8 @@
   std::string zone;
   std::string relay;          //!< This entry's name towards other entries.
   bool offers_relay = false;  //!< Runs operations for other entries.
+  //! Identifies this process of the entry; differs after a restart.
+  std::int64_t process = 0;
   quota::LimitWindow limit_window;
   int entry_count = 11;  //!< Used until a controller reports the number.
   //! A caller is told that a database or key does not exist only if the
@@ -250,10 +253,20 @@
     bool writes = false;
     std::string shape;
   };
+  // Identifies an operation of another entry. Each process of an entry numbers
+  // its operations from 1 on.
+  struct RemoteOperationId {
+    auto operator<=>(const RemoteOperationId&) const = default;
+
+    std::string entry;
+    std::int64_t process = 0;
+    std::int64_t number = 0;
+  };
   // The operation of another entry that a session runs.
   struct RemoteOperation {
-    std::string entry;
-    std::int64_t operation = 0;
+    RemoteOperationId id;
+    std::int32_t received_statements = 0;
+    std::int32_t answered_statements = 0;
     // As the other entry has told it.
     std::optional<Time> unplaced_commit_at;
   };
@@ -282,6 +295,7 @@
     std::string relay;  // runs the operation; empty: this entry
     std::string relay_zone;
     std::int64_t relayed_operation = 0;
+    std::int32_t relayed_statements = 0;  // sent to the relay
     std::optional<PendingStatement> pending;
     // A list, since an empty one takes no memory.
     std::list<Statement> queued_statements;
@@ -419,10 +433,25 @@
                    const std::string& cause);
   void ProbeRelays(Time now);
   // Operations that this entry runs for others.
+  //! What is known of an entry that hands operations over.
+  struct RemoteEntry {
+    std::int64_t process = 0;  // the newest; 0: none yet
+    std::int64_t newest_operation = 0;
+    std::deque<std::int64_t> ended_processes;
+  };
+  bool AcceptProcess(Time now, const std::string& from, std::int64_t process);
+  void RollBackRemoteOperations(Time now, const std::string& entry);
   SessionId OpenRemoteSession(Time now,
-                              const std::string& from,
-                              const messages::RelayRequest& request);
-  void SendRelayAnswer(const Session& session, const Answer& answer);
+                              const RemoteOperationId& operation,
+                              const messages::RelayedSession& session);
+  void RunRemoteStatement(Time now,
+                          SessionId id,
+                          const messages::RelayRequest& request);
+  void AnswerUnknownOperation(const std::string& from,
+                              const messages::RelayRequest& request,
+                              Outcome commit_outcome);
+  static messages::RelayAnswer NextAnswer(const RemoteOperation& operation);
+  void SendRelayAnswer(Session& session, const Answer& answer);
   void SendRelayedRows(const Session& session,
                        const std::vector<std::string>& rows);
   // Operations at endpoints of evacuated availability zones.
@@ -571,8 +600,8 @@
   // The newest configuration that a relay has run an operation on.
   std::int64_t required_version_ = 0;
   SessionId next_remote_session_ = 0;
-  // By entry and number of the operation.
-  std::map<std::pair<std::string, std::int64_t>, SessionId> remote_sessions_;
+  std::map<RemoteOperationId, SessionId> remote_sessions_;
+  std::map<std::string, RemoteEntry> remote_entries_;
   routing::ZoneEvacuations evacuations_;
   bool operations_held_ = false;  // until the evacuated zones are known
   routing::ZoneBalance zones_;
--- a/statements/src/proxy_limits.cc
+++ b/statements/src/proxy_limits.cc
@@ -154,8 +154,9 @@
 
 std::string StatementProxy::RemoteEntryOf(SessionId id) const {
   const auto it = sessions_.find(id);
-  return it == sessions_.end() || !it->second.remote ? ""
-                                                     : it->second.remote->entry;
+  return it == sessions_.end() || !it->second.remote
+             ? ""
+             : it->second.remote->id.entry;
 }
 
 }  // namespace goldcrest::statements
--- a/statements/src/proxy_relay.cc
+++ b/statements/src/proxy_relay.cc
@@ -67,6 +67,7 @@
   session.relay = relay;
   session.relay_zone = zone;
   session.relayed_operation = next_relayed_operation_++;
+  session.relayed_statements = 0;
   relayed_operations_[session.relayed_operation] = session.id;
   relays_.OnOperationStarted(now, relay);
   SendRelayedStatement(now, session, statement, RelayMessage::kFirst);
@@ -115,7 +116,9 @@
                                           const Statement& statement,
                                           RelayMessage message) {
   messages::RelayRequest request;
+  request.process = options_.process;
   request.operation = session.relayed_operation;
+  request.number = ++session.relayed_statements;
   if (message == RelayMessage::kFirst)
     request.__set_session(DescribeSession(now, session, statement));
   messages::RelayedStatement relayed;
@@ -173,6 +176,7 @@
   relays_.OnOperationEnded(session.relay);
   if (end == RelayEnd::kAbandon) {
     messages::RelayRequest request;
+    request.process = options_.process;
     request.operation = session.relayed_operation;
     request.abandoned = true;
     hooks_.send_to_relay(session.relay, request);
@@ -184,11 +188,15 @@
                                    const std::string& from,
                                    const messages::RelayAnswer& message) {
   relays_.OnHeard(now, from);
+  // An operation of an earlier process may have had the same number.
+  if (message.process != options_.process)
+    return;
   const auto operation = relayed_operations_.find(message.operation);
   if (operation == relayed_operations_.end())
     return;
   Session& session = sessions_.at(operation->second);
-  if (session.relay != from || !session.pending || !IsValid(message))
+  if (session.relay != from || !session.pending ||
+      message.number != session.relayed_statements || !IsValid(message))
     return;
   const SessionId id = session.id;
   if (message.more_rows) {
@@ -333,12 +341,7 @@
   if (up)
     return;
   OnRelayLost(now, relay, "lost relay");
-  std::vector<SessionId> left;
-  for (auto it = remote_sessions_.lower_bound({relay, 0});
-       it != remote_sessions_.end() && it->first.first == relay; ++it)
-    left.push_back(it->second);
-  for (const SessionId id : left)
-    OnSessionClosed(now, id);
+  RollBackRemoteOperations(now, relay);
 }
 
 void StatementProxy::ProbeRelays(Time now) {
--- a/statements/src/proxy_sessions.cc
+++ b/statements/src/proxy_sessions.cc
@@ -160,7 +160,7 @@
   std::erase(token_waiters_, id);
   DetachConnection(now, session);
   if (session.remote)
-    remote_sessions_.erase({session.remote->entry, session.remote->operation});
+    remote_sessions_.erase(session.remote->id);
   sessions_.erase(it);
 }
 
--- a/statements/tests/proxy_fixture.cc
+++ b/statements/tests/proxy_fixture.cc
@@ -34,7 +34,9 @@
 ProxyFixture::ProxyFixture(Duration max_configuration_age,
                            Duration confirmation_lease,
                            std::optional<Duration> evacuation_timeout,
-                           std::uint64_t zone_salt) {
+                           std::uint64_t zone_salt,
+                           std::int64_t process) {
+  options_.process = process;
   options_.zone = "z1";
   options_.relay = "self:1";
   options_.offers_relay = true;
@@ -192,7 +194,8 @@
   const EndpointCommand& command =
       SentCommands(id).at(endpoint.answered_commands);
   return StateAfter(endpoint.transaction, command,
-                    commits_.contains(command.id), outcome);
+                    command.text == "COMMIT" || commits_.contains(command.id),
+                    outcome);
 }
 
 void ProxyFixture::ReplyInState(ConnectionId id,
@@ -206,11 +209,13 @@
                               Outcome outcome,
                               std::optional<LogPosition> position) {
   EndpointState& endpoint = endpoint_states_[id];
+  const EndpointCommand& command =
+      SentCommands(id).at(endpoint.answered_commands);
   ++endpoint.answered_commands;
   endpoint.transaction = state;
   Answer answer;
   answer.outcome = outcome;
-  answer.signature = "signature";
+  answer.signature = "signature of " + command.id;
   answer.state = state;
   answer.position = position;
   proxy->OnAnswer(now, id, answer);
@@ -241,6 +246,15 @@
   return it == answers.end() ? 0 : it->second.size();
 }
 
+bool ProxyFixture::HasOutstanding(ConnectionId id) const {
+  const auto commands = sent.find(id);
+  const auto endpoint = endpoint_states_.find(id);
+  return commands != sent.end() &&
+         commands->second.size() > (endpoint == endpoint_states_.end()
+                                        ? 0
+                                        : endpoint->second.answered_commands);
+}
+
 const std::vector<EndpointCommand>& ProxyFixture::SentCommands(
     ConnectionId id) const {
   REQUIRE(sent.count(id) == 1);
--- a/statements/tests/proxy_fixture.h
+++ b/statements/tests/proxy_fixture.h
@@ -19,7 +19,8 @@
   explicit ProxyFixture(Duration max_configuration_age = Duration::max(),
                         Duration confirmation_lease = Duration::max(),
                         std::optional<Duration> evacuation_timeout = {},
-                        std::uint64_t zone_salt = 0);
+                        std::uint64_t zone_salt = 0,
+                        std::int64_t process = 1);
 
   //! Replaces the proxy by a new one, which knows nothing yet.
   void StartEntry();
@@ -58,6 +59,8 @@
   const Answer& LastAnswer(SessionId id) const;
   std::size_t AnswerCount(SessionId id) const;
   const std::vector<EndpointCommand>& SentCommands(ConnectionId id) const;
+  //! True if the endpoint has commands of the connection to answer.
+  bool HasOutstanding(ConnectionId id) const;
 
   Time now = TimeFromMicros(100'000'000);
   routing::RoutingTable table;
--- a/statements/tests/proxy_relay_test.cc
+++ b/statements/tests/proxy_relay_test.cc
@@ -26,9 +26,17 @@
     proxy->OnRelayLink(now, kRelay, true);
   }
 
-  void AnswerAsRelay(Outcome outcome, TransactionState state) {
+  messages::RelayAnswer AnswerToLastRequest() const {
+    const messages::RelayRequest& request = relay_requests.back().second;
     messages::RelayAnswer answer;
-    answer.operation = relay_requests.back().second.operation;
+    answer.process = request.process;
+    answer.operation = request.operation;
+    answer.number = request.number;
+    return answer;
+  }
+
+  void AnswerAsRelay(Outcome outcome, TransactionState state) {
+    messages::RelayAnswer answer = AnswerToLastRequest();
     answer.outcome = static_cast<std::int32_t>(outcome);
     answer.state = static_cast<std::int32_t>(state);
     answer.ended = state == TransactionState::kIdle;
@@ -36,13 +44,17 @@
     proxy->OnRelayAnswer(now, kRelay, answer);
   }
 
-  // A request of the other entry, whose operation 7 is the only one.
+  // A request of the other entry, whose operation 7 is the only one. A first
+  // statement has the number 1, each other one the next.
   void ReceiveStatement(StatementKind kind,
                         const std::string& text,
                         bool first,
                         std::int64_t version = 1) {
     messages::RelayRequest request;
+    request.process = process;
     request.operation = 7;
+    statement_number = first ? 1 : statement_number + 1;
+    request.number = statement_number;
     if (first) {
       messages::RelayedSession session;
       session.database = "own";
@@ -56,8 +68,13 @@
     statement.text = text;
     statement.writes = kind == StatementKind::kWrite;
     request.__set_statement(statement);
+    last_request = request;
     proxy->OnRelayRequest(now, kRelay, request);
   }
+
+  std::int64_t process = 50;  // of the other entry
+  std::int32_t statement_number = 0;
+  messages::RelayRequest last_request;
 };
 
 }  // namespace
@@ -146,8 +163,7 @@
   RelayFixture fixture;
   fixture.OpenSession(1, "strict");
   fixture.SendStatement(1, StatementKind::kWrite, "WRITE a 1");
-  messages::RelayAnswer answer;
-  answer.operation = fixture.relay_requests.back().second.operation;
+  messages::RelayAnswer answer = fixture.AnswerToLastRequest();
   answer.declined = true;
   fixture.proxy->OnRelayAnswer(fixture.now, kRelay, answer);
   CHECK(fixture.opening_connections.size() == 1);
@@ -161,8 +177,7 @@
   RelayFixture fixture;
   fixture.OpenSession(1, "strict");
   fixture.SendStatement(1, StatementKind::kWrite, "WRITE a 1");
-  messages::RelayAnswer answer;
-  answer.operation = fixture.relay_requests.back().second.operation;
+  messages::RelayAnswer answer = fixture.AnswerToLastRequest();
   answer.ended = true;
   answer.configuration_version = 2;
   fixture.proxy->OnRelayAnswer(fixture.now, kRelay, answer);
@@ -225,4 +240,93 @@
   }
 }
 
+// Guards against a statement that runs in the transaction of another caller: an
+// entry that restarts numbers its operations from 1 again.
+TEST_CASE("A restarted entry's operation continues no earlier transaction",
+          "[statements][guarantee]") {
+  RelayFixture fixture;
+  fixture.ReceiveStatement(StatementKind::kBegin, "BEGIN", true);
+  fixture.ReceiveStatement(StatementKind::kWrite, "WRITE a 1", false);
+  const ConnectionId earlier = fixture.AcceptConnection();
+  fixture.Reply(earlier, LogPosition{1, 4});
+  fixture.Reply(earlier, LogPosition{1, 4});
+  const messages::RelayRequest late = fixture.last_request;
+  fixture.process = 51;
+  fixture.ReceiveStatement(StatementKind::kWrite, "WRITE b 2", true);
+
+  SECTION("The earlier transaction is rolled back, and the operation runs") {
+    CHECK(fixture.SentCommands(earlier).back().kind ==
+          EndpointCommand::Kind::kRollback);
+    fixture.Reply(earlier, LogPosition{1, 4});
+    REQUIRE(fixture.SentCommands(earlier).back().text == "WRITE b 2");
+    fixture.Reply(earlier, LogPosition{1, 5});
+    CHECK(fixture.relay_answers.back().second.process == 51);
+    CHECK(fixture.relay_answers.back().second.ended);
+    CHECK(fixture.proxy->SessionCount() == 0);
+  }
+  SECTION("A late statement of the earlier process has no effect") {
+    const std::size_t answers = fixture.relay_answers.size();
+    fixture.proxy->OnRelayRequest(fixture.now, kRelay, late);
+    CHECK(fixture.relay_answers.size() == answers);
+    CHECK(fixture.proxy->SessionCount() == 1);
+  }
+}
+
+// Guards against an answer that reaches another caller than the one that asked:
+// a restarted entry has given the number of the operation anew.
+TEST_CASE("An answer to an earlier process of the entry reaches no caller",
+          "[statements][guarantee]") {
+  RelayFixture fixture;
+  fixture.OpenSession(1, "strict");
+  fixture.SendStatement(1, StatementKind::kWrite, "WRITE a 1");
+  const std::size_t answers = fixture.AnswerCount(1);
+  messages::RelayAnswer answer = fixture.AnswerToLastRequest();
+  answer.ended = true;
+  SECTION("To another process") {
+    ++answer.process;
+  }
+  SECTION("To another statement") {
+    ++answer.number;
+  }
+  fixture.proxy->OnRelayAnswer(fixture.now, kRelay, answer);
+  CHECK(fixture.AnswerCount(1) == answers);
+}
+
+// Guards against writes that run twice.
+TEST_CASE("A statement that arrives twice runs once",
+          "[statements][guarantee]") {
+  RelayFixture fixture;
+  SECTION("Of an open transaction") {
+    fixture.ReceiveStatement(StatementKind::kBegin, "BEGIN", true);
+    fixture.ReceiveStatement(StatementKind::kWrite, "WRITE a 1", false);
+    const ConnectionId id = fixture.AcceptConnection();
+    fixture.Reply(id, LogPosition{1, 4});
+    fixture.Reply(id, LogPosition{1, 4});
+    const std::size_t sent = fixture.SentCommands(id).size();
+    fixture.proxy->OnRelayRequest(fixture.now, kRelay, fixture.last_request);
+    CHECK(fixture.SentCommands(id).size() == sent);
+  }
+  SECTION("Of an operation that has ended") {
+    fixture.ReceiveStatement(StatementKind::kWrite, "WRITE a 1", true);
+    const ConnectionId id = fixture.AcceptConnection();
+    fixture.Reply(id, LogPosition{1, 5});
+    fixture.proxy->OnRelayRequest(fixture.now, kRelay, fixture.last_request);
+    CHECK(fixture.proxy->SessionCount() == 0);
+    CHECK(fixture.opening_connections.empty());
+  }
+}
+
+// Guards against a commit without a statement that its caller relies on.
+TEST_CASE("A transaction that lacks a statement is rolled back",
+          "[statements][guarantee]") {
+  RelayFixture fixture;
+  fixture.ReceiveStatement(StatementKind::kBegin, "BEGIN", true);
+  ++fixture.statement_number;
+  fixture.ReceiveStatement(StatementKind::kCommit, "COMMIT", false);
+  CHECK(fixture.relay_answers.back().second.outcome ==
+        static_cast<std::int32_t>(Outcome::kAborted));
+  CHECK(fixture.proxy->SessionCount() == 0);
+  CHECK(fixture.opening_connections.empty());
+}
+
 }  // namespace goldcrest::statements
