Count a replica that leaves during its fence as silent

A promotion could lose acknowledged commits when a replica left the group while it was being fenced: its position was dropped with its departure, but its fence still counted, so that the order went to an endpoint behind it.

Change: the order needs the positions of as many endpoints as the survey does. Evidence: found by the random simulation with joins and departures. "A replica that leaves before it is fenced counts as silent" fails without the change.

--- a/fleet/src/failover_survey.cc
+++ b/fleet/src/failover_survey.cc
@@ -227,7 +227,9 @@
 void FailoverPlanner::Fence(Time now, const std::string& name, Group& group) {
   AddHolders(now, name, group);
   const auto found = group.positions.find(group.candidate);
-  if (found == group.positions.end())
+  // One that has told its position may have left since.
+  if (found == group.positions.end() ||
+      group.positions.size() < PositionsNeeded(group))
     return ContinueSurvey(now, name, group);
   const ProbeResult& candidate = found->second;
   std::int64_t newest_term = 0;
--- a/fleet/tests/failover_survey_test.cc
+++ b/fleet/tests/failover_survey_test.cc
@@ -157,6 +157,26 @@
   }
 }
 
+// Guards against a promotion without the commits of a replica that leaves while
+// its fence is under way: what it tells then is not counted.
+TEST_CASE("A replica that leaves before it is fenced counts as silent",
+          "[fleet][guarantee]") {
+  FailoverGroup group(1);
+  group.SetRole("p", true, true);
+  group.SetRole("r1", false, true);
+  group.Advance(milliseconds(20));
+  group.Answer("r1", Kind::kFollows, 9);
+  group.Answer("r2", Kind::kFollows, 8);
+  REQUIRE(group.probes.back().second == ProbePurpose::kFence);
+  group.SetRole("r1", false, true, true);
+  group.Answer("r1", Kind::kFollows, 9);  // fenced
+  CHECK(group.orders.empty());
+  group.Advance(milliseconds(100));
+  group.Answer("r2", Kind::kFollows, 8);
+  group.Advance(seconds(1));
+  CHECK(group.orders.empty());
+}
+
 TEST_CASE("A draining replica is promoted only if no other one catches up",
           "[fleet]") {
   FailoverGroup group(1);
