Count replicas that have left when the others are fenced

With two synchronous replicas a commit could be lost: one that had left had received it, one that was not fenced received it as well, and the promoted endpoint had not. The number of fences was taken from the members alone.

Change: it is taken from all endpoints that may hold an acknowledged commit. "A replica that has left counts when the others are fenced" fails without the change.

--- a/fleet/src/failover_survey.cc
+++ b/fleet/src/failover_survey.cc
@@ -245,7 +245,11 @@
   }
   if (behind_fenced)
     return ContinueSurvey(now, name, group);
-  if (group.fenced.size() + group.sync_replicas >= group.live_holders.size())
+  // One that has left counts: it may have received what another one, which
+  // still receives, only needs to receive as well.
+  const std::size_t receivers =
+      std::max(group.holders.size(), group.live_holders.size());
+  if (group.fenced.size() + group.sync_replicas >= receivers)
     return behind ? ContinueSurvey(now, name, group) : Order(now, name, group);
   if (now - group.phase_since >= kSurveyTimeout)
     return ContinueSurvey(now, name, group);
--- a/fleet/tests/failover_survey_test.cc
+++ b/fleet/tests/failover_survey_test.cc
@@ -177,6 +177,26 @@
   CHECK(group.orders.empty());
 }
 
+// Guards against a commit that is acknowledged with the earlier receipt of a
+// replica that has left and the receipt of one that is not fenced.
+TEST_CASE("A replica that has left counts when the others are fenced",
+          "[fleet][guarantee]") {
+  FailoverGroup group(2);
+  group.SetRole("r3", false);
+  group.SetRole("r3", false, false, true);
+  group.SetRole("p", true, true);
+  group.Advance(milliseconds(20));
+  group.Answer("r1", Kind::kFollows, 9);
+  group.Answer("r2", Kind::kFollows, 8);
+  group.Advance(milliseconds(400));
+  CHECK(group.orders.empty());
+  CHECK(group.probes.back().first == "r2");
+  CHECK(group.probes.back().second == ProbePurpose::kFence);
+  group.Answer("r2", Kind::kFollows, 8);
+  REQUIRE(group.orders.size() == 1);
+  CHECK(group.orders[0].endpoint == "r1");
+}
+
 TEST_CASE("A draining replica is promoted only if no other one catches up",
           "[fleet]") {
   FailoverGroup group(1);
