Number forwarded requests by the process's incarnation

A daemon matched the answers of coordinators and of the control leader to its requests by the answering instance and a number that began at 1 in each process. An answer to a process that had ended could reach another caller of the next one.

Change: the numbers of a process begin with its incarnation, which grows with each start. Evidence: "An answer to an earlier process's request reaches no caller" fails when the numbers begin at 1.

--- a/entry/include/goldcrest/entry/entry_node.h
+++ b/entry/include/goldcrest/entry/entry_node.h
@@ -135,7 +135,7 @@
       coordinators_;
   std::map<std::uint64_t, std::string> group_by_call_;
   std::map<std::string, std::int64_t> resigned_;  // last epoch by group
-  std::int64_t next_proposal_ = 1;
+  std::int64_t next_proposal_;
   std::map<std::int64_t, std::string> coordinator_proposals_;  // groups
   std::map<std::int64_t, std::pair<std::uint64_t, OperatorProposal>>
       operator_proposals_;
--- a/entry/include/goldcrest/entry/ingress.h
+++ b/entry/include/goldcrest/entry/ingress.h
@@ -21,7 +21,13 @@
 
 namespace goldcrest::entry {
 
+//! First number of the requests that a process sends to others. Differs from
+//! all numbers of the instance's earlier processes, since their incarnation, a
+//! Unix time in milliseconds, was lower.
+std::int64_t FirstRequestId(std::int64_t incarnation);
+
 struct IngressOptions {
+  std::int64_t incarnation = 0;  //!< Of this process.
   //! Longest wait for a quota token before a request is refused.
   Duration quota_wait = std::chrono::milliseconds(250);
   //! Delay before a request is forwarded again.
@@ -108,7 +114,7 @@
   IngressOptions options_;
   std::function<std::string(std::size_t)> random_bytes_;
   Time control_lease_until_;
-  std::int64_t next_forward_id_ = 1;
+  std::int64_t next_forward_id_;
   std::string nonce_prefix_;
   std::uint32_t nonce_counter_ = 0;
   std::map<std::int64_t, Pending> pending_;  // by forward id
--- a/entry/src/entry_node.cc
+++ b/entry/src/entry_node.cc
@@ -16,13 +16,19 @@
             std::make_move_iterator(from.end()));
 }
 
+EntryNodeOptions WithIncarnation(EntryNodeOptions options) {
+  options.ingress.incarnation = options.control.self.incarnation;
+  return options;
+}
+
 }  // namespace
 
 EntryNode::EntryNode(EntryNodeOptions options, EntryNodeHooks hooks)
-    : options_(std::move(options)),
+    : options_(WithIncarnation(std::move(options))),
       hooks_(std::move(hooks)),
       ingress_(&view_, &holder_, options_.ingress, hooks_.random_bytes),
-      client_(&view_, &holder_, options_.control) {}
+      client_(&view_, &holder_, options_.control),
+      next_proposal_(FirstRequestId(options_.ingress.incarnation)) {}
 
 EntryEffects EntryNode::OnCallerRequest(const CallerRequest& request,
                                         Time now) {
--- a/entry/src/ingress.cc
+++ b/entry/src/ingress.cc
@@ -16,12 +16,23 @@
 // per process and per 2^32 tokens.
 constexpr std::size_t kNoncePrefixBytes = 8;
 
+// Numbers of requests for each millisecond from one process to the next.
+constexpr int kRequestIdBits = 20;
+
 bool Writes(Operation::type operation) {
   return operation != Operation::READ;
 }
 
 }  // namespace
 
+std::int64_t FirstRequestId(std::int64_t incarnation) {
+  constexpr std::uint64_t kMaxIncarnation =
+      (std::uint64_t{1} << (62U - kRequestIdBits)) - 1;
+  const std::uint64_t bounded =
+      static_cast<std::uint64_t>(incarnation) & kMaxIncarnation;
+  return static_cast<std::int64_t>(bounded << kRequestIdBits) + 1;
+}
+
 Ingress::Ingress(const ControlView* view,
                  quota::Holder* holder,
                  IngressOptions options,
@@ -29,7 +40,8 @@
     : view_(view),
       holder_(holder),
       options_(options),
-      random_bytes_(std::move(random_bytes)) {}
+      random_bytes_(std::move(random_bytes)),
+      next_forward_id_(FirstRequestId(options.incarnation)) {}
 
 IngressEffects Ingress::OnRequest(const CallerRequest& request, Time now) {
   const std::int64_t id = next_forward_id_++;
--- a/entry/tests/ingress_test.cc
+++ b/entry/tests/ingress_test.cc
@@ -1,6 +1,7 @@
 #include "goldcrest/entry/ingress.h"
 
 #include <catch2/catch.hpp>
+#include <utility>
 
 #include "goldcrest/types/digest.h"
 
@@ -13,10 +14,11 @@
 // An ingress with one customer, key and group. The test acts as coordinator.
 class IngressFixture {
  public:
-  IngressFixture()
-      : ingress_(&view_, &holder_, {}, [](std::size_t count) {
-          return std::string(count, 'r');
-        }) {
+  explicit IngressFixture(std::int64_t incarnation = 0)
+      : ingress_(&view_,
+                 &holder_,
+                 {.incarnation = incarnation},
+                 [](std::size_t count) { return std::string(count, 'r'); }) {
     messages::Object customer;
     customer.kind = messages::ObjectKind::CUSTOMER;
     customer.name = "town-hall";
@@ -77,7 +79,7 @@
   }
   void Respond(const std::string& from, ResultCode code) {
     messages::ForwardResponse response;
-    response.id = 1;
+    response.id = last_forward_id;
     response.code = ToNumber(code);
     RecordEffects(ingress_.OnResponse(from, response, now));
   }
@@ -90,13 +92,16 @@
   }
 
   Time now = Time(seconds(1));
+  std::int64_t last_forward_id = 0;
   std::vector<std::string> forwards;  // coordinators, in order of forwarding
   std::optional<ResultCode> code;     // of the last answer
 
  private:
   void RecordEffects(const IngressEffects& effects) {
-    for (const auto& [to, forward] : effects.forwards)
+    for (const auto& [to, forward] : effects.forwards) {
+      last_forward_id = forward.id;
       forwards.push_back(to);
+    }
     for (const CallerAnswer& answer : effects.answers)
       code = answer.code;
   }
@@ -143,6 +148,24 @@
   CHECK(fixture.code == ResultCode::kOutcomeUnknown);
 }
 
+// Guards against an answer that reaches another caller: a restarted instance
+// would number its requests from 1 again.
+TEST_CASE("An answer to an earlier process's request reaches no caller",
+          "[entry]") {
+  IngressFixture earlier(1'700'000'000'000);
+  earlier.SendWrite("request 1");
+  IngressFixture restarted(1'700'000'001'000);
+  restarted.SendWrite("request 2");
+  REQUIRE(restarted.forwards.size() == 1);
+  const std::int64_t own_id =
+      std::exchange(restarted.last_forward_id, earlier.last_forward_id);
+  restarted.Respond("e1", ResultCode::kOk);
+  CHECK_FALSE(restarted.code);
+  restarted.last_forward_id = own_id;
+  restarted.Respond("e1", ResultCode::kOk);
+  CHECK(restarted.code == ResultCode::kOk);
+}
+
 TEST_CASE("A waiting request is refused when its key is withdrawn",
           "[entry][guarantee]") {
   IngressFixture fixture;
