Mend lint findings in relayed operations and request numbers

The linter takes the defaulted three-way comparison for a null pointer, and finds no constructor for an optional's emplace() of a nested class.

--- a/entry/src/ingress.cc
+++ b/entry/src/ingress.cc
@@ -26,10 +26,10 @@
 }  // namespace
 
 std::int64_t FirstRequestId(std::int64_t incarnation) {
-  constexpr std::uint64_t kMaxIncarnation =
+  constexpr std::uint64_t max_incarnation =
       (std::uint64_t{1} << (62U - kRequestIdBits)) - 1;
   const std::uint64_t bounded =
-      static_cast<std::uint64_t>(incarnation) & kMaxIncarnation;
+      static_cast<std::uint64_t>(incarnation) & max_incarnation;
   return static_cast<std::int64_t>(bounded << kRequestIdBits) + 1;
 }
 
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -1,7 +1,6 @@
 #ifndef GOLDCREST_STATEMENTS_STATEMENT_PROXY_H_
 #define GOLDCREST_STATEMENTS_STATEMENT_PROXY_H_
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -10,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -262,7 +262,10 @@
   // Identifies an operation of another entry. Each process of an entry numbers
   // its operations from 1 on.
   struct RemoteOperationId {
-    auto operator<=>(const RemoteOperationId&) const = default;
+    bool operator<(const RemoteOperationId& other) const {
+      return std::tie(entry, process, number) <
+             std::tie(other.entry, other.process, other.number);
+    }
 
     std::string entry;
     std::int64_t process = 0;
--- a/statements/src/proxy_remote.cc
+++ b/statements/src/proxy_remote.cc
@@ -175,8 +175,9 @@
   remote_sessions_[operation] = id;
   Session& session = sessions_[id];
   session.id = id;
-  session.remote.emplace();
-  session.remote->id = operation;
+  RemoteOperation remote;
+  remote.id = operation;
+  session.remote = std::move(remote);
   session.database = described.database;
   session.key = described.key;
   Statement kept;
