Give held writes and remote entries classes of their own

The proxy's header held the state of two concepts that can be read alone: the holds of groups' writes, and the processes of entries that hand operations over. They are WriteHolds and RemoteEntries now, without a change of behaviour; all tests of the package pass. "An entry confirms held writes at once, and only once" covers the report of a hold, and fails without that report.

--- a/statements/include/goldcrest/statements/controller_client.h
+++ b/statements/include/goldcrest/statements/controller_client.h
@@ -99,7 +99,7 @@
   StatementProxy& proxy_;
   ControllerClientHooks hooks_;
   std::map<std::string, ControllerState> controllers_;
-  std::string holder_of_writes_;  // the controller that has ordered a hold
+  std::string holding_controller_;  // has ordered the newest hold of writes
   std::map<std::string, std::int64_t> reported_holds_;
   std::string leader_;         // the controller that last proved that it leads
   Time contacts_reported_at_;  // to the leader
--- a/statements/include/goldcrest/statements/statement_proxy.h
+++ b/statements/include/goldcrest/statements/statement_proxy.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -22,11 +21,13 @@
 #include "goldcrest/statements/position_history.h"
 #include "goldcrest/statements/primary_view.h"
 #include "goldcrest/statements/relay_directory.h"
+#include "goldcrest/statements/remote_entries.h"
 #include "goldcrest/statements/retry_advice.h"
 #include "goldcrest/statements/service_forecast.h"
 #include "goldcrest/statements/statement.h"
 #include "goldcrest/statements/statement_queue.h"
 #include "goldcrest/statements/token_forecast.h"
+#include "goldcrest/statements/write_holds.h"
 
 namespace goldcrest::statements {
 
@@ -259,18 +260,6 @@
     bool writes = false;
     std::string shape;
   };
-  // Identifies an operation of another entry. Each process of an entry numbers
-  // its operations from 1 on.
-  struct RemoteOperationId {
-    bool operator<(const RemoteOperationId& other) const {
-      return std::tie(entry, process, number) <
-             std::tie(other.entry, other.process, other.number);
-    }
-
-    std::string entry;
-    std::int64_t process = 0;
-    std::int64_t number = 0;
-  };
   // The operation of another entry that a session runs.
   struct RemoteOperation {
     RemoteOperationId id;
@@ -442,12 +431,6 @@
                    const std::string& cause);
   void ProbeRelays(Time now);
   // Operations that this entry runs for others.
-  //! What is known of an entry that hands operations over.
-  struct RemoteEntry {
-    std::int64_t process = 0;  // the newest; 0: none yet
-    std::int64_t newest_operation = 0;
-    std::deque<std::int64_t> ended_processes;
-  };
   bool AcceptProcess(Time now, const std::string& from, std::int64_t process);
   void RollBackRemoteOperations(Time now, const std::string& entry);
   SessionId OpenRemoteSession(Time now,
@@ -464,15 +447,6 @@
   void SendRelayedRows(const Session& session,
                        const std::vector<std::string>& rows);
   // Commits that are held while a promotion is under way.
-  struct HeldGroup {
-    std::int64_t number = 0;  // of the newest hold
-    std::string endpoint;     // that is promoted
-    Time lapses_at;
-    Time give_up_at;  // of the commits that were under way
-  };
-  bool IsHeld(Time now,
-              const std::string& group,
-              const std::string& endpoint) const;
   //! True for a single write, and a commit of what the connection has written.
   bool Commits(const Session& session, const Connection& connection) const;
   bool IsCommitUnderWay(Time now, const Session& session);
@@ -625,9 +599,9 @@
   std::int64_t required_version_ = 0;
   SessionId next_remote_session_ = 0;
   std::map<RemoteOperationId, SessionId> remote_sessions_;
-  std::map<std::string, RemoteEntry> remote_entries_;
+  RemoteEntries remote_entries_;
   routing::ZoneEvacuations evacuations_;
-  std::map<std::string, HeldGroup> held_groups_;
+  WriteHolds write_holds_;
   bool commits_held_ = false;     // some have a connection
   bool operations_held_ = false;  // until the evacuated zones are known
   routing::ZoneBalance zones_;
--- a/statements/src/controller_client.cc
+++ b/statements/src/controller_client.cc
@@ -89,7 +89,7 @@
     proxy_.OnAssignment(now, assignment);
   for (const messages::WriteHold& hold : update.write_holds) {
     proxy_.OnWriteHold(now, hold);
-    holder_of_writes_ = from;
+    holding_controller_ = from;
   }
   ReportHeldWrites(now);
   for (const messages::ConfirmedPosition& position : update.positions)
@@ -174,7 +174,7 @@
   });
   reported_holds_ = held;
   if (is_new)
-    Report(now, holder_of_writes_, false);
+    Report(now, holding_controller_, false);
 }
 
 void ControllerClient::AddControllers(const std::set<std::string>& names) {
--- a/statements/src/proxy_dispatch.cc
+++ b/statements/src/proxy_dispatch.cc
@@ -90,7 +90,7 @@
   }
   if (session.state == TransactionState::kIdle &&
       Writes(session, session.pending->statement) &&
-      IsHeld(now, session.route->group, primary)) {
+      write_holds_.IsHeld(now, session.route->group, primary)) {
     session.pending->last_cause = kPromotionUnderWay;
     return;
   }
@@ -297,7 +297,7 @@
   if (!MaySend(now, connection))
     return;
   if (Commits(session, connection) &&
-      IsHeld(now, connection.group, connection.endpoint)) {
+      write_holds_.IsHeld(now, connection.group, connection.endpoint)) {
     session.pending->last_cause = kPromotionUnderWay;
     commits_held_ = true;
     return;
--- a/statements/src/proxy_remote.cc
+++ b/statements/src/proxy_remote.cc
@@ -1,6 +1,5 @@
 // Operations that this entry runs for others.
 
-#include <algorithm>
 #include <chrono>
 #include <limits>
 #include <utility>
@@ -14,9 +13,6 @@
 // Numbers of sessions that are run for other entries begin here.
 constexpr SessionId kFirstRemoteSession = SessionId{1} << 48U;
 
-// Messages of a process that has ended arrive at most seconds later.
-constexpr std::size_t kMaxEndedProcesses = 16;
-
 bool IsValid(const messages::RelayedStatement& statement) {
   return statement.kind >= 0 &&
          statement.kind <= static_cast<std::int32_t>(StatementKind::kMalformed);
@@ -41,13 +37,9 @@
     return hooks_.answer_relayed(from, AnswerTo(request));
   if (!AcceptProcess(now, from, request.process))
     return;
-  RemoteEntry& entry = remote_entries_[from];
   const RemoteOperationId operation{from, request.process, request.operation};
   const auto known = remote_sessions_.find(operation);
-  // Operations arrive in the order of their numbers: one that is not newer
-  // arrives late or a second time, and its entry relies on it no more.
-  const bool is_new = request.operation > entry.newest_operation;
-  entry.newest_operation = std::max(entry.newest_operation, request.operation);
+  const bool is_new = remote_entries_.OnOperation(operation);
   if (request.abandoned) {
     if (known != remote_sessions_.end())
       OnSessionClosed(now, SessionId(known->second));
@@ -87,27 +79,23 @@
 bool StatementProxy::AcceptProcess(Time now,
                                    const std::string& from,
                                    std::int64_t process) {
-  RemoteEntry& entry = remote_entries_[from];
-  if (process == entry.process)
-    return true;
-  if (std::ranges::count(entry.ended_processes, process) > 0)
-    return false;
-  if (entry.process != 0) {
-    hooks_.log_decision({"relay_entry_restarted",
-                         "",
-                         "",
-                         from,
-                         "another process",
-                         {},
-                         Version()});
-    RollBackRemoteOperations(now, from);
-    entry.ended_processes.push_back(entry.process);
-    if (entry.ended_processes.size() > kMaxEndedProcesses)
-      entry.ended_processes.pop_front();
+  switch (remote_entries_.OnMessage(from, process)) {
+    case RemoteEntries::Process::kNewest:
+      return true;
+    case RemoteEntries::Process::kOutdated:
+      return false;
+    case RemoteEntries::Process::kRestarted:
+      hooks_.log_decision({"relay_entry_restarted",
+                           "",
+                           "",
+                           from,
+                           "another process",
+                           {},
+                           Version()});
+      RollBackRemoteOperations(now, from);
+      return true;
   }
-  entry.process = process;
-  entry.newest_operation = 0;
-  return true;
+  return false;
 }
 
 void StatementProxy::RollBackRemoteOperations(Time now,
--- a/statements/tests/controller_client_test.cc
+++ b/statements/tests/controller_client_test.cc
@@ -108,6 +108,27 @@
   CHECK(entry.TakeAsked() == std::vector<std::string>{"b"});
 }
 
+// Guards against a promotion that waits for the entry's next report.
+TEST_CASE("An entry confirms held writes at once, and only once",
+          "[statements]") {
+  Client entry;
+  entry.client->OnLink(entry.now, "a", true);
+  messages::ProxyUpdate update;
+  messages::WriteHold hold;
+  hold.group = "g";
+  hold.number = 7;
+  hold.active = true;
+  update.write_holds = {hold};
+  entry.sent.clear();
+  entry.client->OnUpdate(entry.now, "a", update);
+  const std::map<std::string, std::int64_t> confirmed = {{"g", 7}};
+  REQUIRE(entry.sent.size() == 1);
+  CHECK(entry.sent.back().first == "a");
+  CHECK(entry.sent.back().second.held_writes == confirmed);
+  entry.client->OnUpdate(entry.now, "a", update);
+  CHECK(entry.sent.size() == 1);
+}
+
 // Guards against an entry that is ready, or counts its set as current, before
 // it has applied the set that the same answer carries.
 TEST_CASE("An entry reports and applies the evacuated zones",
