--- a/fleet/tests/controller_cluster.h
+++ b/fleet/tests/controller_cluster.h
@@ -61,6 +61,7 @@
       auto table = std::make_shared<routing::RoutingTable>();
       table->version = std::stoll(text);
       table->customers.push_back({"customer", {"key"}, 100, 100});
+      table->groups = groups;
       return table;
     };
     hooks.known_controllers = [this, name](const auto& names) {
@@ -72,6 +73,11 @@
       if (probe)
         probes_.push_back({name, entry.record, purpose});
     };
+    hooks.fence = [this, name](const routing::EndpointDirectory::Entry& entry,
+                               std::int64_t) {
+      if (probe)
+        probes_.push_back({name, entry.record, ProbePurpose::kFence});
+    };
     hooks.promote = [this](const auto&) { ++promotions; };
     hooks.log_decision = [this](const std::string& event, const auto&,
                                 const auto&) { ++decisions[event]; };
@@ -145,8 +151,9 @@
     return count;
   }
 
-  int promotions = 0;  // ordered
-  int decoded = 0;     // documents
+  int promotions = 0;                            // ordered
+  int decoded = 0;                               // documents
+  std::map<std::string, routing::Group> groups;  // of each document
   // Answers probes; null if they are never answered.
   std::function<ProbeResult(const messages::EndpointRecord&, ProbePurpose)>
       probe;
