Mend the sanitizer build of the held-writes test

The development build doesn't report it, and the sanitizer build had not been run since the test was written.

Name the group once and copy it, which reads better as well, and include <map>. The test checks what it checked before.

--- a/statements/tests/controller_client_test.cc
+++ b/statements/tests/controller_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -113,15 +114,16 @@
           "[statements]") {
   Client entry;
   entry.client->OnLink(entry.now, "a", true);
+  const std::string group = "g";
   messages::ProxyUpdate update;
   messages::WriteHold hold;
-  hold.group = "g";
+  hold.group = group;
   hold.number = 7;
   hold.active = true;
   update.write_holds = {hold};
   entry.sent.clear();
   entry.client->OnUpdate(entry.now, "a", update);
-  const std::map<std::string, std::int64_t> confirmed = {{"g", 7}};
+  const std::map<std::string, std::int64_t> confirmed = {{group, 7}};
   REQUIRE(entry.sent.size() == 1);
   CHECK(entry.sent.back().first == "a");
   CHECK(entry.sent.back().second.held_writes == confirmed);
