--- a/process_tests/tests/signal_test.cc
+++ b/process_tests/tests/signal_test.cc
@@ -51,6 +51,7 @@
     return folder.Read("log").find("started") != std::string::npos ||
            !process.IsRunning();
   }));
+  INFO(role << ": " << folder.Read("log"));
   CHECK(process.IsRunning());
 }
 
