Shut a listener down before it is closed

Such a connection is reset, or its handshake hangs until the SYN is sent again.

Cause: Linux closes a socket with its last reference, and epoll_wait() in another thread of the pool holds one while it polls the socket, so that the listener accepts for some microseconds after close() has returned.

Change: shutdown() ends the listener whoever holds it, then it is closed.

--- a/adapters/internal/listener.h
+++ b/adapters/internal/listener.h
@@ -27,17 +27,18 @@
   //! `on_socket` runs on worker threads, or in StopAfterBacklog().
   void Start(SocketHandler on_socket);
 
-  //! Closes the listener. Connections that the kernel has established are
-  //! passed to `on_socket` first, since closing the listener would reset them,
+  //! Like Stop(). Connections that the kernel has established are passed to
+  //! `on_socket` first, since closing the listener would reset them,
   //! possibly with requests in transit.
   void StopAfterBacklog();
 
-  //! Closes the listener.
+  //! Closes the listener. Connection attempts fail from then on.
   void Stop();
 
  private:
   void StartAccept();
   void OnAccept(error_code error, Socket socket);
+  void CloseAcceptor();
 
   asio::io_context& context_;
   std::mutex mutex_;
--- a/adapters/src/listener.cc
+++ b/adapters/src/listener.cc
@@ -1,5 +1,7 @@
 #include "listener.h"
 
+#include <sys/socket.h>
+
 #include <system_error>
 #include <utility>
 #include <vector>
@@ -84,8 +86,7 @@
       if (!error)
         backlog.push_back(std::move(socket));
     }
-    acceptor_.close(error);
-    retry_timer_.cancel();
+    CloseAcceptor();
   }
   for (Socket& socket : backlog)
     on_socket_(std::move(socket));
@@ -94,6 +95,14 @@
 void Listener::Stop() {
   const std::lock_guard lock(mutex_);
   accepting_ = false;
+  CloseAcceptor();
+}
+
+// Requires mutex_.
+void Listener::CloseAcceptor() {
+  // A closed socket listens on while another thread is in epoll_wait() with it;
+  // a shutdown ends that at once.
+  ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
   error_code ignored;
   acceptor_.close(ignored);
   retry_timer_.cancel();
--- a/adapters/tests/http_server_test.cc
+++ b/adapters/tests/http_server_test.cc
@@ -1,5 +1,9 @@
 #include "goldcrest/adapters/http_server.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
@@ -78,6 +82,47 @@
   HttpServer server_;
 };
 
+// A second descriptor of the socket that listens on `port`. Keeps the socket
+// alive after its owner has closed it, as a thread does that is polling it.
+class ListeningSocketReference {
+ public:
+  explicit ListeningSocketReference(std::uint16_t port) {
+    for (int candidate = 0; candidate < kMaxDescriptors; ++candidate) {
+      if (!ListensOn(candidate, port))
+        continue;
+      descriptor_ = dup(candidate);
+      return;
+    }
+  }
+  ~ListeningSocketReference() {
+    if (descriptor_ >= 0)
+      close(descriptor_);
+  }
+  ListeningSocketReference(const ListeningSocketReference&) = delete;
+  ListeningSocketReference& operator=(const ListeningSocketReference&) = delete;
+
+  bool IsOpen() const { return descriptor_ >= 0; }
+
+ private:
+  static constexpr int kMaxDescriptors = 1024;
+
+  static bool ListensOn(int descriptor, std::uint16_t port) {
+    int listening = 0;
+    socklen_t size = sizeof(listening);
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) !=
+            0 ||
+        listening == 0)
+      return false;
+    sockaddr_in address{};
+    size = sizeof(address);
+    return getsockname(descriptor, reinterpret_cast<sockaddr*>(&address),
+                       &size) == 0 &&
+           ntohs(address.sin_port) == port;
+  }
+
+  int descriptor_ = -1;
+};
+
 std::string GetRequest(const std::string& path) {
   return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
 }
@@ -296,4 +341,20 @@
   CHECK(Contains(late.ReadUntil("|"), "/late"));
 }
 
+// Guards against connections to a closed listener: the kernel accepted them for
+// as long as another thread was polling the socket.
+TEST_CASE("No connection is established after the listener has stopped",
+          "[adapters][guarantee]") {
+  Fixture fixture;
+  const ListeningSocketReference reference(fixture.Server().Port());
+  REQUIRE(reference.IsOpen());
+  SECTION("By a drain") {
+    fixture.Server().StopAccepting();
+  }
+  SECTION("By a close") {
+    fixture.Server().Close();
+  }
+  CHECK_THROWS(fixture.Connect());
+}
+
 }  // namespace goldcrest::adapters
